Cut the workspace, its types and its borders

Cause: nothing stood yet; the parts of the mesh need shared types, settings and trait borders before they can be built side by side. Change: a workspace with a crate per concern, identifiers and sizes, INI reading with lines, settings with a reference of themselves, keys and certificates, the client of the platform's log, and the borders of the control and request decisions. Conclusion: formatter, linter and tests pass.

--- /dev/null
+++ b/crates/marigold-auth/src/lib.rs
@@ -0,0 +1,18 @@
+//! Who may speak: operators by signatures, daemons by certificates, request keys by a MAC.
+//!
+//! Secrets have no `Debug` or `Display` form, so that they cannot reach a log. See
+//! docs/design/security.md.
+
+mod authority;
+mod daemon_name;
+mod error;
+mod mesh_key;
+mod operator_key;
+mod signature;
+
+pub use authority::{Authority, Credentials};
+pub use daemon_name::daemon_name;
+pub use error::AuthError;
+pub use mesh_key::MeshKey;
+pub use operator_key::OperatorKey;
+pub use signature::{PublicKey, Signature};
--- /dev/null
+++ b/crates/marigold-scenarios/src/lib.rs
@@ -0,0 +1,1 @@
+//! Runs the scenario files of `tests/scenarios/` over the real decision code.
--- /dev/null
+++ b/crates/marigold-settings/src/config.rs
@@ -0,0 +1,12 @@
+//! One module for each section of the settings file.
+
+pub mod admin;
+pub mod caller;
+pub mod control;
+pub mod daemon;
+pub mod log;
+pub mod logging;
+pub mod peers;
+pub mod request;
+pub mod tls;
+pub mod trust;
--- /dev/null
+++ b/crates/marigold-settings/src/lib.rs
@@ -0,0 +1,22 @@
+//! The settings of a daemon, read from INI and checked as a whole.
+//!
+//! docs/SETTINGS.md lists every setting; a test holds it to [`Settings::reference`].
+
+mod choice;
+mod config;
+mod note;
+mod reader;
+mod settings;
+
+pub use config::admin::AdminSettings;
+pub use config::caller::CallerSettings;
+pub use config::control::{ControlSettings, Profile};
+pub use config::daemon::DaemonSettings;
+pub use config::log::LogSettings;
+pub use config::logging::{Format, Level, LoggingSettings, Target};
+pub use config::peers::PeerSettings;
+pub use config::request::RequestSettings;
+pub use config::tls::TlsSettings;
+pub use config::trust::TrustSettings;
+pub use note::Note;
+pub use settings::Settings;
--- /dev/null
+++ b/crates/marigold-standin/src/main.rs
@@ -0,0 +1,3 @@
+//! The `marigold-standin` program.
+
+fn main() {}
--- /dev/null
+++ b/crates/marigoldctl/src/main.rs
@@ -0,0 +1,3 @@
+//! The `marigoldctl` program.
+
+fn main() {}
--- /dev/null
+++ b/crates/marigoldd/src/admin.rs
@@ -0,0 +1,1 @@
+//! The operators' side: plans, confirmations, status, metrics and announcements, over HTTP.
--- /dev/null
+++ b/crates/marigoldd/src/caller.rs
@@ -0,0 +1,1 @@
+//! The callers' side: HTTP requests in, whole answers out.
--- /dev/null
+++ b/crates/marigoldd/src/executor.rs
@@ -0,0 +1,1 @@
+//! The only way to the backend server beside the daemon.
--- /dev/null
+++ b/crates/marigoldd/src/main.rs
@@ -0,0 +1,3 @@
+//! The `marigoldd` program: parses its arguments, sets up and runs.
+
+fn main() {}
