--- /dev/null
+++ b/crates/marigold-scenarios/src/control.rs
@@ -0,0 +1,1 @@
+//! Scenarios of the control side.
--- /dev/null
+++ b/crates/marigold-scenarios/src/request.rs
@@ -0,0 +1,1 @@
+//! Scenarios of the request side.
