Read intents, with every mistake named at once

The checks of one declaration and of a whole configuration are functions of their own, so that the fold over the log can hold a plan to the same rules. Patterns and time windows of the customer's rules are types.

--- /dev/null
+++ b/crates/marigold-config/src/check.rs
@@ -0,0 +1,178 @@
+//! What a configuration must satisfy as a whole.
+
+use std::collections::BTreeMap;
+use std::fmt::Display;
+use std::ops::RangeInclusive;
+use std::str::FromStr;
+use std::sync::Arc;
+
+use marigold_auth::PublicKey;
+use marigold_types::{Interval, Rate, RouteName, ServiceName, SlotCount};
+
+use crate::{Declaration, Invalid, Pattern, Resource, Share, Window};
+
+/// The most declarations of one configuration, so that no plan can fill the memory.
+pub const MAX_DECLARATIONS: usize = 10_000;
+/// The longest path of a route or probe, in bytes.
+const MAX_PATH_BYTES: usize = 1_024;
+/// The most patterns of one rule.
+const MAX_PATTERNS: usize = 64;
+const PATH_ALLOWED: &str = "a path that starts with `/`, of printable ASCII without space, `?` \
+    and `#`, of at most 1024 bytes";
+const SERVICE_ALLOWED: &str = "a service declared in the same configuration";
+const SHARE_ALLOWED: &str = "from 0% to below 100%";
+const SLOTS: RangeInclusive<SlotCount> = SlotCount(1)..=SlotCount(100_000);
+const CONNECTIONS: RangeInclusive<u32> = 1..=1_000_000;
+const RATE: RangeInclusive<Rate> = Rate(1)..=Rate(100_000_000);
+const WARMUP: RangeInclusive<Interval> =
+    Interval::from_millis(0)..=Interval::from_millis(3_600_000);
+const DEADLINE: RangeInclusive<Interval> =
+    Interval::from_millis(1)..=Interval::from_millis(3_600_000);
+const OBJECTIVE_WINDOW: RangeInclusive<Interval> =
+    Interval::from_millis(60_000)..=Interval::from_millis(90 * 86_400_000);
+
+/// Collects the faults of one declaration.
+struct Checker<'a> {
+    resource: &'a Resource,
+    list: &'a mut Vec<Invalid>,
+}
+
+impl Checker<'_> {
+    fn add(&mut self, field: &str, problem: &str, allowed: &str) {
+        self.list
+            .push(Invalid::new(self.resource, field, problem, allowed));
+    }
+
+    fn range<T: PartialOrd + Display>(
+        &mut self,
+        field: &str,
+        value: &T,
+        range: &RangeInclusive<T>,
+    ) {
+        if !range.contains(value) {
+            let allowed = format!("{} to {}", range.start(), range.end());
+            self.add(field, &format!("`{value}` is out of range"), &allowed);
+        }
+    }
+
+    fn path(&mut self, field: &str, path: &str) {
+        let allowed = |b: u8| b.is_ascii_graphic() && b != b'?' && b != b'#';
+        let valid = path.starts_with('/') && path.bytes().all(allowed);
+        if !valid || path.len() > MAX_PATH_BYTES {
+            self.add(field, "not a valid path", PATH_ALLOWED);
+        }
+    }
+
+    fn text<T>(&mut self, field: &str, text: &str)
+    where
+        T: FromStr,
+        T::Err: Display,
+    {
+        if let Err(error) = text.parse::<T>() {
+            let message = error.to_string();
+            let (problem, allowed) = message
+                .split_once(": allowed is ")
+                .unwrap_or((&message, "a valid value"));
+            self.add(field, problem, allowed);
+        }
+    }
+
+    fn share(&mut self, field: &str, share: u32) {
+        if share >= Share::ALL.0 {
+            let problem = format!("`{}` is out of range", Share(share));
+            self.add(field, &problem, SHARE_ALLOWED);
+        }
+    }
+}
+
+/// Adds what is wrong with one declaration by itself to `list`.
+pub fn check_declaration(resource: &Resource, declaration: &Declaration, list: &mut Vec<Invalid>) {
+    let mut checker = Checker { resource, list };
+    match (resource, declaration) {
+        (Resource::Operator(_), Declaration::Operator(operator)) => {
+            checker.text::<PublicKey>("key", &operator.key);
+        }
+        (Resource::Rule(name), Declaration::Rule(rule)) => {
+            checker.text::<RouteName>("name", name);
+            checker.text::<Window>("window", &rule.window);
+            if rule.resources.is_empty() || rule.resources.len() > MAX_PATTERNS {
+                checker.add("resources", "too few or too many", "1 to 64 patterns");
+            }
+            for pattern in &rule.resources {
+                checker.text::<Pattern>("resources", pattern);
+            }
+        }
+        (Resource::Service(_), Declaration::Service(service)) => {
+            checker.path("health", &service.health);
+            checker.range("slots", &service.slots, &SLOTS);
+            checker.range("connections", &service.connections, &CONNECTIONS);
+            checker.range("warmup", &service.warmup, &WARMUP);
+        }
+        (Resource::Route(_), Declaration::Route(route)) => {
+            checker.path("path", &route.path);
+            checker.range("deadline", &route.deadline, &DEADLINE);
+        }
+        (Resource::Limit(name), Declaration::Limit(limit)) => {
+            checker.text::<RouteName>("name", name);
+            checker.range("rate", &limit.rate, &RATE);
+        }
+        (Resource::Objective(_), Declaration::Objective(objective)) => {
+            checker.share("availability", objective.availability);
+            checker.share("fast", objective.fast);
+            checker.range("latency", &objective.latency, &DEADLINE);
+            checker.range("window", &objective.window, &OBJECTIVE_WINDOW);
+        }
+        _ => checker.add(
+            "declaration",
+            "of another kind than its name",
+            resource.kind(),
+        ),
+    }
+}
+
+/// Returns what is wrong between the declarations of a configuration, each in itself valid.
+#[must_use]
+pub fn check_whole(declarations: &BTreeMap<Resource, Arc<Declaration>>) -> Vec<Invalid> {
+    let mut list = Vec::new();
+    if declarations.len() > MAX_DECLARATIONS
+        && let Some(resource) = declarations.keys().next()
+    {
+        let allowed = format!("at most {MAX_DECLARATIONS}");
+        list.push(Invalid::new(resource, "declarations", "too many", &allowed));
+    }
+    let mut paths: BTreeMap<&str, &Resource> = BTreeMap::new();
+    for (resource, declaration) in declarations {
+        let mut checker = Checker {
+            resource,
+            list: &mut list,
+        };
+        if let Some(service) = service_of(resource, declaration)
+            && !declarations.contains_key(&Resource::Service(service.clone()))
+        {
+            let problem = format!("service `{service}` is not declared");
+            checker.add("service", &problem, SERVICE_ALLOWED);
+        }
+        if let Declaration::Route(route) = declaration.as_ref() {
+            if let Some(first) = paths.get(&*route.path) {
+                let problem = format!("path `{}` is taken by {first}", route.path);
+                checker.add("path", &problem, "each path once");
+            } else {
+                paths.insert(&route.path, resource);
+            }
+        }
+    }
+    list
+}
+
+/// Returns the service that a declaration cannot stand without.
+pub fn service_of<'a>(
+    resource: &'a Resource,
+    declaration: &'a Declaration,
+) -> Option<&'a ServiceName> {
+    match (resource, declaration) {
+        (_, Declaration::Route(route)) => Some(&route.service),
+        (_, Declaration::Limit(limit)) => Some(&limit.service),
+        (Resource::Objective(service), _) => Some(service),
+        _ => None,
+    }
+}
--- /dev/null
+++ b/crates/marigold-config/src/window.rs
@@ -0,0 +1,117 @@
+//! When a rule holds.
+
+use std::fmt;
+use std::str::FromStr;
+
+use marigold_types::{ParseError, RecordTime};
+
+const ALLOWED: &str = "`always`, or DAYS HH:MM-HH:MM in UTC with DAYS as mon-fri, sat or mon,wed \
+    (an end of 24:00 is midnight), as mon-fri 06:00-18:00";
+const ALWAYS: &str = "always";
+const DAYS: [&str; 7] = ["mon", "tue", "wed", "thu", "fri", "sat", "sun"];
+const DAY_MINUTES: u32 = 24 * 60;
+const MINUTE_MILLIS: u64 = 60_000;
+/// The epoch's first day, 1970-01-01, was a Thursday.
+const EPOCH_DAY: u64 = 3;
+
+/// Days of the week and a span of the day, in UTC.
+///
+/// A span that ends before it begins runs over midnight and belongs to the day it begins on.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub struct Window {
+    days: [bool; 7],
+    start: u32,
+    end: u32,
+}
+
+impl Window {
+    /// The window that is always open.
+    pub const ALWAYS: Self = Self {
+        days: [true; 7],
+        start: 0,
+        end: DAY_MINUTES,
+    };
+
+    /// Returns whether the window is open at `time`.
+    #[must_use]
+    pub fn contains(&self, time: RecordTime) -> bool {
+        let minutes = time.0 / MINUTE_MILLIS;
+        let day_minutes = u64::from(DAY_MINUTES);
+        let day = usize::try_from((minutes / day_minutes + EPOCH_DAY) % 7).unwrap_or(0);
+        let minute = u32::try_from(minutes % day_minutes).unwrap_or(0);
+        if self.start < self.end {
+            return self.days[day] && (self.start..self.end).contains(&minute);
+        }
+        let evening = self.days[day] && minute >= self.start;
+        let morning = self.days[(day + 6) % 7] && minute < self.end;
+        evening || morning
+    }
+}
+
+fn parse_days(text: &str) -> Option<[bool; 7]> {
+    let index = |name: &str| DAYS.iter().position(|day| *day == name);
+    let mut days = [false; 7];
+    for part in text.split(',') {
+        let (first, last) = part.split_once('-').unwrap_or((part, part));
+        let (first, last) = (index(first)?, index(last)?);
+        let mut day = first;
+        days[day] = true;
+        // A range such as sat-mon runs over the end of the week.
+        while day != last {
+            day = (day + 1) % 7;
+            days[day] = true;
+        }
+    }
+    Some(days)
+}
+
+fn parse_minute(text: &str) -> Option<u32> {
+    let (hour, minute) = text.split_once(':')?;
+    let two_digits = |part: &str| part.len() == 2 && part.bytes().all(|b| b.is_ascii_digit());
+    if !two_digits(hour) || !two_digits(minute) {
+        return None;
+    }
+    let (hour, minute): (u32, u32) = (hour.parse().ok()?, minute.parse().ok()?);
+    let total = hour * 60 + minute;
+    (minute < 60 && total <= DAY_MINUTES).then_some(total)
+}
+
+fn parse_window(text: &str) -> Option<Window> {
+    if text == ALWAYS {
+        return Some(Window::ALWAYS);
+    }
+    let (days, span) = text.split_once(' ')?;
+    let (start, end) = span.trim().split_once('-')?;
+    let window = Window {
+        days: parse_days(days)?,
+        start: parse_minute(start)?,
+        end: parse_minute(end)?,
+    };
+    (window.start != window.end && window.start < DAY_MINUTES).then_some(window)
+}
+
+impl FromStr for Window {
+    type Err = ParseError;
+
+    fn from_str(text: &str) -> Result<Self, Self::Err> {
+        parse_window(text).ok_or_else(|| ParseError::new(text, "time window", ALLOWED))
+    }
+}
+
+impl fmt::Display for Window {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        if *self == Self::ALWAYS {
+            return f.write_str(ALWAYS);
+        }
+        let days = DAYS.iter().zip(self.days).filter(|(_, open)| *open);
+        let days: Vec<&str> = days.map(|(name, _)| *name).collect();
+        let clock = |minute: u32| format!("{:02}:{:02}", minute / 60, minute % 60);
+        write!(
+            f,
+            "{} {}-{}",
+            days.join(","),
+            clock(self.start),
+            clock(self.end)
+        )
+    }
+}
