Fold the log of plans, confirmations and checkpoints

A confirmation is judged by the configuration in force and the record alone: a plan carries the digests of what it touches and depends on, and a confirmation carries its plan. So a reader that starts from a checkpoint, or from the configuration that its peers hold, judges like one that read every record. Weighed: judging by the versions that each resource was last changed at (needs a history that trimming takes away), and by the plan's own record (may be trimmed before its confirmation). Verdicts are remembered for as long as a copy of the plan or confirmation could still count, so that a late copy neither reverts nor revives anything.

LogReader searches for the last checkpoint from the log's end, goes on after trimming, and restores a log that lost its base from the highest version held. Checkpoints are sealed with a MAC under a key derived from the mesh key; marigold-auth gets MeshKey::derive for it.

--- a/crates/marigold-auth/src/mesh_key.rs
+++ b/crates/marigold-auth/src/mesh_key.rs
@@ -58,6 +58,14 @@
         hex::encode(self.bytes)
     }
 
+    /// Derives the key for another purpose, so that a tag made for one is of no use for another.
+    #[must_use]
+    pub fn derive(&self, purpose: &str) -> Self {
+        let mut bytes = [0; KEY_BYTES];
+        bytes.copy_from_slice(hmac::sign(&self.key, purpose.as_bytes()).as_ref());
+        Self::new(bytes)
+    }
+
     /// Returns the MAC over `bytes`, cut to [`MeshKey::TAG_BYTES`].
     #[must_use]
     pub fn tag(&self, bytes: &[u8]) -> [u8; TAG_BYTES] {
@@ -88,4 +96,13 @@
         assert!(!key.verifies(b"kex", &tag));
         assert!(!MeshKey::new([8; KEY_BYTES]).verifies(b"key", &tag));
     }
+
+    #[test]
+    fn derived_keys_differ() {
+        let key = MeshKey::new([7; KEY_BYTES]);
+        let tag = key.derive("checkpoint").tag(b"key");
+        assert!(key.derive("checkpoint").verifies(b"key", &tag));
+        assert!(!key.verifies(b"key", &tag));
+        assert!(!key.derive("other").verifies(b"key", &tag));
+    }
 }
--- /dev/null
+++ b/crates/marigold-config/src/judge.rs
@@ -0,0 +1,136 @@
+//! Judges plans and confirmations against the configuration in force.
+
+use std::sync::Arc;
+
+use marigold_types::{OperatorName, RecordTime, Version};
+
+use crate::check::{check_declaration, check_whole};
+use crate::{
+    Authority, Config, Confirm, History, Invalid, Plan, Reason, SignedConfirm, SignedPlan,
+};
+
+/// The most faults that a rejection names.
+const MAX_FAULTS: usize = 8;
+
+/// The grounds of a judgement; it has no memory of its own.
+#[derive(Debug, Clone, Copy)]
+pub struct Judge<'a> {
+    /// The configuration in force.
+    pub config: &'a Config,
+    /// Who may change what.
+    pub authority: Authority<'a>,
+    /// What explains a rejection.
+    pub history: &'a History,
+    /// The highest version that was restored without its records.
+    pub floor: Version,
+    /// The time that expiry is judged by: it never runs back.
+    pub now: RecordTime,
+}
+
+impl Judge<'_> {
+    /// Checks that a plan is signed, in time, and within its author's scope.
+    pub fn check_author(&self, signed: &SignedPlan) -> Result<(), Reason> {
+        let plan = &signed.plan;
+        let key = self.authority.key_of(&plan.operator)?;
+        if !signed.verifies(&key) {
+            return Err(bad_signature(&plan.operator));
+        }
+        if !plan.is_well_formed() {
+            return Err(Reason::Malformed);
+        }
+        self.check_life("plan", plan.expires, Plan::MAX_LIFE_MILLIS)?;
+        self.authority.check_scope(&plan.operator, plan)
+    }
+
+    /// Checks that a confirmation is its operator's own.
+    pub fn check_signature(&self, signed: &SignedConfirm) -> Result<(), Reason> {
+        let operator = &signed.confirm.operator;
+        let key = self.authority.key_of(operator)?;
+        if signed.verifies(&key) {
+            Ok(())
+        } else {
+            Err(bad_signature(operator))
+        }
+    }
+
+    /// Checks that a confirmation is in time and that its operator may make the changes at `time`.
+    pub fn check_operator(
+        &self,
+        confirm: &Confirm,
+        plan: &Plan,
+        time: RecordTime,
+    ) -> Result<(), Reason> {
+        self.check_life("confirmation", confirm.expires, Confirm::MAX_LIFE_MILLIS)?;
+        self.authority.check_time(&confirm.operator, plan, time)
+    }
+
+    /// Returns the configuration that a plan makes, at `version`.
+    ///
+    /// A failure is final for the plan: it will not be accepted later either.
+    pub fn make(&self, plan: &Plan, version: Version) -> Result<Config, Reason> {
+        if plan.base < self.floor {
+            return Err(Reason::Restored { floor: self.floor });
+        }
+        if let Some(resource) = plan.find_overtaken(self.config) {
+            let found = self.history.find_change(resource);
+            return Err(Reason::Overtaken {
+                resource: resource.clone(),
+                by: found.map(|(version, _)| version),
+                operator: found.map(|(_, operator)| operator.clone()),
+            });
+        }
+        let removes_nothing = |change: &crate::Change| {
+            change.after.is_none() && self.config.find(&change.resource).is_none()
+        };
+        if plan.changes.iter().any(removes_nothing) {
+            return Err(Reason::Malformed);
+        }
+        let next = self.config.with(&plan.changes, version);
+        let faults = find_faults(plan, &next);
+        if faults.is_empty() {
+            Ok(next)
+        } else {
+            Err(Reason::Invalid { faults })
+        }
+    }
+
+    fn check_life(&self, what: &str, expires: RecordTime, max: u64) -> Result<(), Reason> {
+        let time = self.now;
+        if time > expires {
+            return Err(Reason::Expired {
+                what: Arc::from(what),
+                expires,
+                time,
+            });
+        }
+        if expires.0 - time.0 > max {
+            return Err(Reason::TooLong {
+                what: Arc::from(what),
+                max,
+                time,
+            });
+        }
+        Ok(())
+    }
+}
+
+fn bad_signature(operator: &OperatorName) -> Reason {
+    Reason::BadSignature {
+        operator: operator.clone(),
+    }
+}
+
+/// Finds what is wrong with the changed declarations and with the result as a whole.
+fn find_faults(plan: &Plan, next: &Config) -> Vec<Invalid> {
+    let mut faults = Vec::new();
+    for change in &plan.changes {
+        if let Some(after) = &change.after {
+            check_declaration(&change.resource, after, &mut faults);
+        }
+    }
+    if faults.is_empty() {
+        faults = check_whole(next.declarations());
+    }
+    faults.truncate(MAX_FAULTS);
+    faults
+}
--- /dev/null
+++ b/crates/marigold-config/src/log_reader.rs
@@ -0,0 +1,359 @@
+//! Feeds what is read from the log to the fold, also when the log was trimmed.
+//!
+//! The caller owns the requests: it reads the configuration stream from [`LogReader::next`] with
+//! any limit and gives the answer to [`LogReader::take`], or a
+//! [`Trimmed`](marigold_log::LogFailure::Trimmed) failure to [`LogReader::trim`]. It tells the
+//! reader of each configuration that the daemon holds with [`LogReader::hold`], and publishes
+//! [`LogReader::config`] when [`LogReader::is_caught_up`]. When [`LogReader::checkpoint_due`]
+//! gives a cause, it waits for a random part of a few seconds, asks again, and appends
+//! [`LogReader::to_checkpoint`]. When [`LogReader::to_restoration`] has given a record for longer
+//! than a daemon takes to hear from its peers, it appends that in the same way; the record counts
+//! once it has been read back, so that the order of the log decides here, too. See
+//! docs/design/configuration.md.
+
+use std::sync::Arc;
+
+use marigold_log::{Batch, StoredRecord};
+use marigold_types::{LogOffset, RecordTime, Version};
+
+use crate::{Checkpoint, Config, Decision, History, Record, SealedCheckpoint, State, Trust};
+
+/// How many records before the end the search for a checkpoint starts.
+const FIRST_WINDOW: u64 = 256;
+/// How much larger each further window of the search is.
+const WINDOW_GROWTH: u64 = 4;
+/// After how many records a new checkpoint is due.
+const CHECKPOINT_RECORDS: u64 = 64;
+
+/// A folded record.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub struct Decided {
+    /// The record's place.
+    pub record: LogOffset,
+    /// The record's time.
+    pub time: RecordTime,
+    /// What it came to.
+    pub decision: Decision,
+}
+
+/// Why a checkpoint should be appended.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum CheckpointCause {
+    /// The log holds no checkpoint from which everything after it can be read.
+    Missing,
+    /// Many records were appended since the last one.
+    Records,
+}
+
+/// A search for the last checkpoint within `[low, high)`, which goes back window by window.
+#[derive(Debug, Clone)]
+struct Search {
+    low: LogOffset,
+    at: LogOffset,
+    high: LogOffset,
+    best: Option<Checkpoint>,
+}
+
+#[derive(Debug, Clone)]
+enum Phase {
+    /// The end of the log is not known yet; the first read is from `at`.
+    Start { at: LogOffset },
+    /// Looking for a checkpoint to start from.
+    Search(Search),
+    /// Folding each record as it comes.
+    Fold,
+    /// The log holds no base for its records; waiting for a checkpoint from `at` on.
+    Lost { at: LogOffset },
+}
+
+/// A reader of the configuration stream; it does no requests itself.
+#[derive(Debug, Clone)]
+pub struct LogReader {
+    trust: Trust,
+    state: State,
+    phase: Phase,
+    held: Arc<Config>,
+    earliest: LogOffset,
+    end: LogOffset,
+    /// The last checkpoint seen: where its records go on, and where it stands.
+    mark: Option<(LogOffset, LogOffset)>,
+}
+
+impl LogReader {
+    /// Starts with nothing read.
+    #[must_use]
+    pub fn new(trust: Trust) -> Self {
+        Self {
+            state: State::new(trust.clone()),
+            trust,
+            phase: Phase::Start { at: LogOffset(0) },
+            held: Arc::default(),
+            earliest: LogOffset(0),
+            end: LogOffset(0),
+            mark: None,
+        }
+    }
+
+    /// Returns the offset to read from next.
+    #[must_use]
+    pub fn next(&self) -> LogOffset {
+        match &self.phase {
+            Phase::Start { at } | Phase::Lost { at } => *at,
+            Phase::Search(search) => search.at,
+            Phase::Fold => self.state.next(),
+        }
+    }
+
+    /// Returns the fold; it may be behind [`LogReader::config`] until it has caught up.
+    #[must_use]
+    pub fn state(&self) -> &State {
+        &self.state
+    }
+
+    /// Returns the configuration with the highest version that was held or folded.
+    #[must_use]
+    pub fn config(&self) -> Arc<Config> {
+        let folded = self.state.config();
+        if folded.version >= self.held.version {
+            folded
+        } else {
+            self.held.clone()
+        }
+    }
+
+    /// Returns whether every record that the log is known to have is folded.
+    #[must_use]
+    pub fn is_caught_up(&self) -> bool {
+        matches!(self.phase, Phase::Fold) && self.state.next() >= self.end
+    }
+
+    /// Returns whether the log holds no base for its records.
+    #[must_use]
+    pub fn is_lost(&self) -> bool {
+        matches!(self.phase, Phase::Lost { .. })
+    }
+
+    /// Takes in a configuration that the daemon holds, as its peers gave it.
+    pub fn hold(&mut self, config: &Arc<Config>) {
+        if config.version > self.held.version {
+            self.held = config.clone();
+        }
+    }
+
+    /// Takes in an answer of the log to a read from [`LogReader::next`].
+    ///
+    /// Records that do not follow on what was read are passed over, so that a late or doubled
+    /// answer does no harm.
+    pub fn take(&mut self, batch: &Batch) -> Vec<Decided> {
+        self.end = self.end.max(batch.end);
+        self.trim(batch.earliest);
+        let mut decided = Vec::new();
+        match self.phase {
+            Phase::Start { .. } => self.start(batch, &mut decided),
+            Phase::Search(_) => self.search(batch),
+            Phase::Fold => self.fold(batch, &mut decided),
+            Phase::Lost { .. } => self.wait(batch),
+        }
+        decided
+    }
+
+    /// Takes in that the records before `earliest` are gone.
+    pub fn trim(&mut self, earliest: LogOffset) {
+        self.earliest = self.earliest.max(earliest);
+        self.end = self.end.max(earliest);
+        if self.next() < self.earliest {
+            let config = self.state.config();
+            self.hold(&config);
+            self.phase = Phase::Start { at: self.earliest };
+        }
+    }
+
+    /// Returns why a checkpoint should be appended, if it should.
+    #[must_use]
+    pub fn checkpoint_due(&self) -> Option<CheckpointCause> {
+        if !self.is_caught_up() || self.state.config().version == Version(0) {
+            return None;
+        }
+        let readable = self.earliest == LogOffset(0);
+        let (next, place) = self.mark.unwrap_or_default();
+        if !readable && next < self.earliest {
+            return Some(CheckpointCause::Missing);
+        }
+        let many = self.end.0.saturating_sub(place.0) > CHECKPOINT_RECORDS;
+        many.then_some(CheckpointCause::Records)
+    }
+
+    /// Returns the record of a checkpoint.
+    #[must_use]
+    pub fn to_checkpoint(&self) -> Record {
+        Record::Checkpoint(SealedCheckpoint::seal(self.state.checkpoint(), &self.trust))
+    }
+
+    /// Returns the record that makes the configuration held the base of the log's records again.
+    ///
+    /// Absent unless the log holds no base for its records, or an older one than is held. Plans
+    /// made before the restoration have to be made again, since the verdicts that would tell a
+    /// copy of a confirmation are gone.
+    #[must_use]
+    pub fn to_restoration(&self) -> Option<Record> {
+        let version = self.held.version;
+        let next = if self.is_lost() {
+            // What follows on the held version's own confirmation is still to be folded.
+            self.earliest.max(LogOffset(version.0))
+        } else if self.is_behind() {
+            self.state.next()
+        } else {
+            return None;
+        };
+        let checkpoint = Checkpoint {
+            version,
+            declarations: Checkpoint::declarations_of(&self.held),
+            next,
+            time: RecordTime(0),
+            floor: version,
+            pending: Vec::new(),
+            settled: Vec::new(),
+            history: History::default(),
+        };
+        let sealed = SealedCheckpoint::seal(checkpoint, &self.trust);
+        Some(Record::Checkpoint(sealed))
+    }
+
+    /// Returns whether the daemon holds a version that the log's records do not lead to, although
+    /// they were read past its confirmation.
+    fn is_behind(&self) -> bool {
+        let held = self.held.version;
+        self.is_caught_up() && held > self.state.config().version && held.0 <= self.end.0
+    }
+
+    fn start(&mut self, batch: &Batch, decided: &mut Vec<Decided>) {
+        let len = batch.records.len() as u64;
+        if batch.earliest == LogOffset(0) && batch.end.0 <= len.max(FIRST_WINDOW) {
+            self.phase = Phase::Fold;
+            self.fold(batch, decided);
+        } else {
+            self.open_search(batch.end);
+        }
+    }
+
+    /// Starts to search the records before `high`, the last of them first.
+    fn open_search(&mut self, high: LogOffset) {
+        let low = LogOffset(high.0.saturating_sub(FIRST_WINDOW)).max(self.earliest);
+        let search = Search {
+            low,
+            at: low,
+            high,
+            best: None,
+        };
+        self.phase = Phase::Search(search);
+        self.finish_search();
+    }
+
+    fn search(&mut self, batch: &Batch) {
+        let Phase::Search(search) = &mut self.phase else {
+            return;
+        };
+        for record in &batch.records {
+            if record.offset != search.at || search.at >= search.high {
+                continue;
+            }
+            search.at = record.offset.next();
+            if let Some(checkpoint) = open_checkpoint(record, &self.trust) {
+                self.mark = self.mark.max(Some((checkpoint.next, record.offset)));
+                search.best = Some(better(search.best.take(), checkpoint, self.earliest));
+            }
+        }
+        self.finish_search();
+    }
+
+    /// Goes on from the best checkpoint of the window once the whole window is read.
+    fn finish_search(&mut self) {
+        let Phase::Search(search) = &mut self.phase else {
+            return;
+        };
+        if search.at < search.high {
+            return;
+        }
+        if let Some(checkpoint) = search.best.take() {
+            if checkpoint.next >= self.earliest {
+                self.state = State::restore(self.trust.clone(), &checkpoint);
+                self.phase = Phase::Fold;
+                return;
+            }
+            // Records after it are gone, but its configuration was in force once.
+            self.hold(&Arc::new(checkpoint.to_config()));
+        }
+        self.widen_search();
+    }
+
+    fn widen_search(&mut self) {
+        let Phase::Search(search) = &mut self.phase else {
+            return;
+        };
+        if search.low > self.earliest {
+            let size = (self.end.0 - search.low.0).saturating_mul(WINDOW_GROWTH);
+            search.high = search.low;
+            search.low = LogOffset(self.end.0.saturating_sub(size)).max(self.earliest);
+            search.at = search.low;
+        } else if self.earliest == LogOffset(0) {
+            // Nothing is trimmed, so the fold from the first record needs no checkpoint.
+            self.state = State::new(self.trust.clone());
+            self.phase = Phase::Fold;
+        } else {
+            self.phase = Phase::Lost { at: self.end };
+        }
+    }
+
+    fn fold(&mut self, batch: &Batch, decided: &mut Vec<Decided>) {
+        for record in &batch.records {
+            if record.offset != self.state.next() {
+                continue;
+            }
+            if let Some(checkpoint) = open_checkpoint(record, &self.trust) {
+                self.mark = self.mark.max(Some((checkpoint.next, record.offset)));
+            }
+            decided.push(Decided {
+                record: record.offset,
+                time: record.time,
+                decision: self.state.apply(record),
+            });
+        }
+    }
+
+    /// Looks for a checkpoint among new records.
+    fn wait(&mut self, batch: &Batch) {
+        let Phase::Lost { at } = &mut self.phase else {
+            return;
+        };
+        let mut found = false;
+        for record in &batch.records {
+            if record.offset == *at {
+                *at = record.offset.next();
+                found |= open_checkpoint(record, &self.trust).is_some();
+            }
+        }
+        if found {
+            let high = *at;
+            self.open_search(high);
+        }
+    }
+}
+
+/// Returns the one of two checkpoints to start from: first one whose records are all there, then
+/// the higher version, then the earlier.
+fn better(best: Option<Checkpoint>, other: Checkpoint, earliest: LogOffset) -> Checkpoint {
+    let rank = |checkpoint: &Checkpoint| (checkpoint.next >= earliest, checkpoint.version);
+    match best {
+        Some(best) if rank(&best) >= rank(&other) => best,
+        _ => other,
+    }
+}
+
+fn open_checkpoint(record: &StoredRecord, trust: &Trust) -> Option<Checkpoint> {
+    match Record::parse(&record.data) {
+        Ok(Record::Checkpoint(sealed)) => sealed
+            .open(trust)
+            .filter(|checkpoint| checkpoint.next <= record.offset),
+        _ => None,
+    }
+}
--- /dev/null
+++ b/crates/marigold-config/src/record.rs
@@ -0,0 +1,50 @@
+//! What the configuration stream of the log holds.
+
+use std::fmt;
+
+use serde::{Deserialize, Serialize};
+
+use crate::{Confirmation, IgnoreReason, SealedCheckpoint, SignedPlan};
+
+/// The largest record that is read, in bytes.
+const MAX_BYTES: usize = 8 << 20;
+/// The largest plan or confirmation that is read, in bytes.
+const MAX_PLAN_BYTES: usize = 1 << 20;
+
+/// One record, as JSON without line breaks.
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+#[serde(rename_all = "lowercase")]
+pub enum Record {
+    /// A plan, signed by its author.
+    Plan(SignedPlan),
+    /// A confirmation, signed by its operator.
+    Confirm(Confirmation),
+    /// A state of the fold, sealed with the key that the daemons share.
+    Checkpoint(SealedCheckpoint),
+}
+
+impl Record {
+    /// Reads a record.
+    ///
+    /// # Errors
+    ///
+    /// Why the record is to be passed over.
+    pub fn parse(data: &str) -> Result<Self, IgnoreReason> {
+        if data.len() > MAX_BYTES {
+            return Err(IgnoreReason::TooLarge);
+        }
+        let record: Self = serde_json::from_str(data).map_err(|_| IgnoreReason::Unparsable)?;
+        let is_checkpoint = matches!(record, Self::Checkpoint(_));
+        if data.len() > MAX_PLAN_BYTES && !is_checkpoint {
+            return Err(IgnoreReason::TooLarge);
+        }
+        Ok(record)
+    }
+}
+
+impl fmt::Display for Record {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        let text = serde_json::to_string(self).map_err(|_| fmt::Error)?;
+        f.write_str(&text)
+    }
+}
--- /dev/null
+++ b/crates/marigold-config/tests/reader.rs
@@ -0,0 +1,298 @@
+//! Reading a log that is trimmed, has several checkpoints, or has lost its base.
+
+mod common;
+
+use std::sync::Arc;
+
+use common::Mesh;
+use marigold_auth::MeshKey;
+use marigold_config::{
+    CheckpointCause, Decision, IgnoreReason, LogReader, Record, SealedCheckpoint, Trust,
+};
+use marigold_types::{LogOffset, Version};
+
+/// Appends `count` confirmed plans that each change one route.
+fn grow(mesh: &mut Mesh, count: usize) {
+    for _ in 0..count {
+        let reader = mesh.reader(1_000);
+        let base = reader.config();
+        let at = mesh.log.len();
+        let extra = format!("[route extra]\npath = /extra{at}\nservice = ledger\n");
+        let plan = mesh.plan(&mesh.ann, &base, &mesh.base_intent(&extra));
+        mesh.store(&plan);
+        mesh.confirm(&plan);
+    }
+}
+
+fn checkpoint(mesh: &mut Mesh) {
+    let record = mesh.reader(1_000).to_checkpoint();
+    mesh.append(record.to_string());
+}
+
+#[test]
+fn empty_log_is_caught_up() {
+    let reader = Mesh::new().reader(10);
+    assert!(reader.is_caught_up());
+    assert_eq!(reader.checkpoint_due(), None);
+}
+
+#[test]
+fn every_batch_size_reads_alike() {
+    let mut mesh = Mesh::started();
+    grow(&mut mesh, 3);
+    checkpoint(&mut mesh);
+    grow(&mut mesh, 3);
+    let want = mesh.fold().0.checkpoint();
+    for limit in 1..=mesh.log.len() + 1 {
+        assert_eq!(mesh.reader(limit).state().checkpoint(), want);
+    }
+}
+
+#[test]
+fn late_and_doubled_answers_do_no_harm() {
+    let mut mesh = Mesh::started();
+    grow(&mut mesh, 2);
+    let mut reader = mesh.reader(2);
+    let want = reader.state().checkpoint();
+    reader.take(&mesh.batch(LogOffset(0), 3));
+    reader.take(&mesh.batch(LogOffset(5), 3));
+    assert_eq!(reader.state().checkpoint(), want);
+}
+
+#[test]
+fn newcomer_starts_from_checkpoint() {
+    let mut mesh = Mesh::started();
+    grow(&mut mesh, 3);
+    checkpoint(&mut mesh);
+    grow(&mut mesh, 2);
+    let want = mesh.fold().0.checkpoint();
+    mesh.earliest = 8;
+    let reader = mesh.reader(3);
+    assert!(reader.is_caught_up());
+    assert_eq!(reader.state().checkpoint(), want);
+}
+
+/// A long log is not read from its start.
+#[test]
+fn long_log_is_searched_from_its_end() {
+    let mut mesh = Mesh::started();
+    for _ in 0..2_000 {
+        mesh.append("noise".to_owned());
+    }
+    checkpoint(&mut mesh);
+    let mut reader = LogReader::new(mesh.trust.clone());
+    reader.take(&mesh.batch(LogOffset(0), 1));
+    assert!(reader.next() > LogOffset(1_700));
+    mesh.read(&mut reader, 100);
+    assert_eq!(reader.state().checkpoint(), mesh.fold().0.checkpoint());
+}
+
+#[test]
+fn search_goes_back_to_the_first_record() {
+    let mut mesh = Mesh::started();
+    for _ in 0..3_000 {
+        mesh.append("noise".to_owned());
+    }
+    let reader = mesh.reader(100);
+    assert_eq!(reader.state().checkpoint(), mesh.fold().0.checkpoint());
+}
+
+#[test]
+fn checkpoints_by_several_daemons() {
+    let mut mesh = Mesh::started();
+    let first = mesh.reader(10).to_checkpoint().to_string();
+    grow(&mut mesh, 1);
+    let second = mesh.reader(10).to_checkpoint().to_string();
+    grow(&mut mesh, 1);
+    for record in [&second, &first, &second, &first] {
+        mesh.append(record.clone());
+    }
+    let want = mesh.fold().0.checkpoint();
+    assert_eq!(want.version, Version(6));
+    mesh.earliest = 3;
+    assert_eq!(mesh.reader(2).state().checkpoint(), want);
+}
+
+#[test]
+fn forged_checkpoint_is_ignored() {
+    let mut mesh = Mesh::started();
+    let mut forged = mesh.fold().0.checkpoint();
+    forged.version = Version(90);
+    let other = Trust::new(
+        mesh.root.operator().clone(),
+        mesh.root.public(),
+        &MeshKey::new([8; 32]),
+    );
+    mesh.append(Record::Checkpoint(SealedCheckpoint::seal(forged, &other)).to_string());
+    let mut ahead = mesh.fold().0.checkpoint();
+    ahead.next = LogOffset(1_000);
+    mesh.append(Record::Checkpoint(SealedCheckpoint::seal(ahead, &mesh.trust)).to_string());
+    let (state, decisions) = mesh.fold();
+    let reason = IgnoreReason::BadSeal;
+    assert_eq!(decisions[2], Decision::Ignored { reason });
+    assert_eq!(decisions[3], Decision::Ignored { reason });
+    assert_eq!(state.config().version, Version(2));
+}
+
+#[test]
+fn checkpoint_falls_due() {
+    let mut mesh = Mesh::started();
+    let reader = mesh.reader(100);
+    assert_eq!(reader.checkpoint_due(), None);
+    for _ in 0..70 {
+        mesh.append("noise".to_owned());
+    }
+    assert_eq!(
+        mesh.reader(100).checkpoint_due(),
+        Some(CheckpointCause::Records)
+    );
+    checkpoint(&mut mesh);
+    assert_eq!(mesh.reader(100).checkpoint_due(), None);
+}
+
+/// The only checkpoint is trimmed while the log is idle: a daemon that read it writes another.
+#[test]
+fn trimmed_checkpoint_is_written_again() {
+    let mut mesh = Mesh::started();
+    checkpoint(&mut mesh);
+    let mut reader = mesh.reader(100);
+    mesh.earliest = 3;
+    mesh.read(&mut reader, 100);
+    assert_eq!(reader.checkpoint_due(), Some(CheckpointCause::Missing));
+    mesh.append(reader.to_checkpoint().to_string());
+    mesh.read(&mut reader, 100);
+    assert_eq!(reader.checkpoint_due(), None);
+    let newcomer = mesh.reader(100);
+    assert_eq!(newcomer.state().checkpoint(), reader.state().checkpoint());
+}
+
+/// Trimmed past what a daemon needs: it goes on from the checkpoint and never shows less.
+#[test]
+fn trimmed_reader_never_goes_back() {
+    let mut mesh = Mesh::started();
+    checkpoint(&mut mesh);
+    grow(&mut mesh, 2);
+    let mut reader = mesh.reader(100);
+    let held = reader.config().version;
+    grow(&mut mesh, 1);
+    checkpoint(&mut mesh);
+    mesh.earliest = mesh.log.len() as u64 - 1;
+    reader.trim(LogOffset(mesh.earliest));
+    assert_eq!(reader.config().version, held);
+    mesh.read(&mut reader, 1);
+    assert_eq!(reader.config().version, Version(mesh.earliest));
+    assert!(reader.is_caught_up());
+}
+
+/// Everything older is gone: what the daemons hold becomes the base again, once it is in the log.
+#[test]
+fn lost_log_is_restored_from_held() {
+    let mut mesh = Mesh::started();
+    grow(&mut mesh, 2);
+    let held = mesh.reader(100).config();
+    mesh.earliest = mesh.log.len() as u64;
+    let mut reader = LogReader::new(mesh.trust.clone());
+    mesh.read(&mut reader, 10);
+    assert!(reader.is_lost() && !reader.is_caught_up());
+    reader.hold(&held);
+    assert_eq!(reader.config(), held);
+
+    let record = reader.to_restoration().unwrap().to_string();
+    mesh.append(record);
+    mesh.read(&mut reader, 10);
+    assert!(reader.is_caught_up() && reader.to_restoration().is_none());
+    assert_eq!(*reader.state().config(), *held);
+    assert_eq!(
+        mesh.reader(10).state().checkpoint(),
+        reader.state().checkpoint()
+    );
+}
+
+#[test]
+fn plans_from_before_a_restoration_are_refused() {
+    let mut mesh = Mesh::started();
+    let intent = mesh.base_intent("[route late]\npath = /late\nservice = desk\n");
+    let late = mesh.plan(&mesh.ann, &mesh.config(), &intent);
+    grow(&mut mesh, 1);
+    let held = mesh.reader(100).config();
+    mesh.earliest = mesh.log.len() as u64;
+    let mut reader = LogReader::new(mesh.trust.clone());
+    mesh.read(&mut reader, 10);
+    reader.hold(&held);
+    mesh.append(reader.to_restoration().unwrap().to_string());
+    mesh.confirm(&late);
+    let decided = mesh.read(&mut reader, 10);
+    let refusal = common::explain(&decided.last().unwrap().decision);
+    assert!(refusal.contains("was restored at version 4"), "{refusal}");
+    // A new plan goes through.
+    let again = mesh.plan(&mesh.ann, &reader.config(), &intent);
+    mesh.confirm(&again);
+    let decided = mesh.read(&mut reader, 10);
+    assert!(common::accepted(&decided[0].decision).is_some());
+}
+
+/// Several daemons restore at once, with different versions: every reader ends with the highest.
+#[test]
+fn highest_restoration_wins() {
+    let mut mesh = Mesh::started();
+    let old = mesh.reader(100).config();
+    grow(&mut mesh, 2);
+    let new = mesh.reader(100).config();
+    mesh.earliest = mesh.log.len() as u64;
+    let lost = |held: &Arc<_>| {
+        let mut reader = LogReader::new(mesh.trust.clone());
+        mesh.read(&mut reader, 10);
+        reader.hold(held);
+        reader
+    };
+    let mut readers = [lost(&old), lost(&new), lost(&new)];
+    for reader in &readers {
+        let record = reader.to_restoration().unwrap().to_string();
+        mesh.append(record);
+    }
+    for reader in &mut readers {
+        mesh.read(reader, 1);
+        assert_eq!(reader.config(), new);
+        assert_eq!(*reader.state().config(), *new);
+    }
+    assert_eq!(*mesh.reader(10).state().config(), *new);
+}
+
+/// A daemon that holds more than the log's base leads to gives it back to the log.
+#[test]
+fn higher_held_version_is_put_back() {
+    let mut mesh = Mesh::started();
+    let old = mesh.reader(100).config();
+    grow(&mut mesh, 2);
+    let new = mesh.reader(100).config();
+    mesh.earliest = mesh.log.len() as u64;
+    let mut first = LogReader::new(mesh.trust.clone());
+    mesh.read(&mut first, 10);
+    first.hold(&old);
+    mesh.append(first.to_restoration().unwrap().to_string());
+    mesh.read(&mut first, 10);
+
+    let mut second = mesh.reader(10);
+    assert!(second.to_restoration().is_none());
+    second.hold(&new);
+    assert_eq!(second.config(), new);
+    mesh.append(second.to_restoration().unwrap().to_string());
+    for reader in [&mut first, &mut second] {
+        mesh.read(reader, 10);
+        assert_eq!(*reader.state().config(), *new);
+        assert!(reader.to_restoration().is_none());
+    }
+}
+
+/// A held version whose confirmation has not been read yet is no loss.
+#[test]
+fn lagging_reader_restores_nothing() {
+    let mut mesh = Mesh::started();
+    let mut reader = mesh.reader(100);
+    grow(&mut mesh, 1);
+    reader.hold(&mesh.reader(100).config());
+    assert!(reader.to_restoration().is_none());
+    mesh.read(&mut reader, 10);
+    assert!(reader.to_restoration().is_none());
+    assert_eq!(reader.state().config().version, Version(4));
+}
