Add the admin side's messages and the proof of operators' requests

The messages stand in a crate of their own, marigold-api, so that the command line needs nothing of the daemon. A request is signed over its method, target, body and time: no secret is on the wire.

--- /dev/null
+++ b/crates/marigold-api/src/lib.rs
@@ -0,0 +1,23 @@
+//! Messages between the daemon's admin side and the operators' command line, as JSON over HTTP.
+//!
+//! docs/COMMANDS.md tells how the command line uses them.
+
+mod announce_answer;
+mod config_document;
+mod confirm_answer;
+mod daemon_row;
+mod drain_request;
+mod history_document;
+mod plan_view;
+mod problem;
+mod status;
+
+pub use announce_answer::AnnounceAnswer;
+pub use config_document::ConfigDocument;
+pub use confirm_answer::ConfirmAnswer;
+pub use daemon_row::{DaemonRow, DaemonState, KindBytes};
+pub use drain_request::DrainRequest;
+pub use history_document::HistoryDocument;
+pub use plan_view::{PlanState, PlanStored, PlanView};
+pub use problem::{Problem, ProblemKind};
+pub use status::Status;
--- a/crates/marigold-auth/src/lib.rs
+++ b/crates/marigold-auth/src/lib.rs
@@ -8,6 +8,7 @@
 mod error;
 mod mesh_key;
 mod operator_key;
+mod request_proof;
 mod signature;
 
 pub use authority::{Authority, Credentials};
@@ -15,4 +16,5 @@
 pub use error::AuthError;
 pub use mesh_key::MeshKey;
 pub use operator_key::OperatorKey;
+pub use request_proof::RequestProof;
 pub use signature::{PublicKey, Signature};
