Write the settings reference from the settings themselves

Cause: a reference kept by hand drifts from the code. Change: each read notes its default, range and meaning; docs/SETTINGS.md is printed from those notes and a test compares the two.

--- a/crates/marigold-settings/src/lib.rs
+++ b/crates/marigold-settings/src/lib.rs
@@ -6,6 +6,7 @@
 mod config;
 mod note;
 mod reader;
+mod reference;
 mod settings;
 
 pub use config::admin::AdminSettings;
@@ -19,4 +20,5 @@
 pub use config::tls::TlsSettings;
 pub use config::trust::TrustSettings;
 pub use note::Note;
+pub use reference::render_reference;
 pub use settings::Settings;
