--- a/crates/marigoldd/src/lib.rs
+++ b/crates/marigoldd/src/lib.rs
@@ -9,7 +9,15 @@
 pub mod peer;
 
 mod backend_server;
+mod logging;
+mod metrics;
+mod secrets;
 mod shared;
+mod sockets;
 
 pub use backend_server::BackendServer;
+pub use logging::install as install_logging;
+pub use metrics::Metrics;
+pub use secrets::{Secrets, SecretsError};
 pub use shared::Shared;
+pub use sockets::{SocketError, Sockets};
