Decide routing, admission, retries, limits and at most once without sockets

The network side needs the borders of each decision early, so all of them come at once in a first working form: Router, Admission, Limiter, RetryPolicy, KeyMint with ExecutorTable and WitnessTable, Quarantine, Monitor, Drain and BurnCounters.

Border: StreamOpen gains Demand and Sentences, RefusalReason gains KeyReused, and AdmitRequest carries whether a request runs alone (the gate does not act on it yet).

--- /dev/null
+++ b/crates/marigold-request/src/admission.rs
@@ -0,0 +1,11 @@
+//! Which requests run at a backend server, which wait, and which are refused. See
+//! docs/design/admission.md.
+
+mod admit;
+mod gate;
+mod service_time;
+mod waiting_line;
+
+pub use admit::{Admit, AdmitRequest, Dropped, Granted, Moves, Permit, Ticket};
+pub use gate::Admission;
+pub use service_time::ServiceTime;
--- a/crates/marigold-request/src/lib.rs
+++ b/crates/marigold-request/src/lib.rs
@@ -1,7 +1,19 @@
 //! Decisions of the request side: routing, admission, retries, outcomes and at most once.
 //!
-//! There are no sockets here. The daemon joins these decisions to the network; see
-//! docs/design/requests.md.
+//! There are no sockets, locks or threads here. The daemon joins these decisions to the network;
+//! each is given the time and, where it draws, a seeded generator. See docs/design/outcomes.md.
+
+pub mod admission;
+pub mod balance;
+pub mod burn;
+pub mod deadline;
+pub mod drain;
+pub mod limits;
+pub mod once;
+pub mod quarantine;
+pub mod retry;
+pub mod router;
+pub mod silence;
 
 mod body_frame;
 mod call_head;
--- /dev/null
+++ b/crates/marigold-request/src/once.rs
@@ -0,0 +1,17 @@
+//! At most once for requests that may not be repeated. See docs/design/at-most-once.md.
+
+mod executor_table;
+mod key_error;
+mod key_mint;
+mod request_key;
+mod resolution;
+mod stored_answer;
+mod witness_table;
+
+pub use executor_table::{Begin, EntryKey, ExecutorLimits, ExecutorTable, Finish, Start};
+pub use key_error::KeyError;
+pub use key_mint::KeyMint;
+pub use request_key::{Nonce, RequestKey};
+pub use resolution::{Resolution, Word};
+pub use stored_answer::StoredAnswer;
+pub use witness_table::WitnessTable;
--- /dev/null
+++ b/crates/marigold-request/src/quarantine.rs
@@ -0,0 +1,9 @@
+//! Requests that crash the backend servers that run them. See docs/design/crashing-requests.md.
+
+mod fingerprint;
+mod guard;
+mod sentence;
+
+pub use fingerprint::Fingerprint;
+pub use guard::{Quarantine, Standing};
+pub use sentence::{Crash, Sentence};
--- /dev/null
+++ b/crates/marigold-request/src/quarantine/guard.rs
@@ -0,0 +1,255 @@
+//! Who is suspected, who is refused, and who is cleared.
+
+use std::collections::{BTreeMap, BTreeSet};
+use std::time::Duration;
+
+use marigold_types::{InstanceId, Interval};
+use tokio::time::Instant;
+
+use crate::quarantine::{Crash, Fingerprint, Sentence};
+use crate::{Refusal, RefusalReason};
+
+/// The most requests that are remembered.
+const MAX_SENTENCES: usize = 1024;
+/// The most news held for other daemons.
+const MAX_NEWS: usize = 1024;
+
+/// How a request is treated.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum Standing {
+    /// It runs beside others.
+    Free,
+    /// It was in flight at one crash: it runs alone and is not sent again by the mesh.
+    Suspect,
+    /// It was in flight at two crashes: it is refused and has not run.
+    Refused(Refusal),
+}
+
+#[derive(Debug, Clone)]
+struct Entry {
+    sentence: Sentence,
+    until: Instant,
+}
+
+/// Remembers the requests in flight at each crash, of this backend server and of others.
+///
+/// Every operation on a request takes logarithmic time.
+#[derive(Debug, Clone)]
+pub struct Quarantine {
+    local: InstanceId,
+    term: Interval,
+    /// Requests that the backend server beside the daemon runs, with how often.
+    running: BTreeMap<Fingerprint, u32>,
+    crashes: u32,
+    entries: BTreeMap<Fingerprint, Entry>,
+    ends: BTreeSet<(Instant, Fingerprint)>,
+    news: BTreeSet<Fingerprint>,
+}
+
+impl Quarantine {
+    /// Builds an empty memory in which a request stays for `term`.
+    #[must_use]
+    pub fn new(local: InstanceId, term: Interval) -> Self {
+        Self {
+            local,
+            term,
+            running: BTreeMap::new(),
+            crashes: 0,
+            entries: BTreeMap::new(),
+            ends: BTreeSet::new(),
+            news: BTreeSet::new(),
+        }
+    }
+
+    /// Returns how many requests are remembered.
+    #[must_use]
+    pub fn len(&self) -> usize {
+        self.entries.len()
+    }
+
+    /// Returns whether no request is remembered.
+    #[must_use]
+    pub fn is_empty(&self) -> bool {
+        self.entries.is_empty()
+    }
+
+    /// Returns how a request is treated now.
+    pub fn standing(&mut self, print: &Fingerprint, now: Instant) -> Standing {
+        self.expire(now);
+        let Some(entry) = self.entries.get(print) else {
+            return Standing::Free;
+        };
+        if entry.sentence.is_refused() {
+            let left = interval(entry.until.saturating_duration_since(now));
+            return Standing::Refused(Refusal::after(RefusalReason::Quarantined, left));
+        }
+        if entry.sentence.is_suspect() {
+            Standing::Suspect
+        } else {
+            Standing::Free
+        }
+    }
+
+    /// Counts a request that is handed to the backend server.
+    pub fn started(&mut self, print: Fingerprint) {
+        *self.running.entry(print).or_default() += 1;
+    }
+
+    /// Counts a request that the backend server has answered, which clears it of its crashes.
+    pub fn answered(&mut self, print: &Fingerprint, now: Instant) {
+        self.ended(print);
+        self.expire(now);
+        if let Some(entry) = self.entries.get_mut(print)
+            && entry.sentence.is_suspect()
+        {
+            entry.sentence.cleared = true;
+            self.tell(*print);
+        }
+    }
+
+    /// Counts a request that ended without an answer and without a crash.
+    pub fn ended(&mut self, print: &Fingerprint) {
+        if let Some(count) = self.running.get_mut(print) {
+            *count -= 1;
+            if *count == 0 {
+                self.running.remove(print);
+            }
+        }
+    }
+
+    /// Takes in that the backend server beside the daemon has crashed.
+    pub fn crashed(&mut self, now: Instant) {
+        let crash = Crash {
+            instance: self.local,
+            number: self.crashes,
+        };
+        self.crashes += 1;
+        let running = std::mem::take(&mut self.running);
+        for print in running.into_keys() {
+            self.accuse(print, crash, now);
+        }
+    }
+
+    /// Takes in that a whole instance is gone with these requests of this ingress in flight.
+    pub fn lost(&mut self, instance: InstanceId, prints: &[Fingerprint], now: Instant) {
+        let crash = Crash {
+            instance,
+            number: u32::MAX,
+        };
+        for print in prints {
+            self.accuse(*print, crash, now);
+        }
+    }
+
+    /// Takes what another daemon knows.
+    pub fn receive(&mut self, sentences: &[Sentence], now: Instant) {
+        self.expire(now);
+        for sentence in sentences {
+            self.join(sentence, now);
+        }
+    }
+
+    /// Returns what has changed since the last time, to be sent to a few daemons.
+    pub fn take_news(&mut self, now: Instant) -> Vec<Sentence> {
+        self.expire(now);
+        let news = std::mem::take(&mut self.news);
+        news.iter()
+            .filter_map(|print| self.sentence(print, now))
+            .collect()
+    }
+
+    /// Returns everything that is remembered, for a daemon that has just started.
+    pub fn sentences(&mut self, now: Instant) -> Vec<Sentence> {
+        self.expire(now);
+        let prints: Vec<_> = self.entries.keys().copied().collect();
+        prints
+            .iter()
+            .filter_map(|print| self.sentence(print, now))
+            .collect()
+    }
+
+    fn sentence(&self, print: &Fingerprint, now: Instant) -> Option<Sentence> {
+        let entry = self.entries.get(print)?;
+        Some(Sentence {
+            left: interval(entry.until.saturating_duration_since(now)),
+            ..entry.sentence.clone()
+        })
+    }
+
+    fn accuse(&mut self, print: Fingerprint, crash: Crash, now: Instant) {
+        let sentence = Sentence {
+            fingerprint: print,
+            crashes: BTreeSet::from([crash]),
+            cleared: false,
+            left: self.term,
+        };
+        let is_known = self
+            .entries
+            .get(&print)
+            .is_some_and(|e| e.sentence.crashes.contains(&crash));
+        if !is_known {
+            self.join(&sentence, now);
+        }
+    }
+
+    fn join(&mut self, sentence: &Sentence, now: Instant) {
+        let print = sentence.fingerprint;
+        let merged = match self.sentence(&print, now) {
+            None => sentence.clone(),
+            Some(mut own) => {
+                if !own.merge(sentence) {
+                    return;
+                }
+                own
+            }
+        };
+        if merged.left == Interval::default() || merged.crashes.is_empty() {
+            return;
+        }
+        self.remove(&print);
+        self.make_room();
+        let until = now + merged.left.min(self.term).duration();
+        self.ends.insert((until, print));
+        let sentence = merged;
+        self.entries.insert(print, Entry { sentence, until });
+        self.tell(print);
+    }
+
+    fn tell(&mut self, print: Fingerprint) {
+        if self.news.len() < MAX_NEWS {
+            self.news.insert(print);
+        }
+    }
+
+    /// Forgets the request that would be forgotten first, and suspects before refused ones.
+    fn make_room(&mut self) {
+        if self.entries.len() < MAX_SENTENCES {
+            return;
+        }
+        let is_light = |print: &Fingerprint| !self.entries[print].sentence.is_refused();
+        let light = self.ends.iter().find(|(_, print)| is_light(print));
+        let first = light.or(self.ends.first()).map(|(_, print)| *print);
+        if let Some(print) = first {
+            self.remove(&print);
+        }
+    }
+
+    fn remove(&mut self, print: &Fingerprint) {
+        if let Some(entry) = self.entries.remove(print) {
+            self.ends.remove(&(entry.until, *print));
+        }
+    }
+
+    fn expire(&mut self, now: Instant) {
+        while let Some(&(until, print)) = self.ends.first() {
+            if until > now {
+                break;
+            }
+            self.remove(&print);
+        }
+    }
+}
+
+fn interval(time: Duration) -> Interval {
+    Interval::from_millis(u64::try_from(time.as_millis()).unwrap_or(u64::MAX))
+}
--- a/crates/marigold-request/src/refusal.rs
+++ b/crates/marigold-request/src/refusal.rs
@@ -32,6 +32,8 @@
     KeyRefused,
     /// The key was not made by this mesh.
     KeyInvalid,
+    /// The key was used for another request before.
+    KeyReused,
     /// The table of keys is full.
     KeysFull,
     /// The witness did not confirm that the request may start.
@@ -55,6 +57,7 @@
             Self::Quarantined => "quarantined",
             Self::KeyRefused => "key-refused",
             Self::KeyInvalid => "key-invalid",
+            Self::KeyReused => "key-reused",
             Self::KeysFull => "keys-full",
             Self::NoWitness => "no-witness",
             Self::NoConnection => "no-connection",
@@ -70,3 +73,23 @@
     /// When to come back; absent when sending again cannot help.
     pub retry_after: Option<Interval>,
 }
+
+impl Refusal {
+    /// Builds a refusal after which sending the same again cannot help.
+    #[must_use]
+    pub const fn last(reason: RefusalReason) -> Self {
+        Self {
+            reason,
+            retry_after: None,
+        }
+    }
+
+    /// Builds a refusal that is worth another try after `delay`.
+    #[must_use]
+    pub const fn after(reason: RefusalReason, delay: Interval) -> Self {
+        Self {
+            reason,
+            retry_after: Some(delay),
+        }
+    }
+}
--- /dev/null
+++ b/crates/marigold-request/src/router/call_report.rs
@@ -0,0 +1,54 @@
+//! What one call showed of a backend server.
+
+use std::time::Duration;
+
+use marigold_types::Outcome;
+
+use crate::{LoadReport, RefusalReason};
+
+/// The lowest HTTP status of a backend server's own failure.
+const FAILURE_STATUS: u16 = 500;
+
+/// The end of one call as its ingress saw it.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub struct CallReport {
+    /// What became of it.
+    pub outcome: Outcome,
+    /// The HTTP status, where there is one.
+    pub status: Option<u16>,
+    /// Why it did not run, where it did not.
+    pub refusal: Option<RefusalReason>,
+    /// How busy the executor said it is.
+    pub load: Option<LoadReport>,
+    /// From the first byte out to the end.
+    pub elapsed: Duration,
+}
+
+/// What a call says of the backend server's health.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum Sign {
+    /// It works.
+    Good,
+    /// It fails.
+    Bad,
+    /// It says nothing either way.
+    None,
+}
+
+impl CallReport {
+    /// Returns what the call says of the backend server's health.
+    ///
+    /// A refusal for want of room is load and no failure.
+    #[must_use]
+    pub fn sign(&self) -> Sign {
+        match (self.outcome, self.refusal) {
+            (Outcome::Answered, _) if self.status >= Some(FAILURE_STATUS) => Sign::Bad,
+            (Outcome::Answered, _) => Sign::Good,
+            (Outcome::Unknown, _)
+            | (Outcome::NotRun, Some(RefusalReason::Unreachable | RefusalReason::NoConnection)) => {
+                Sign::Bad
+            }
+            (Outcome::NotRun, _) => Sign::None,
+        }
+    }
+}
--- a/crates/marigold-request/src/stream_open.rs
+++ b/crates/marigold-request/src/stream_open.rs
@@ -2,6 +2,8 @@
 
 use serde::{Deserialize, Serialize};
 
+use crate::limits::Demand;
+use crate::quarantine::Sentence;
 use crate::{CallHead, WitnessRequest};
 
 /// Says what a bidirectional stream is for.
@@ -11,4 +13,8 @@
     Call(CallHead),
     /// A question to a witness; a [`WitnessAnswer`](crate::WitnessAnswer) comes back.
     Witness(WitnessRequest),
+    /// What a daemon needs of shared limits; [`Grant`](crate::limits::Grant)s come back as a list.
+    Demand(Vec<Demand>),
+    /// Requests held to crash backend servers; the receiver's own list comes back.
+    Sentences(Vec<Sentence>),
 }
