Add the platform log's stand-in, over HTTP and in memory

Cause: the daemon's client of the log had nothing to speak to. Change: one store with rate, retention, size limits and faults (down, slow, lost answers, trim), served over HTTP by rouille and in memory by MemoryLog; the protocol is written down in docs/PLATFORM-LOG.md. Noted: a zero-length sleep on the paused clock advances it by a millisecond, so the memory log does not sleep when it is not slow.

--- /dev/null
+++ b/crates/marigold-standin/src/lib.rs
@@ -0,0 +1,10 @@
+//! Stand-ins for the platform's log, backend servers and callers, and the measurements.
+//!
+//! They are for tests and measurements only; nothing here is part of a running mesh.
+
+pub mod log;
+pub mod range;
+
+mod error;
+
+pub use error::StandinError;
--- /dev/null
+++ b/crates/marigold-standin/src/log.rs
@@ -0,0 +1,24 @@
+//! The platform log's stand-in, with the faults that the platform's log has.
+//!
+//! The protocol stands in docs/PLATFORM-LOG.md.
+
+mod args;
+mod bucket;
+mod control;
+mod limits;
+mod memory;
+mod refusal;
+mod server;
+mod store;
+mod stream;
+mod totals;
+
+pub use args::LogArgs;
+pub use bucket::TokenBucket;
+pub use control::{LogControl, TrimOrder};
+pub use limits::LogLimits;
+pub use memory::MemoryLog;
+pub use refusal::LogRefusal;
+pub use server::LogServer;
+pub use store::LogStore;
+pub use totals::LogTotals;
--- /dev/null
+++ b/crates/marigold-standin/tests/log.rs
@@ -0,0 +1,238 @@
+//! The platform log's stand-in: its protocol, its faults, and the mesh's client against it.
+
+use std::time::Duration;
+
+use marigold_log::{HttpLog, LogFailure, PlatformLog, StreamName};
+use marigold_standin::log::{LogControl, LogLimits, LogRefusal, LogServer, LogStore, MemoryLog};
+use marigold_types::{ByteSize, Interval, LogOffset, Rate, RecordTime};
+use tokio::time::Instant;
+
+const WAIT: Duration = Duration::from_secs(20);
+
+fn start() -> LogServer {
+    LogServer::start(([127, 0, 0, 1], 0).into(), LogLimits::default()).unwrap()
+}
+
+fn control(server: &LogServer, order: &str) {
+    let url = format!("{}/v1/control", server.url());
+    ureq::post(&url)
+        .header("connection", "close")
+        .send(order)
+        .unwrap();
+}
+
+fn status(server: &LogServer, path: &str, body: Option<&[u8]>) -> u16 {
+    let url = format!("{}{path}", server.url());
+    let agent: ureq::Agent = ureq::Agent::config_builder()
+        .http_status_as_error(false)
+        .build()
+        .into();
+    let sent = match body {
+        Some(body) => agent.post(&url).header("connection", "close").send(body),
+        None => agent.get(&url).header("connection", "close").call(),
+    };
+    sent.unwrap().status().as_u16()
+}
+
+async fn append(log: &dyn PlatformLog, data: &str) -> Result<u64, LogFailure> {
+    let deadline = Instant::now() + WAIT;
+    let result = log
+        .append(StreamName::Config, data.to_owned(), deadline)
+        .await;
+    result
+        .map(|appended| appended.offset.0)
+        .map_err(|error| error.failure)
+}
+
+async fn read(log: &dyn PlatformLog, from: u64) -> Result<Vec<String>, LogFailure> {
+    let deadline = Instant::now() + WAIT;
+    let batch = log
+        .read(StreamName::Config, LogOffset(from), 10, deadline)
+        .await
+        .map_err(|error| error.failure)?;
+    Ok(batch.records.into_iter().map(|r| r.data).collect())
+}
+
+/// Runs one case against the log over HTTP.
+macro_rules! over_http {
+    ($($name:ident: |$server:ident, $log:ident| $body:block)*) => {$(
+        #[tokio::test]
+        async fn $name() {
+            let $server = start();
+            let $log = HttpLog::new(&$server.url());
+            $body
+        }
+    )*};
+}
+
+over_http! {
+    keeps_order: |server, log| {
+        assert_eq!(append(&log, "a").await, Ok(0));
+        assert_eq!(append(&log, "b").await, Ok(1));
+        assert_eq!(read(&log, 0).await.unwrap(), ["a", "b"]);
+        assert_eq!(read(&log, 1).await.unwrap(), ["b"]);
+        assert!(read(&log, 9).await.unwrap().is_empty());
+        drop(server);
+    }
+    down_writes_nothing: |server, log| {
+        control(&server, r#"{"down":true}"#);
+        let failed = append(&log, "a").await.unwrap_err();
+        assert!(matches!(failed, LogFailure::Unavailable { .. }), "{failed}");
+        control(&server, r#"{"down":false}"#);
+        assert!(read(&log, 0).await.unwrap().is_empty());
+    }
+    lost_answer_was_written: |server, log| {
+        control(&server, r#"{"lose":1}"#);
+        let failed = append(&log, "a").await.unwrap_err();
+        assert!(matches!(failed, LogFailure::Unknown { .. }), "{failed}");
+        assert_eq!(read(&log, 0).await.unwrap(), ["a"]);
+        assert_eq!(append(&log, "b").await, Ok(1));
+    }
+    trimmed_says_earliest: |server, log| {
+        for data in ["a", "b", "c"] {
+            append(&log, data).await.unwrap();
+        }
+        control(&server, r#"{"trim":{"stream":"config","before":2}}"#);
+        let earliest = LogOffset(2);
+        assert_eq!(read(&log, 0).await, Err(LogFailure::Trimmed { earliest }));
+        assert_eq!(read(&log, 2).await.unwrap(), ["c"]);
+    }
+    rate_refuses: |server, log| {
+        control(&server, r#"{"rate":0}"#);
+        let failed = append(&log, "a").await.unwrap_err();
+        assert!(matches!(failed, LogFailure::Unavailable { .. }), "{failed}");
+    }
+    slow_passes_deadline: |server, log| {
+        control(&server, r#"{"slow_ms":400}"#);
+        let deadline = Instant::now() + Duration::from_millis(100);
+        let failed = log.append(StreamName::Config, "a".to_owned(), deadline).await;
+        let failed = failed.unwrap_err().failure;
+        assert!(matches!(failed, LogFailure::Unknown { .. }), "{failed}");
+    }
+}
+
+macro_rules! refused {
+    ($($name:ident: $path:literal, $body:expr => $status:literal;)*) => {$(
+        #[test]
+        fn $name() {
+            assert_eq!(status(&start(), $path, $body), $status);
+        }
+    )*};
+}
+
+refused! {
+    unknown_path: "/v2", None => 404;
+    bad_offset: "/v1/streams/config/records?from=x", None => 400;
+    bad_stream: "/v1/streams/Con.fig/records", None => 400;
+    line_break: "/v1/streams/config/records", Some(b"a\nb") => 400;
+    empty_record: "/v1/streams/config/records", Some(b"") => 400;
+    not_utf8: "/v1/streams/config/records", Some(b"\xff") => 400;
+    too_large: "/v1/streams/config/records", Some(&vec![b'a'; (1 << 20) + 1]) => 413;
+    bad_order: "/v1/control", Some(br#"{"downn":true}"#) => 400;
+    cut_order: "/v1/control", Some(br#"{"down":"#) => 400;
+}
+
+#[test]
+fn port_in_use_is_said() {
+    let first = start();
+    let error = LogServer::start(first.address(), LogLimits::default())
+        .err()
+        .unwrap();
+    assert!(
+        error.to_string().starts_with("listen at 127.0.0.1:"),
+        "{error}"
+    );
+}
+
+#[tokio::test(start_paused = true)]
+async fn bucket_refills_at_its_rate() {
+    let limits = LogLimits {
+        rate: Rate(300),
+        ..LogLimits::default()
+    };
+    let log = MemoryLog::new(limits);
+    let mut taken = 0;
+    for _ in 0..10_000 {
+        taken += u64::from(append(&log, "a").await.is_ok());
+        tokio::time::advance(Duration::from_micros(200)).await;
+    }
+    // Two seconds at 300 a second, and the burst of a tenth of a second at their start.
+    assert!((600..=631).contains(&taken), "{taken}");
+}
+
+#[tokio::test(start_paused = true)]
+async fn memory_loses_answers_not_writes() {
+    let log = MemoryLog::new(LogLimits::default());
+    let order = LogControl {
+        lose: Some(1),
+        ..LogControl::default()
+    };
+    log.control(&order).unwrap();
+    assert!(matches!(
+        append(&log, "a").await,
+        Err(LogFailure::Unknown { .. })
+    ));
+    assert_eq!(read(&log, 0).await.unwrap(), ["a"]);
+    assert_eq!(log.totals().lost_answers, 1);
+}
+
+#[tokio::test(start_paused = true)]
+async fn late_write_takes_effect() {
+    let log = MemoryLog::new(LogLimits::default());
+    let order = LogControl {
+        slow_ms: Some(30_000),
+        ..LogControl::default()
+    };
+    log.control(&order).unwrap();
+    assert!(matches!(
+        append(&log, "a").await,
+        Err(LogFailure::Unknown { .. })
+    ));
+    log.control(&LogControl {
+        slow_ms: Some(0),
+        ..LogControl::default()
+    })
+    .unwrap();
+    assert!(read(&log, 0).await.unwrap().is_empty());
+    tokio::time::advance(Duration::from_secs(15)).await;
+    tokio::task::yield_now().await;
+    assert_eq!(read(&log, 0).await.unwrap(), ["a"]);
+}
+
+#[test]
+fn retention_trims() {
+    let limits = LogLimits {
+        retention: Interval::from_millis(1_000),
+        ..LogLimits::default()
+    };
+    let now = Instant::now();
+    let mut store = LogStore::new(limits, now);
+    store
+        .append("config", "a".to_owned(), RecordTime(0), now)
+        .unwrap();
+    store
+        .append("config", "b".to_owned(), RecordTime(900), now)
+        .unwrap();
+    let earliest = LogOffset(1);
+    let refused = store.read("config", LogOffset(0), 10, RecordTime(1_500));
+    assert_eq!(refused, Err(LogRefusal::Trimmed { earliest }));
+}
+
+#[test]
+fn answer_is_bounded_in_bytes() {
+    let limits = LogLimits {
+        answer: ByteSize(10),
+        ..LogLimits::default()
+    };
+    let now = Instant::now();
+    let mut store = LogStore::new(limits, now);
+    for _ in 0..3 {
+        let data = "123456".to_owned();
+        store.append("config", data, RecordTime(0), now).unwrap();
+    }
+    let batch = store
+        .read("config", LogOffset(0), 10, RecordTime(0))
+        .unwrap();
+    assert_eq!(batch.records.len(), 1);
+    assert_eq!(batch.end, LogOffset(3));
+}
