--- a/crates/marigold-standin/src/lib.rs
+++ b/crates/marigold-standin/src/lib.rs
@@ -2,6 +2,7 @@
 //!
 //! They are for tests and measurements only; nothing here is part of a running mesh.
 
+pub mod backend;
 pub mod log;
 pub mod range;
 
--- a/crates/marigold-standin/src/main.rs
+++ b/crates/marigold-standin/src/main.rs
@@ -4,6 +4,7 @@
 
 use clap::{Parser, Subcommand};
 use marigold_standin::StandinError;
+use marigold_standin::backend::BackendArgs;
 use marigold_standin::log::LogArgs;
 
 /// Stand-ins and measurements of marigoldproxy; nothing here is part of a running mesh.
@@ -17,6 +18,7 @@
 #[derive(Debug, Subcommand)]
 enum Command {
     Log(LogArgs),
+    Backend(BackendArgs),
 }
 
 fn main() -> ExitCode {
@@ -33,5 +35,12 @@
 fn run(command: Command) -> Result<ExitCode, StandinError> {
     match command {
         Command::Log(args) => args.run().map(|()| ExitCode::SUCCESS),
+        Command::Backend(args) => on_runtime(args.run()).map(|()| ExitCode::SUCCESS),
     }
 }
+
+fn on_runtime<T>(task: impl Future<Output = Result<T, StandinError>>) -> Result<T, StandinError> {
+    let runtime = tokio::runtime::Runtime::new()
+        .map_err(|error| StandinError::new("start", &"runtime", &error))?;
+    runtime.block_on(task)
+}
