--- a/crates/marigoldd/src/secrets.rs
+++ b/crates/marigoldd/src/secrets.rs
@@ -45,8 +45,10 @@
 }
 
 fn read(path: &Path) -> Result<Arc<str>, SecretsError> {
-    std::fs::read_to_string(path).map(Arc::from).map_err(|error| SecretsError {
-        path: path.to_owned(),
-        reason: Arc::from(error.to_string()),
-    })
+    std::fs::read_to_string(path)
+        .map(Arc::from)
+        .map_err(|error| SecretsError {
+            path: path.to_owned(),
+            reason: Arc::from(error.to_string()),
+        })
 }
--- a/crates/marigoldd/src/sockets.rs
+++ b/crates/marigoldd/src/sockets.rs
@@ -47,5 +47,9 @@
 }
 
 fn fail(side: &'static str, address: SocketAddr, error: &std::io::Error) -> SocketError {
-    SocketError { side, address, reason: Arc::from(error.to_string()) }
+    SocketError {
+        side,
+        address,
+        reason: Arc::from(error.to_string()),
+    }
 }
