Check the trusted operator's key where the settings are read

Cause: the key was any text, so a typing error showed only when a signature failed. Change: the setting is a PublicKey, and a wrong one is reported with its line. Conclusion: the settings' tests pass.

--- a/crates/marigold-settings/src/config/trust.rs
+++ b/crates/marigold-settings/src/config/trust.rs
@@ -1,7 +1,6 @@
 //! Section `[trust]`.
 
-use std::sync::Arc;
-
+use marigold_auth::PublicKey;
 use marigold_types::OperatorName;
 
 use crate::reader::Reader;
@@ -11,15 +10,15 @@
 pub struct TrustSettings {
     /// The operator's name.
     pub operator: OperatorName,
-    /// The operator's Ed25519 public key in hexadecimal.
-    pub key: Arc<str>,
+    /// The operator's Ed25519 public key.
+    pub key: PublicKey,
 }
 
 impl Default for TrustSettings {
     fn default() -> Self {
         Self {
             operator: "root".parse().expect("a valid name"),
-            key: Arc::from(""),
+            key: PublicKey([0; 32]),
         }
     }
 }
@@ -34,14 +33,12 @@
                 "1 to 64 of a-z, 0-9, `-`, `_` and `.`",
                 "the operator who may change anything",
             ),
-            key: reader
-                .required(
-                    "key",
-                    base.key.to_string(),
-                    "64 hexadecimal digits",
-                    "that operator's public key; the same on every daemon of the mesh",
-                )
-                .into(),
+            key: reader.required(
+                "key",
+                base.key,
+                "64 hexadecimal digits",
+                "that operator's public key; the same on every daemon of the mesh",
+            ),
         };
         reader.finish();
         settings
--- a/crates/marigold-settings/src/settings.rs
+++ b/crates/marigold-settings/src/settings.rs
@@ -117,7 +117,7 @@
         region = prairie-west\n[caller]\nlisten = 127.0.0.1:8001\n[admin]\n\
         listen = 127.0.0.1:9001\n[log]\nurl = http://127.0.0.1:9000\n[tls]\nauthority = ca.pem\n\
         certificate = d.pem\nkey = d.key\nmesh_key = mesh.key\n[trust]\noperator = root\n\
-        key = 00\n";
+        key = 0000000000000000000000000000000000000000000000000000000000000000\n";
 
     macro_rules! fault {
         ($($name:ident: $extra:literal => $want:literal;)*) => {$(
