Bound the fold's memory so that a checkpoint fits into one record of the log

The log takes records of 1 MB. The configuration, the pending plans and the verdicts each get a bound in bytes. A first form bounded the verdicts by number alone, and a test showed that an operator without rights could fill the table by refused confirmations and so block everyone else: refusals of one confirmation now use at most half of it, and are forgotten beyond that.

--- a/crates/marigold-config/src/check.rs
+++ b/crates/marigold-config/src/check.rs
@@ -13,6 +13,8 @@
 
 /// The most declarations of one configuration, so that no plan can fill the memory.
 pub const MAX_DECLARATIONS: usize = 10_000;
+/// The largest configuration, in bytes of JSON: plans and checkpoints of it fit into one record.
+const MAX_CONFIG_BYTES: usize = 400_000;
 /// The longest path of a route or probe, in bytes.
 const MAX_PATH_BYTES: usize = 1_024;
 /// The most patterns of one rule.
@@ -134,10 +136,10 @@
 #[must_use]
 pub fn check_whole(declarations: &BTreeMap<Resource, Arc<Declaration>>) -> Vec<Invalid> {
     let mut list = Vec::new();
-    if declarations.len() > MAX_DECLARATIONS
+    if is_too_large(declarations)
         && let Some(resource) = declarations.keys().next()
     {
-        let allowed = format!("at most {MAX_DECLARATIONS}");
+        let allowed = format!("{MAX_DECLARATIONS} declarations, {MAX_CONFIG_BYTES} bytes of JSON");
         list.push(Invalid::new(resource, "declarations", "too many", &allowed));
     }
     let mut paths: BTreeMap<&str, &Resource> = BTreeMap::new();
@@ -164,6 +166,12 @@
     list
 }
 
+fn is_too_large(declarations: &BTreeMap<Resource, Arc<Declaration>>) -> bool {
+    let list: Vec<_> = declarations.iter().collect();
+    let bytes = serde_json::to_vec(&list).map_or(usize::MAX, |json| json.len());
+    declarations.len() > MAX_DECLARATIONS || bytes > MAX_CONFIG_BYTES
+}
+
 /// Returns the service that a declaration cannot stand without.
 pub fn service_of<'a>(
     resource: &'a Resource,
--- a/crates/marigold-config/src/history.rs
+++ b/crates/marigold-config/src/history.rs
@@ -10,7 +10,7 @@
 /// The most entries that are kept.
 const MAX_ENTRIES: usize = 128;
 /// The most resources that an entry names.
-const MAX_NAMED: usize = 32;
+const MAX_NAMED: usize = 8;
 
 /// What a confirmation came to.
 #[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
--- a/crates/marigold-config/src/log_reader.rs
+++ b/crates/marigold-config/src/log_reader.rs
@@ -16,6 +16,7 @@
 use marigold_log::{Batch, StoredRecord};
 use marigold_types::{LogOffset, RecordTime, Version};
 
+use crate::record::MAX_RECORD_BYTES;
 use crate::{Checkpoint, Config, Decision, History, Record, SealedCheckpoint, State, Trust};
 
 /// How many records before the end the search for a checkpoint starts.
@@ -184,9 +185,27 @@
     }
 
     /// Returns the record of a checkpoint.
+    ///
+    /// When it would be too large for the log, it goes without the pending plans, whose operators
+    /// plan again, and then without the history; no verdict depends on either.
     #[must_use]
     pub fn to_checkpoint(&self) -> Record {
-        Record::Checkpoint(SealedCheckpoint::seal(self.state.checkpoint(), &self.trust))
+        let mut checkpoint = self.state.checkpoint();
+        let seal = |checkpoint: &Checkpoint| {
+            Record::Checkpoint(SealedCheckpoint::seal(checkpoint.clone(), &self.trust))
+        };
+        let fits = |record: &Record| record.to_string().len() <= MAX_RECORD_BYTES;
+        let record = seal(&checkpoint);
+        if fits(&record) {
+            return record;
+        }
+        checkpoint.pending.clear();
+        let record = seal(&checkpoint);
+        if fits(&record) {
+            return record;
+        }
+        checkpoint.history = History::default();
+        seal(&checkpoint)
     }
 
     /// Returns the record that makes the configuration held the base of the log's records again.
--- a/crates/marigold-config/src/pending.rs
+++ b/crates/marigold-config/src/pending.rs
@@ -9,7 +9,7 @@
 /// The most plans that are kept.
 const MAX_PLANS: usize = 64;
 /// The most bytes that the plans take together, as JSON.
-const MAX_BYTES: usize = 1 << 20;
+const MAX_BYTES: usize = 512 << 10;
 
 #[derive(Debug, Clone, PartialEq, Eq)]
 struct Row {
--- a/crates/marigold-config/src/record.rs
+++ b/crates/marigold-config/src/record.rs
@@ -6,10 +6,8 @@
 
 use crate::{Confirmation, IgnoreReason, SealedCheckpoint, SignedPlan};
 
-/// The largest record that is read, in bytes.
-const MAX_BYTES: usize = 8 << 20;
-/// The largest plan or confirmation that is read, in bytes.
-const MAX_PLAN_BYTES: usize = 1 << 20;
+/// The largest record, in bytes: the platform's log takes no larger one.
+pub const MAX_RECORD_BYTES: usize = 1_000_000;
 
 /// One record, as JSON without line breaks.
 #[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
@@ -30,15 +28,10 @@
     ///
     /// Why the record is to be passed over.
     pub fn parse(data: &str) -> Result<Self, IgnoreReason> {
-        if data.len() > MAX_BYTES {
+        if data.len() > MAX_RECORD_BYTES {
             return Err(IgnoreReason::TooLarge);
         }
-        let record: Self = serde_json::from_str(data).map_err(|_| IgnoreReason::Unparsable)?;
-        let is_checkpoint = matches!(record, Self::Checkpoint(_));
-        if data.len() > MAX_PLAN_BYTES && !is_checkpoint {
-            return Err(IgnoreReason::TooLarge);
-        }
-        Ok(record)
+        serde_json::from_str(data).map_err(|_| IgnoreReason::Unparsable)
     }
 }
 
--- a/crates/marigold-config/src/settled.rs
+++ b/crates/marigold-config/src/settled.rs
@@ -7,8 +7,8 @@
 
 use crate::Verdict;
 
-/// The most verdicts that are kept.
-const MAX_SETTLED: usize = 4_096;
+/// The most bytes that the verdicts take together, as JSON, so that a checkpoint fits into a record.
+const MAX_BYTES: usize = 350_000;
 
 /// A verdict that stands for every later copy.
 #[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
@@ -25,15 +25,17 @@
 #[derive(Debug, Clone, Default, PartialEq, Eq)]
 pub struct SettledTable {
     table: BTreeMap<Digest, Settled>,
+    bytes: usize,
 }
 
 impl SettledTable {
     /// Builds the table from a checkpoint's list.
     pub fn new(list: &[Settled]) -> Self {
-        let rows = list.iter().map(|settled| (settled.id, settled.clone()));
-        Self {
-            table: rows.collect(),
+        let mut table = Self::default();
+        for settled in list {
+            table.add(settled.clone());
         }
+        table
     }
 
     /// Lists the table for a checkpoint.
@@ -49,18 +51,35 @@
     /// Returns whether no verdict fits any more; none is dropped before its time, since a copy
     /// could then count twice.
     pub fn is_full(&self) -> bool {
-        self.table.len() >= MAX_SETTLED
+        self.bytes >= MAX_BYTES
     }
 
-    /// Adds a verdict, unless the table is full.
-    pub fn insert(&mut self, settled: Settled) {
-        if !self.is_full() {
-            self.table.insert(settled.id, settled);
-        }
+    /// Returns whether a refusal of one confirmation is remembered.
+    ///
+    /// Operators without rights must not be able to fill the table for those who have them. A
+    /// refusal that is forgotten is judged again if a copy comes, within its few minutes of life.
+    pub fn has_spare(&self) -> bool {
+        self.bytes < MAX_BYTES / 2
+    }
+
+    /// Adds a verdict; the caller has asked whether the table is full.
+    pub fn add(&mut self, settled: Settled) {
+        self.bytes += size_of(&settled);
+        self.table.insert(settled.id, settled);
     }
 
     /// Drops the verdicts whose copies no longer count at `time`.
     pub fn expire(&mut self, time: RecordTime) {
-        self.table.retain(|_, settled| settled.until >= time);
+        let mut freed = 0;
+        self.table.retain(|_, settled| {
+            let keep = settled.until >= time;
+            freed += if keep { 0 } else { size_of(settled) };
+            keep
+        });
+        self.bytes -= freed;
     }
 }
+
+fn size_of(settled: &Settled) -> usize {
+    serde_json::to_vec(settled).map_or(0, |json| json.len())
+}
--- a/crates/marigold-config/src/state.rs
+++ b/crates/marigold-config/src/state.rs
@@ -9,8 +9,8 @@
 use crate::pending::Pending;
 use crate::settled::SettledTable;
 use crate::{
-    Authority, Checkpoint, Config, Confirmation, Decision, Entry, History, IgnoreReason, Plan,
-    PlanId, Reason, Record, SealedCheckpoint, Settled, SignedPlan, Trust, Verdict,
+    Authority, Checkpoint, Config, Confirm, Confirmation, Decision, Entry, History, IgnoreReason,
+    Plan, PlanId, Reason, Record, SealedCheckpoint, Settled, SignedPlan, Trust, Verdict,
 };
 
 /// What the records read so far have come to; the same on every reader of the same records.
@@ -116,6 +116,13 @@
         self.settled.find(&id.0)
     }
 
+    /// Finds the verdict that a repeat of `confirm` would be answered with.
+    #[must_use]
+    pub fn find_answer(&self, confirm: &Confirm) -> Option<&Verdict> {
+        let verdict = self.find_verdict(&confirm.plan);
+        verdict.or_else(|| self.settled.find(&confirm.id()))
+    }
+
     /// Returns the public key of an operator under the configuration in force.
     ///
     /// # Errors
@@ -136,6 +143,20 @@
         judge.make(&plan.plan, self.config.version).map(|_| ())
     }
 
+    /// Judges a confirmation before it is appended, as far as the log's clock plays no part.
+    ///
+    /// # Errors
+    ///
+    /// Why it would be rejected.
+    pub fn check_confirmation(&self, confirmation: &Confirmation) -> Result<(), Reason> {
+        let judge = self.judge(self.time);
+        let plan = &confirmation.plan.plan;
+        judge.check_signature(&confirmation.confirm)?;
+        let operator = &confirmation.confirm.confirm.operator;
+        judge.authority.check_scope(operator, plan)?;
+        judge.make(plan, self.config.version).map(|_| ())
+    }
+
     /// Folds the next record.
     pub fn apply(&mut self, stored: &StoredRecord) -> Decision {
         if stored.offset != self.next {
@@ -197,8 +218,7 @@
         if let Err(reason) = judge.check_signature(&record.confirm) {
             return Decision::Rejected { plan, reason };
         }
-        let settled = self.settled.find(&plan.0);
-        if let Some(verdict) = settled.or_else(|| self.settled.find(&confirm.id())) {
+        if let Some(verdict) = self.find_answer(confirm) {
             let verdict = verdict.clone();
             return Decision::Repeated { plan, verdict };
         }
@@ -264,16 +284,19 @@
     ) {
         let plan = &record.plan.plan;
         let confirm = &record.confirm.confirm;
-        if id == confirm.plan.0 {
+        let is_final = id == confirm.plan.0;
+        if is_final {
             self.pending.remove(&confirm.plan);
         }
-        // An expiry far ahead would keep a verdict for good, and no copy counts that late.
-        let latest = self.time.0.saturating_add(Plan::MAX_LIFE_MILLIS);
-        self.settled.insert(Settled {
-            id,
-            until: until.min(RecordTime(latest)),
-            verdict: verdict.clone(),
-        });
+        if is_final || self.settled.has_spare() {
+            // An expiry far ahead would keep a verdict for good, and no copy counts that late.
+            let latest = self.time.0.saturating_add(Plan::MAX_LIFE_MILLIS);
+            self.settled.add(Settled {
+                id,
+                until: until.min(RecordTime(latest)),
+                verdict: verdict.clone(),
+            });
+        }
         let resources = plan.changes.iter().map(|change| change.resource.clone());
         self.history.push(Entry {
             offset: stored.offset,
--- a/crates/marigold-config/tests/fold.rs
+++ b/crates/marigold-config/tests/fold.rs
@@ -368,7 +368,7 @@
         let reason = IgnoreReason::Unparsable;
         assert_eq!(last(&mesh), Decision::Ignored { reason });
     }
-    mesh.append("x".repeat(9 << 20));
+    mesh.append("x".repeat(1_000_001));
     let reason = IgnoreReason::TooLarge;
     assert_eq!(last(&mesh), Decision::Ignored { reason });
     assert_eq!(mesh.config(), before);
--- a/crates/marigold-config/tests/reader.rs
+++ b/crates/marigold-config/tests/reader.rs
@@ -2,6 +2,7 @@
 
 mod common;
 
+use std::fmt::Write;
 use std::sync::Arc;
 
 use common::Mesh;
@@ -296,3 +297,80 @@
     assert!(reader.to_restoration().is_none());
     assert_eq!(reader.state().config().version, Version(4));
 }
+
+/// A checkpoint always fits into a record of the log, however much waits and was refused.
+#[test]
+fn large_state_fits_into_a_checkpoint() {
+    let mut mesh = Mesh::started();
+    let base = mesh.config();
+    for at in 0..200 {
+        let mut extra = String::new();
+        for row in 0..40 {
+            let path = format!("/{}", "x".repeat(150));
+            let _ = writeln!(extra, "[route r{row}]\npath = {path}{row}\nservice = desk");
+        }
+        let intent = mesh.base_intent(&extra.replace("[route r", &format!("[route r{at}-")));
+        let plan = mesh.plan(&mesh.ann, &base, &intent);
+        mesh.store(&plan);
+    }
+    let reader = mesh.reader(1_000);
+    assert!(reader.state().pending().len() > 10);
+    let record = reader.to_checkpoint().to_string();
+    assert!(record.len() <= 1_000_000, "{}", record.len());
+    mesh.append(record);
+    mesh.earliest = mesh.log.len() as u64 - 1;
+    assert_eq!(mesh.reader(10).config(), reader.config());
+}
+
+#[test]
+fn configuration_has_a_size() {
+    let mut text = String::from("[service desk]\n");
+    for row in 0..1_000 {
+        let path = "x".repeat(500);
+        let _ = writeln!(text, "[route r{row}]\npath = /{path}{row}\nservice = desk");
+    }
+    let faults = marigold_config::Intent::parse("mesh.ini", &text).unwrap_err();
+    assert!(faults.to_string().contains("400000 bytes"), "{faults}");
+}
+
+/// An operator without rights cannot use up the room for others' verdicts.
+#[test]
+fn refusals_block_nobody() {
+    let mut mesh = Mesh::started();
+    let intent = mesh.base_intent("[service billing]\n");
+    let base = mesh.config();
+    let plan = mesh.plan(&mesh.bob, &base, &intent);
+    for _ in 0..1_500 {
+        mesh.confirm(&plan);
+    }
+    let good = mesh.plan(&mesh.ann, &base, &intent);
+    mesh.confirm(&good);
+    let (state, decisions) = mesh.fold();
+    assert!(common::accepted(decisions.last().unwrap()).is_some());
+    let checkpoint = serde_json::to_string(&state.checkpoint()).unwrap();
+    assert!(checkpoint.len() < 400_000, "{}", checkpoint.len());
+}
+
+/// Final verdicts are kept for as long as a copy counts; when there is no room for more, nothing
+/// is confirmed until some have aged.
+#[test]
+fn final_verdicts_are_bounded() {
+    let mut mesh = Mesh::started();
+    let base = mesh.config();
+    let row = |at: u32| format!("[route extra]\npath = /extra{at}\nservice = desk\n");
+    for at in 0..1_700 {
+        let plan = mesh.plan(&mesh.ann, &base, &mesh.base_intent(&row(at)));
+        mesh.confirm(&plan);
+    }
+    let (state, decisions) = mesh.fold();
+    assert!(common::accepted(&decisions[2]).is_some());
+    assert!(common::explain(&decisions[3]).contains("route:extra has changed"));
+    assert!(common::explain(decisions.last().unwrap()).contains("too many plans"));
+    let checkpoint = serde_json::to_string(&state.checkpoint()).unwrap();
+    assert!(checkpoint.len() < 600_000, "{}", checkpoint.len());
+
+    mesh.time += 2 * common::HOUR;
+    let later = mesh.plan(&mesh.ann, &state.config(), &mesh.base_intent(&row(9_999)));
+    mesh.confirm(&later);
+    assert!(common::accepted(mesh.fold().1.last().unwrap()).is_some());
+}
