Serve operators: plans, confirmations, status and announcements over HTTP

LogSession catches up from the log when an operator asks, so that any daemon serves operators. An append whose answer is lost is resolved by reading and by appending again, which the fold counts once; past the deadline the operator is told that it is not yet known and how to find out. Each attempt gets its own deadline.

--- /dev/null
+++ b/crates/marigoldd/src/admin/access.rs
@@ -0,0 +1,82 @@
+//! Who a request comes from.
+
+use std::io::Read;
+use std::net::IpAddr;
+use std::time::{SystemTime, UNIX_EPOCH};
+
+use marigold_api::{Problem, ProblemKind};
+use marigold_auth::RequestProof;
+use marigold_config::Authority;
+use marigold_types::{OperatorName, RecordTime};
+use rouille::Request;
+
+use super::parts::AdminParts;
+use super::reply::bad_request;
+
+/// The largest body, in bytes: a plan has to fit into a record of the log.
+const MAX_BODY_BYTES: u64 = 1_000_000;
+
+/// A request whose operator is known.
+pub struct Signed {
+    /// Whose request it is.
+    pub operator: OperatorName,
+    /// Its body.
+    pub body: Vec<u8>,
+}
+
+/// Returns the time by the daemon's wall clock.
+pub fn wall_clock() -> RecordTime {
+    let since = SystemTime::now().duration_since(UNIX_EPOCH);
+    let millis = since.map_or(0, |since| since.as_millis());
+    RecordTime(u64::try_from(millis).unwrap_or(u64::MAX))
+}
+
+/// Reads a request's body.
+pub fn read_body(request: &Request) -> Result<Vec<u8>, Problem> {
+    let mut body = Vec::new();
+    let Some(data) = request.data() else {
+        return Ok(body);
+    };
+    let read = data.take(MAX_BODY_BYTES + 1).read_to_end(&mut body);
+    read.map_err(|error| bad_request(format!("the body could not be read: {error}")))?;
+    if body.len() as u64 > MAX_BODY_BYTES {
+        let text = format!("the body is too large; allowed: {MAX_BODY_BYTES} bytes");
+        return Err(bad_request(text));
+    }
+    Ok(body)
+}
+
+/// Reads a request and makes sure that a known operator signed it.
+pub fn verify(parts: &AdminParts, request: &Request) -> Result<Signed, Problem> {
+    let unauthorised = |text: String| Problem::new(ProblemKind::Unauthorised, text);
+    let body = read_body(request)?;
+    let proof = RequestProof::from_headers(|name| request.header(name))
+        .map_err(|error| unauthorised(error.to_string()))?;
+    let config = parts.shared.view.load().config.clone();
+    let key = Authority::new(&parts.trust, &config)
+        .key_of(&proof.operator)
+        .map_err(|reason| unauthorised(reason.to_string()))?;
+    let skew = parts.shared.settings.admin.clock_skew.duration();
+    let target = request.raw_url();
+    proof
+        .verify(&key, request.method(), target, &body, wall_clock(), skew)
+        .map_err(|error| unauthorised(error.to_string()))?;
+    Ok(Signed {
+        operator: proof.operator,
+        body,
+    })
+}
+
+/// Makes sure that a request comes from the daemon's own host.
+pub fn check_host(parts: &AdminParts, request: &Request) -> Result<(), Problem> {
+    let peer = request.remote_addr().ip().to_canonical();
+    let settings = &parts.shared.settings;
+    let own: [IpAddr; 2] = [settings.daemon.address.0.ip(), settings.admin.listen.ip()];
+    if peer.is_loopback() || own.contains(&peer) {
+        return Ok(());
+    }
+    let text = format!(
+        "{peer} is another host; a backend server announces itself to the daemon beside it"
+    );
+    Err(Problem::new(ProblemKind::Refused, text))
+}
--- /dev/null
+++ b/crates/marigoldd/tests/log_session.rs
@@ -0,0 +1,513 @@
+//! Plans and confirmations over a log that loses answers, is slow, or is down.
+
+use std::collections::VecDeque;
+use std::sync::{Arc, Mutex};
+use std::time::Duration;
+
+use async_trait::async_trait;
+use marigold_auth::{MeshKey, OperatorKey};
+use marigold_config::{
+    Config, Confirm, Intent, Plan, PlanId, Reason, SignedConfirm, SignedPlan, State, Trust, Verdict,
+};
+use marigold_log::{Appended, Batch, LogError, LogFailure, PlatformLog, StoredRecord, StreamName};
+use marigold_types::{LogOffset, RecordTime, Version};
+use marigoldd::admin::{Fate, LogSession, SessionError};
+use tokio::time::{Instant, sleep};
+use uuid::Uuid;
+
+const ATTEMPT: Duration = Duration::from_secs(1);
+const OPERATION: Duration = Duration::from_secs(10);
+const TIME: RecordTime = RecordTime(1_767_600_000_000);
+const MINUTE: u64 = 60_000;
+
+/// What the log does wrong once.
+#[derive(Debug, Clone, Copy)]
+enum Fault {
+    /// The record is written, the answer is lost.
+    Lost,
+    /// The answer is lost and the record is written so much later.
+    Late(Duration),
+    /// Nothing is written and the answer is lost all the same.
+    Dropped,
+    /// The log refuses to serve.
+    Down,
+    /// The answer takes so long.
+    Slow(Duration),
+}
+
+#[derive(Default)]
+struct Inner {
+    records: Vec<StoredRecord>,
+    earliest: u64,
+    appends: VecDeque<Fault>,
+    reads: VecDeque<Fault>,
+    down: bool,
+    count: usize,
+}
+
+impl Inner {
+    fn push(&mut self, data: String) -> Appended {
+        let offset = LogOffset(self.records.len() as u64);
+        let time = TIME;
+        self.records.push(StoredRecord { offset, time, data });
+        Appended { offset, time }
+    }
+}
+
+/// A log in memory whose next requests can be told to fail.
+#[derive(Clone, Default)]
+struct FakeLog(Arc<Mutex<Inner>>);
+
+impl FakeLog {
+    fn with(&self, change: impl FnOnce(&mut Inner)) {
+        change(&mut self.0.lock().unwrap());
+    }
+
+    fn count(&self) -> usize {
+        self.0.lock().unwrap().count
+    }
+
+    fn len(&self) -> usize {
+        self.0.lock().unwrap().records.len()
+    }
+}
+
+fn fail(failure: LogFailure) -> LogError {
+    LogError {
+        step: "append",
+        peer: Arc::from("fake"),
+        failure,
+    }
+}
+
+fn lost() -> LogError {
+    let reason = Arc::from("connection closed");
+    fail(LogFailure::Unknown { reason })
+}
+
+fn unavailable() -> LogError {
+    let reason = Arc::from("down");
+    fail(LogFailure::Unavailable { reason })
+}
+
+#[async_trait]
+impl PlatformLog for FakeLog {
+    async fn append(
+        &self,
+        _stream: StreamName,
+        data: String,
+        deadline: Instant,
+    ) -> Result<Appended, LogError> {
+        let fault = {
+            let mut inner = self.0.lock().unwrap();
+            inner.count += 1;
+            if inner.down {
+                return Err(unavailable());
+            }
+            inner.appends.pop_front()
+        };
+        match fault {
+            None => Ok(self.0.lock().unwrap().push(data)),
+            Some(Fault::Lost) => {
+                self.0.lock().unwrap().push(data);
+                Err(lost())
+            }
+            Some(Fault::Late(delay)) => {
+                let log = self.clone();
+                tokio::spawn(async move {
+                    sleep(delay).await;
+                    log.0.lock().unwrap().push(data);
+                });
+                Err(lost())
+            }
+            Some(Fault::Dropped) => Err(lost()),
+            Some(Fault::Down) => Err(unavailable()),
+            Some(Fault::Slow(delay)) if Instant::now() + delay > deadline => {
+                self.0.lock().unwrap().push(data);
+                tokio::time::sleep_until(deadline).await;
+                Err(lost())
+            }
+            Some(Fault::Slow(delay)) => {
+                sleep(delay).await;
+                Ok(self.0.lock().unwrap().push(data))
+            }
+        }
+    }
+
+    async fn read(
+        &self,
+        _stream: StreamName,
+        from: LogOffset,
+        limit: usize,
+        deadline: Instant,
+    ) -> Result<Batch, LogError> {
+        let fault = self.0.lock().unwrap().reads.pop_front();
+        match fault {
+            Some(Fault::Slow(delay)) => {
+                tokio::time::sleep_until(deadline.min(Instant::now() + delay)).await;
+                if Instant::now() >= deadline {
+                    return Err(lost());
+                }
+            }
+            Some(_) => return Err(unavailable()),
+            None => {}
+        }
+        let inner = self.0.lock().unwrap();
+        if inner.down {
+            return Err(unavailable());
+        }
+        let earliest = LogOffset(inner.earliest);
+        if from < earliest {
+            return Err(fail(LogFailure::Trimmed { earliest }));
+        }
+        let start = usize::try_from(from.0).unwrap();
+        Ok(Batch {
+            records: inner
+                .records
+                .iter()
+                .skip(start)
+                .take(limit)
+                .cloned()
+                .collect(),
+            earliest,
+            end: LogOffset(inner.records.len() as u64),
+        })
+    }
+}
+
+struct Bench {
+    log: FakeLog,
+    root: OperatorKey,
+    trust: Trust,
+    nonce: u128,
+}
+
+impl Bench {
+    fn new() -> Self {
+        let root = OperatorKey::generate("root".parse().unwrap()).unwrap();
+        let mesh = MeshKey::new([7; 32]);
+        Self {
+            log: FakeLog::default(),
+            trust: Trust::new(root.operator().clone(), root.public(), &mesh),
+            root,
+            nonce: 0,
+        }
+    }
+
+    /// A daemon that has just started.
+    fn daemon(&self) -> LogSession {
+        LogSession::new(Arc::new(self.log.clone()), self.trust.clone(), ATTEMPT)
+    }
+
+    fn plan(&self, base: &Config, intent: &str) -> SignedPlan {
+        let target = Intent::parse("mesh.ini", intent)
+            .unwrap()
+            .to_config(base.version);
+        let expires = RecordTime(TIME.0 + 60 * MINUTE);
+        let changes = base.changes_to(&target);
+        let plan = Plan::new(base, self.root.operator().clone(), expires, changes);
+        SignedPlan::sign(plan, &self.root)
+    }
+
+    fn confirm(&mut self, plan: PlanId) -> SignedConfirm {
+        self.nonce += 1;
+        let confirm = Confirm {
+            plan,
+            operator: self.root.operator().clone(),
+            nonce: Uuid::from_u128(self.nonce),
+            expires: RecordTime(TIME.0 + 10 * MINUTE),
+        };
+        SignedConfirm::sign(confirm, &self.root)
+    }
+
+    /// Stores a plan through `daemon`.
+    async fn store(&self, daemon: &LogSession, intent: &str) -> PlanId {
+        let base = daemon.refresh(deadline()).await.unwrap().config();
+        let plan = self.plan(&base, intent);
+        let fate = daemon.store_plan(plan, TIME, deadline()).await.unwrap();
+        match fate {
+            Fate::Known(stored) => stored.unwrap(),
+            Fate::NotYetKnown { text, .. } => panic!("{text}"),
+        }
+    }
+
+    async fn state(&self) -> State {
+        self.daemon().refresh(deadline()).await.unwrap()
+    }
+}
+
+fn deadline() -> Instant {
+    Instant::now() + OPERATION
+}
+
+fn accepted(fate: &Fate<(Verdict, bool)>) -> Option<(Version, bool)> {
+    match fate {
+        Fate::Known((Verdict::Accepted { version }, repeated)) => Some((*version, *repeated)),
+        _ => None,
+    }
+}
+
+const DESK: &str = "[service desk]\n";
+const LEDGER: &str = "[service ledger]\n";
+
+macro_rules! confirms {
+    ($($name:ident: $faults:expr => appends $appends:literal;)*) => {$(
+        #[tokio::test(start_paused = true)]
+        async fn $name() {
+            let mut bench = Bench::new();
+            let daemon = bench.daemon();
+            let plan = bench.store(&daemon, DESK).await;
+            let before = bench.log.count();
+            bench.log.with(|log| log.appends.extend::<Vec<Fault>>($faults.into()));
+            let confirm = bench.confirm(plan);
+            let fate = daemon.confirm(confirm, deadline()).await.unwrap();
+            let (version, repeated) = accepted(&fate).unwrap();
+            assert!(!repeated);
+            assert_eq!(bench.log.count() - before, $appends);
+            sleep(OPERATION).await;
+            let state = bench.state().await;
+            assert_eq!(state.config().version, version);
+            assert_eq!(state.config().declarations().len(), 1);
+        }
+    )*};
+}
+
+confirms! {
+    plainly: [] => appends 1;
+    answer_lost_after_write: [Fault::Lost] => appends 1;
+    answer_lost_without_write: [Fault::Dropped] => appends 2;
+    answer_lost_and_written_late: [Fault::Late(Duration::from_millis(700))] => appends 2;
+    many_answers_lost: [Fault::Dropped, Fault::Lost] => appends 2;
+    down_at_first: [Fault::Down, Fault::Down] => appends 3;
+    slow: [Fault::Slow(Duration::from_millis(800))] => appends 1;
+    slower_than_an_attempt: [Fault::Slow(Duration::from_secs(5))] => appends 1;
+}
+
+#[tokio::test(start_paused = true)]
+async fn running_it_again_is_safe() {
+    let mut bench = Bench::new();
+    let daemon = bench.daemon();
+    let plan = bench.store(&daemon, DESK).await;
+    let first = daemon
+        .confirm(bench.confirm(plan), deadline())
+        .await
+        .unwrap();
+    let (version, _) = accepted(&first).unwrap();
+    let len = bench.log.len();
+    let again = daemon
+        .confirm(bench.confirm(plan), deadline())
+        .await
+        .unwrap();
+    assert_eq!(accepted(&again), Some((version, true)));
+    assert_eq!(bench.log.len(), len);
+}
+
+/// The log is down before anything is written: that is what the operator is told.
+#[tokio::test(start_paused = true)]
+async fn down_before_the_write() {
+    let mut bench = Bench::new();
+    let daemon = bench.daemon();
+    let plan = bench.store(&daemon, DESK).await;
+    bench.log.with(|log| log.down = true);
+    let started = Instant::now();
+    let error = daemon
+        .confirm(bench.confirm(plan), deadline())
+        .await
+        .unwrap_err();
+    assert!(error.to_string().contains("nothing was written"), "{error}");
+    assert!(started.elapsed() <= OPERATION);
+}
+
+/// The write may have happened and the log goes down for good: not yet known, and the same command
+/// tells once the log is back.
+#[tokio::test(start_paused = true)]
+async fn down_after_the_write() {
+    for fault in [Fault::Lost, Fault::Dropped] {
+        let mut bench = Bench::new();
+        let daemon = bench.daemon();
+        let plan = bench.store(&daemon, DESK).await;
+        bench.log.with(|log| {
+            log.appends.push_back(fault);
+            log.reads.push_back(Fault::Slow(Duration::ZERO));
+            log.reads.extend([Fault::Down; 100]);
+            log.appends.extend([Fault::Down; 100]);
+        });
+        let started = Instant::now();
+        let fate = daemon
+            .confirm(bench.confirm(plan), deadline())
+            .await
+            .unwrap();
+        assert!(matches!(fate, Fate::NotYetKnown { .. }), "{fate:?}");
+        assert!(started.elapsed() <= OPERATION + ATTEMPT);
+
+        bench.log.with(|log| {
+            log.reads.clear();
+            log.appends.clear();
+        });
+        let again = daemon
+            .confirm(bench.confirm(plan), deadline())
+            .await
+            .unwrap();
+        assert!(accepted(&again).is_some(), "{again:?}");
+        assert_eq!(bench.state().await.history().entries().count(), 1);
+    }
+}
+
+/// The log takes the record and then cannot be read: the place is known, the verdict is not.
+#[tokio::test(start_paused = true)]
+async fn not_read_back() {
+    let mut bench = Bench::new();
+    let daemon = bench.daemon();
+    let plan = bench.store(&daemon, DESK).await;
+    bench.log.with(|log| {
+        log.reads.push_back(Fault::Slow(Duration::ZERO));
+        log.reads.extend([Fault::Down; 100]);
+    });
+    let fate = daemon
+        .confirm(bench.confirm(plan), deadline())
+        .await
+        .unwrap();
+    let place = Some(LogOffset(1));
+    assert!(matches!(fate, Fate::NotYetKnown { offset, .. } if offset == place));
+}
+
+/// The daemon dies with the request under way; the operator asks another daemon.
+#[tokio::test(start_paused = true)]
+async fn daemon_dies_half_way() {
+    for fault in [
+        Fault::Lost,
+        Fault::Dropped,
+        Fault::Late(Duration::from_secs(3)),
+    ] {
+        let mut bench = Bench::new();
+        let daemon = bench.daemon();
+        let plan = bench.store(&daemon, DESK).await;
+        bench.log.with(|log| {
+            log.appends.push_back(fault);
+            log.reads.push_back(Fault::Slow(Duration::ZERO));
+            log.reads.push_back(Fault::Slow(OPERATION));
+        });
+        let dying = daemon.confirm(bench.confirm(plan), deadline());
+        let cut = tokio::time::timeout(Duration::from_millis(200), dying).await;
+        assert!(cut.is_err());
+        drop(daemon);
+        bench.log.with(|log| log.reads.clear());
+
+        let other = bench.daemon();
+        let fate = other
+            .confirm(bench.confirm(plan), deadline())
+            .await
+            .unwrap();
+        let (version, _) = accepted(&fate).unwrap();
+        sleep(OPERATION).await;
+        assert_eq!(bench.state().await.config().version, version);
+    }
+}
+
+#[tokio::test(start_paused = true)]
+async fn racing_operators_at_two_daemons() {
+    let mut bench = Bench::new();
+    let (one, other) = (bench.daemon(), bench.daemon());
+    let first = bench.store(&one, DESK).await;
+    let second = bench.store(&other, &format!("{DESK}slots = 3\n")).await;
+    let (a, b) = (bench.confirm(first), bench.confirm(second));
+    let (a, b) = tokio::join!(one.confirm(a, deadline()), other.confirm(b, deadline()));
+    let wins = [&a, &b].map(|fate| fate.as_ref().is_ok_and(|fate| accepted(fate).is_some()));
+    assert_eq!(wins.iter().filter(|won| **won).count(), 1, "{a:?} {b:?}");
+    let refusal = if wins[0] { b } else { a };
+    let text = format!("{refusal:?}");
+    assert!(text.contains("Overtaken"), "{text}");
+}
+
+#[tokio::test(start_paused = true)]
+async fn stale_plan_is_refused_before_it_is_written() {
+    let mut bench = Bench::new();
+    let daemon = bench.daemon();
+    let base = Config::default();
+    let stale = bench.plan(&base, &format!("{DESK}slots = 3\n"));
+    let plan = bench.store(&daemon, DESK).await;
+    daemon
+        .confirm(bench.confirm(plan), deadline())
+        .await
+        .unwrap();
+    let len = bench.log.len();
+    let error = daemon
+        .store_plan(stale, TIME, deadline())
+        .await
+        .unwrap_err();
+    assert!(matches!(
+        error,
+        SessionError::Rejected(Reason::Overtaken { .. })
+    ));
+    assert_eq!(bench.log.len(), len);
+}
+
+#[tokio::test(start_paused = true)]
+async fn unknown_plan() {
+    let mut bench = Bench::new();
+    let daemon = bench.daemon();
+    let plan = bench.plan(&Config::default(), DESK).plan.id();
+    let error = daemon
+        .confirm(bench.confirm(plan), deadline())
+        .await
+        .unwrap_err();
+    assert_eq!(error, SessionError::NoPlan);
+}
+
+#[tokio::test(start_paused = true)]
+async fn storing_a_plan_twice() {
+    let bench = Bench::new();
+    let daemon = bench.daemon();
+    let plan = bench.plan(&Config::default(), DESK);
+    bench.log.with(|log| log.appends.push_back(Fault::Lost));
+    for _ in 0..2 {
+        let fate = daemon
+            .store_plan(plan.clone(), TIME, deadline())
+            .await
+            .unwrap();
+        assert_eq!(fate, Fate::Known(Ok(plan.plan.id())));
+    }
+    assert_eq!(bench.log.len(), 1);
+}
+
+/// Records are gone while a daemon was away: it does not answer from half a log.
+#[tokio::test(start_paused = true)]
+async fn trimmed_log_without_base() {
+    let mut bench = Bench::new();
+    let daemon = bench.daemon();
+    let plan = bench.store(&daemon, DESK).await;
+    daemon
+        .confirm(bench.confirm(plan), deadline())
+        .await
+        .unwrap();
+    let held = daemon.refresh(deadline()).await.unwrap().config();
+    let second = bench.store(&daemon, &format!("{DESK}{LEDGER}")).await;
+    let newcomer = bench.daemon();
+    bench.log.with(|log| log.earliest = 2);
+    let error = newcomer
+        .confirm(bench.confirm(second), deadline())
+        .await
+        .unwrap_err();
+    assert_eq!(error, SessionError::Lost);
+    // A daemon that read on in time still can.
+    let fate = daemon
+        .confirm(bench.confirm(second), deadline())
+        .await
+        .unwrap();
+    assert!(accepted(&fate).unwrap().0 > held.version);
+}
+
+/// Several requests wait for one another and each gets its answer or its deadline.
+#[tokio::test(start_paused = true)]
+async fn waiting_requests_keep_their_deadlines() {
+    let bench = Bench::new();
+    let daemon = Arc::new(bench.daemon());
+    bench
+        .log
+        .with(|log| log.reads.extend([Fault::Slow(OPERATION); 100]));
+    let started = Instant::now();
+    let waiting = (0..4).map(|_| daemon.refresh(deadline()));
+    let answers = futures_util::future::join_all(waiting).await;
+    assert!(answers.iter().all(Result::is_err));
+    assert!(started.elapsed() <= OPERATION + ATTEMPT);
+}
