Connect daemons over QUIC with certificates on both ends

Control and calls have connections of their own, so that control bytes are counted exactly. A greeting names the dialling daemon and its certificate proves it. Not tested yet beyond building.

--- /dev/null
+++ b/crates/marigoldd/src/peer/acceptor.rs
@@ -0,0 +1,128 @@
+//! Accepts the connections of other daemons.
+
+use std::sync::{Arc, OnceLock};
+
+use marigold_types::Address;
+use quinn::crypto::rustls::HandshakeData;
+use quinn::{Connection, Endpoint, Incoming};
+use tokio::sync::Semaphore;
+use tokio::time::timeout;
+
+use super::call_stream::{CallSend, IncomingStream};
+use super::control_links::ControlLinks;
+use super::dialler::HANDSHAKE_TIMEOUT;
+use super::meters::Meters;
+use super::peer_tls::is_identity;
+use super::registry::Registry;
+use super::{LinkKind, PeerLink, StreamServer, codec};
+
+/// Handshakes that may go on at once; in a storm the rest must first prove their address.
+const HANDSHAKES: usize = 128;
+
+/// Sorts out what other daemons open.
+pub(super) struct Acceptor {
+    pub(super) registry: Arc<Registry>,
+    pub(super) meters: Arc<Meters>,
+    pub(super) control: Arc<ControlLinks>,
+    pub(super) server: Arc<OnceLock<Arc<dyn StreamServer>>>,
+}
+
+impl Acceptor {
+    /// Accepts until the endpoint is closed.
+    pub(super) async fn run(self: Arc<Self>, endpoint: Endpoint) {
+        let handshakes = Arc::new(Semaphore::new(HANDSHAKES));
+        while let Some(incoming) = endpoint.accept().await {
+            let Ok(permit) = handshakes.clone().try_acquire_owned() else {
+                self.put_off(incoming);
+                continue;
+            };
+            let acceptor = self.clone();
+            tokio::spawn(async move {
+                let connection = acceptor.shake_hands(incoming).await;
+                drop(permit);
+                if let Some(connection) = connection {
+                    acceptor.serve(connection).await;
+                }
+            });
+        }
+    }
+
+    /// Makes a dialler come again with proof that it gets what is sent to its address.
+    fn put_off(&self, incoming: Incoming) {
+        self.meters.count_fault("too many handshakes");
+        if let Err(error) = incoming.retry() {
+            error.into_incoming().refuse();
+        }
+    }
+
+    async fn shake_hands(&self, incoming: Incoming) -> Option<Connection> {
+        let connecting = incoming.accept().ok()?;
+        if let Ok(Ok(connection)) = timeout(HANDSHAKE_TIMEOUT, connecting).await {
+            return Some(connection);
+        }
+        self.meters.count_fault("handshake");
+        None
+    }
+
+    async fn serve(&self, connection: Connection) {
+        let data = connection
+            .handshake_data()
+            .and_then(|any| any.downcast::<HandshakeData>().ok());
+        let kind = data
+            .and_then(|data| data.protocol)
+            .and_then(|protocol| LinkKind::from_protocol(&protocol));
+        let Some(kind) = kind else {
+            self.meters.count_fault("protocol");
+            return;
+        };
+        let usage = self.registry.add(&connection, kind);
+        let link = PeerLink { connection, usage };
+        match kind {
+            LinkKind::Control => self.serve_control(link).await,
+            LinkKind::Call => self.serve_calls(&link).await,
+        }
+    }
+
+    async fn serve_control(&self, link: PeerLink) {
+        let Ok(Ok(stream)) = timeout(HANDSHAKE_TIMEOUT, link.connection.accept_uni()).await else {
+            link.close_nonsense("no greeting");
+            return;
+        };
+        let mut frames = codec::frames(stream);
+        let greeting = timeout(HANDSHAKE_TIMEOUT, codec::read::<Address>(&mut frames)).await;
+        let proven = match greeting {
+            Ok(Ok(from)) if is_identity(link.connection.peer_identity(), from) => Some(from),
+            _ => None,
+        };
+        let Some(from) = proven else {
+            self.meters.count_fault("greeting");
+            link.close_nonsense("the greeting does not fit the certificate");
+            return;
+        };
+        self.control.adopt(from, link.clone());
+        ControlLinks::read(self.control.context(), from, &link, frames).await;
+    }
+
+    async fn serve_calls(&self, link: &PeerLink) {
+        while let Ok((send, receive)) = link.connection.accept_bi().await {
+            // Without a server the dropped halves cut the stream off.
+            let Some(server) = self.server.get().cloned() else {
+                continue;
+            };
+            let stream = IncomingStream {
+                send: CallSend::new(send),
+                frames: codec::frames(receive),
+                guard: link.usage.open(),
+            };
+            let (meters, link) = (self.meters.clone(), link.clone());
+            tokio::spawn(async move {
+                if let Err(error) = server.serve(stream).await {
+                    meters.count_fault("serve stream");
+                    if matches!(error, codec::FrameError::Malformed(_)) {
+                        link.close_nonsense(&error.to_string());
+                    }
+                }
+            });
+        }
+    }
+}
--- /dev/null
+++ b/crates/marigoldd/src/peer/peer_tls.rs
@@ -0,0 +1,159 @@
+//! The certificates by which daemons know one another.
+
+use std::any::Any;
+use std::path::Path;
+use std::sync::Arc;
+
+use marigold_auth::{AuthError, Credentials, daemon_name};
+use marigold_settings::TlsSettings;
+use marigold_types::Address;
+use quinn::crypto::rustls::{QuicClientConfig, QuicServerConfig};
+use quinn::{ClientConfig, ServerConfig};
+use ring::digest::{SHA256, digest};
+use rustls::RootCertStore;
+use rustls::client::verify_server_name;
+use rustls::crypto::CryptoProvider;
+use rustls::server::{ParsedCertificate, WebPkiClientVerifier};
+use rustls::version::TLS13;
+use rustls_pki_types::pem::PemObject;
+use rustls_pki_types::{CertificateDer, PrivateKeyDer, ServerName};
+
+use super::{LinkKind, transport};
+
+/// Sessions that a dialling daemon may resume, which spares certificates on the wire.
+const TICKETS: usize = 1;
+const STEP: &str = "read daemon certificate";
+
+/// What a daemon needs for TLS on both ends; it has no `Debug` form, since it holds a key.
+pub struct PeerTls {
+    authority: Arc<RootCertStore>,
+    chain: Vec<CertificateDer<'static>>,
+    key: PrivateKeyDer<'static>,
+}
+
+impl PeerTls {
+    /// Reads the files that the settings name.
+    ///
+    /// # Errors
+    ///
+    /// When a file cannot be read or holds no PEM; a key is not repeated.
+    pub fn from_settings(settings: &TlsSettings) -> Result<Self, AuthError> {
+        let credentials = Credentials {
+            certificate: read(&settings.certificate)?,
+            key: read(&settings.key)?,
+        };
+        Self::from_pem(&read(&settings.authority)?, &credentials)
+    }
+
+    /// Reads PEM texts: the mesh's authority and the daemon's own credentials.
+    ///
+    /// # Errors
+    ///
+    /// When a text holds no PEM; the key is not repeated.
+    pub fn from_pem(authority: &str, credentials: &Credentials) -> Result<Self, AuthError> {
+        let mut roots = RootCertStore::empty();
+        for certificate in certificates(authority, "authority")? {
+            roots
+                .add(certificate)
+                .map_err(|error| fault(&format!("authority: {error}")))?;
+        }
+        let key = PrivateKeyDer::from_pem_slice(credentials.key.as_bytes())
+            .map_err(|_| fault("key: no PEM key"))?;
+        Ok(Self {
+            authority: Arc::new(roots),
+            chain: certificates(&credentials.certificate, "certificate")?,
+            key,
+        })
+    }
+
+    /// Returns the configuration of the accepting side.
+    ///
+    /// # Errors
+    ///
+    /// When key and certificate do not belong together.
+    pub fn server(&self) -> Result<ServerConfig, AuthError> {
+        let verifier =
+            WebPkiClientVerifier::builder_with_provider(self.authority.clone(), provider())
+                .build()
+                .map_err(|error| fault(&error.to_string()))?;
+        let mut tls = rustls::ServerConfig::builder_with_provider(provider())
+            .with_protocol_versions(&[&TLS13])
+            .map_err(|error| fault(&error.to_string()))?
+            .with_client_cert_verifier(verifier)
+            .with_single_cert(self.chain.clone(), self.key.clone_key())
+            .map_err(|error| fault(&error.to_string()))?;
+        tls.alpn_protocols = LinkKind::ALL.map(|kind| kind.protocol().to_vec()).to_vec();
+        tls.send_tls13_tickets = TICKETS;
+        let quic = QuicServerConfig::try_from(tls).map_err(|error| fault(&error.to_string()))?;
+        let mut config = ServerConfig::with_crypto(Arc::new(quic));
+        config.transport_config(transport::accepting());
+        config.migration(false);
+        Ok(config)
+    }
+
+    /// Returns the configuration for dialling a connection of `kind`.
+    ///
+    /// # Errors
+    ///
+    /// When key and certificate do not belong together.
+    pub fn client(&self, kind: LinkKind) -> Result<ClientConfig, AuthError> {
+        let mut tls = rustls::ClientConfig::builder_with_provider(provider())
+            .with_protocol_versions(&[&TLS13])
+            .map_err(|error| fault(&error.to_string()))?
+            .with_root_certificates(self.authority.clone())
+            .with_client_auth_cert(self.chain.clone(), self.key.clone_key())
+            .map_err(|error| fault(&error.to_string()))?;
+        tls.alpn_protocols = vec![kind.protocol().to_vec()];
+        let quic = QuicClientConfig::try_from(tls).map_err(|error| fault(&error.to_string()))?;
+        let mut config = ClientConfig::new(Arc::new(quic));
+        config.transport_config(transport::dialling(kind));
+        Ok(config)
+    }
+
+    /// Returns the key of stateless resets, which is the same after a restart, so that a peer
+    /// learns at once that a connection of the former life is gone.
+    #[must_use]
+    pub fn reset_key(&self) -> ring::hmac::Key {
+        let seed = digest(&SHA256, self.key.secret_der());
+        ring::hmac::Key::new(ring::hmac::HMAC_SHA256, seed.as_ref())
+    }
+}
+
+/// Returns whether the certificate of a connection's other end is that of the daemon at `address`.
+pub(super) fn is_identity(identity: Option<Box<dyn Any>>, address: Address) -> bool {
+    let Some(chain) = identity.and_then(|any| any.downcast::<Vec<CertificateDer<'static>>>().ok())
+    else {
+        return false;
+    };
+    let Ok(name) = ServerName::try_from(daemon_name(address)) else {
+        return false;
+    };
+    chain
+        .first()
+        .and_then(|first| ParsedCertificate::try_from(first).ok())
+        .is_some_and(|parsed| verify_server_name(&parsed, &name).is_ok())
+}
+
+fn provider() -> Arc<CryptoProvider> {
+    Arc::new(rustls::crypto::ring::default_provider())
+}
+
+fn certificates(pem: &str, which: &str) -> Result<Vec<CertificateDer<'static>>, AuthError> {
+    let list: Result<Vec<_>, _> = CertificateDer::pem_slice_iter(pem.as_bytes()).collect();
+    match list {
+        Ok(list) if !list.is_empty() => Ok(list),
+        Ok(_) => Err(fault(&format!("{which}: no PEM certificate"))),
+        Err(error) => Err(fault(&format!("{which}: {error}"))),
+    }
+}
+
+fn read(path: &Path) -> Result<String, AuthError> {
+    std::fs::read_to_string(path).map_err(|error| fault(&format!("{}: {error}", path.display())))
+}
+
+fn fault(reason: &str) -> AuthError {
+    AuthError {
+        step: STEP,
+        reason: Arc::from(reason),
+    }
+}
--- /dev/null
+++ b/crates/marigoldd/src/peer/quic_peers.rs
@@ -0,0 +1,167 @@
+//! All connections of one daemon to others.
+
+use std::collections::BTreeMap;
+use std::net::UdpSocket;
+use std::sync::{Arc, OnceLock};
+
+use async_trait::async_trait;
+use bytes::Bytes;
+use marigold_auth::AuthError;
+use marigold_control::Event;
+use marigold_types::Address;
+use quinn::{Endpoint, EndpointConfig, TokioRuntime, VarInt};
+use tokio::sync::mpsc;
+
+use super::acceptor::Acceptor;
+use super::call_links::CallLinks;
+use super::call_stream::{CallSend, CallStream};
+use super::control_links::{ControlContext, ControlLinks};
+use super::dialler::Dialler;
+use super::meters::{MessageCount, Meters};
+use super::registry::Registry;
+use super::{PeerError, PeerLink, PeerSender, PeerTls, StreamServer, Traffic, codec};
+
+const CLOSE_LEAVING: VarInt = VarInt::from_u32(0);
+
+/// The QUIC endpoint of a daemon with its connections.
+pub struct QuicPeers {
+    endpoint: Endpoint,
+    local: Address,
+    registry: Arc<Registry>,
+    meters: Arc<Meters>,
+    control: Arc<ControlLinks>,
+    calls: CallLinks,
+    server: Arc<OnceLock<Arc<dyn StreamServer>>>,
+}
+
+impl QuicPeers {
+    /// Starts on a bound `socket`, as the daemon at `local`; what comes in goes to `events`.
+    ///
+    /// It must be called within a tokio runtime.
+    ///
+    /// # Errors
+    ///
+    /// When the certificate does not fit its key, or the socket cannot be used.
+    pub fn start(
+        socket: UdpSocket,
+        local: Address,
+        tls: &PeerTls,
+        events: mpsc::Sender<Event>,
+    ) -> Result<Arc<Self>, AuthError> {
+        let config = EndpointConfig::new(Arc::new(tls.reset_key()));
+        let runtime = Arc::new(TokioRuntime);
+        let endpoint = Endpoint::new(config, Some(tls.server()?), socket, runtime);
+        let endpoint = endpoint.map_err(|error| AuthError {
+            step: "open peer endpoint",
+            reason: Arc::from(error.to_string()),
+        })?;
+        let registry = Arc::new(Registry::new());
+        let meters = Arc::new(Meters::new(local));
+        let dialler = Arc::new(Dialler::new(endpoint.clone(), tls, registry.clone())?);
+        let control = ControlLinks::new(ControlContext {
+            local,
+            dialler: dialler.clone(),
+            events,
+            meters: meters.clone(),
+        });
+        let server = Arc::new(OnceLock::new());
+        let acceptor = Acceptor {
+            registry: registry.clone(),
+            meters: meters.clone(),
+            control: control.clone(),
+            server: server.clone(),
+        };
+        tokio::spawn(Arc::new(acceptor).run(endpoint.clone()));
+        Ok(Arc::new(Self {
+            endpoint,
+            local,
+            registry,
+            meters,
+            control,
+            calls: CallLinks::new(dialler),
+            server,
+        }))
+    }
+
+    /// Sets what serves the streams of other daemons; until then they are refused.
+    pub fn serve(&self, server: Arc<dyn StreamServer>) {
+        // The first server stays; a daemon has one.
+        let _ = self.server.set(server);
+    }
+
+    /// Returns the daemon's own address.
+    #[must_use]
+    pub fn local(&self) -> Address {
+        self.local
+    }
+
+    /// Opens a stream to the daemon at `to`, connecting when there is no connection.
+    ///
+    /// # Errors
+    ///
+    /// When the daemon cannot be reached; nothing was sent then.
+    pub async fn open(&self, to: Address) -> Result<CallStream, PeerError> {
+        let link = self.calls.get(to).await?;
+        let opened = link.connection.open_bi().await;
+        let (send, receive) = opened.map_err(|error| PeerError {
+            step: "open stream",
+            peer: to,
+            reason: Arc::from(error.to_string()),
+            sent: false,
+        })?;
+        Ok(CallStream {
+            send: CallSend::new(send),
+            frames: codec::frames(receive),
+            guard: link.usage.open(),
+            link,
+        })
+    }
+
+    /// Takes a silent call connection out of use, so that new requests open another.
+    pub fn retire(&self, to: Address, link: &PeerLink) {
+        self.meters.count_fault("silent call");
+        self.calls.retire(to, link);
+    }
+
+    /// Returns the bytes of every connection since the start.
+    #[must_use]
+    pub fn traffic(&self) -> Traffic {
+        self.registry.traffic()
+    }
+
+    /// Returns the control messages sent since the start, by kind.
+    #[must_use]
+    pub fn messages(&self) -> BTreeMap<&'static str, MessageCount> {
+        self.meters.sent()
+    }
+
+    /// Hands the totals to the metrics and returns them.
+    pub fn publish_metrics(&self) -> Traffic {
+        let traffic = self.traffic();
+        self.meters.publish(&traffic);
+        traffic
+    }
+
+    /// Closes every connection and waits until the others have been told.
+    pub async fn close(&self) {
+        self.endpoint.close(CLOSE_LEAVING, b"leaving");
+        self.endpoint.wait_idle().await;
+    }
+
+    /// Drops everything without a word, as a process that dies; for tests and stand-ins.
+    pub fn abort(&self) {
+        self.endpoint.close(CLOSE_LEAVING, b"");
+    }
+}
+
+#[async_trait]
+impl PeerSender for QuicPeers {
+    async fn send(
+        &self,
+        to: Address,
+        kind: &'static str,
+        message: Vec<u8>,
+    ) -> Result<(), PeerError> {
+        self.control.send(to, kind, Bytes::from(message))
+    }
+}
