--- /dev/null
+++ b/crates/marigoldd/src/caller/answer_stream.rs
@@ -0,0 +1,136 @@
+//! The body of an answer on its way to the caller.
+
+use std::pin::Pin;
+use std::task::{Context, Poll, ready};
+
+use bytes::Bytes;
+use hyper::body::{Body, Frame, SizeHint};
+use marigold_types::Outcome;
+use tokio::time::{Instant, Sleep, sleep_until};
+
+use super::attempt_record::AttemptRecord;
+use super::call_record::CallRecord;
+use super::response::CallerBody;
+use crate::peer::CutError;
+
+/// The records of a call whose answer is on its way.
+pub struct Records {
+    /// The attempt that was answered.
+    pub attempt: Option<AttemptRecord>,
+    /// The call.
+    pub call: CallRecord,
+}
+
+impl Records {
+    /// Ends both.
+    pub fn finish(self, outcome: Outcome) {
+        if let Some(attempt) = self.attempt {
+            attempt.finish(outcome, None);
+        }
+        self.call.finish(outcome, None);
+    }
+}
+
+/// An answer that is here whole; it counts as answered once the connection has taken it.
+pub struct WholeAnswer {
+    bytes: Bytes,
+    records: Option<Records>,
+}
+
+impl WholeAnswer {
+    /// Builds the body of `bytes`.
+    #[must_use]
+    pub fn new(bytes: Bytes, records: Records) -> Self {
+        Self {
+            bytes,
+            records: Some(records),
+        }
+    }
+
+    fn end(&mut self) {
+        if let Some(records) = self.records.take() {
+            records.finish(Outcome::Answered);
+        }
+    }
+}
+
+impl Body for WholeAnswer {
+    type Data = Bytes;
+    type Error = CutError;
+
+    fn poll_frame(
+        mut self: Pin<&mut Self>,
+        _: &mut Context<'_>,
+    ) -> Poll<Option<Result<Frame<Bytes>, CutError>>> {
+        self.end();
+        let bytes = std::mem::take(&mut self.bytes);
+        Poll::Ready((!bytes.is_empty()).then(|| Ok(Frame::data(bytes))))
+    }
+
+    fn is_end_stream(&self) -> bool {
+        self.bytes.is_empty()
+    }
+
+    fn size_hint(&self) -> SizeHint {
+        SizeHint::with_exact(self.bytes.len() as u64)
+    }
+}
+
+impl Drop for WholeAnswer {
+    fn drop(&mut self) {
+        // An empty body, or that of a HEAD, is not read.
+        self.end();
+    }
+}
+
+/// Passes an answer's body on; a cut or late one fails, which breaks the caller's connection off.
+pub struct AnswerStream {
+    body: CallerBody,
+    late: Pin<Box<Sleep>>,
+    records: Option<Records>,
+}
+
+impl AnswerStream {
+    /// Builds the stream of a body that must be whole by `deadline`.
+    #[must_use]
+    pub fn new(body: CallerBody, deadline: Instant, records: Records) -> Self {
+        Self {
+            body,
+            late: Box::pin(sleep_until(deadline)),
+            records: Some(records),
+        }
+    }
+
+    fn end(&mut self, outcome: Outcome) {
+        if let Some(records) = self.records.take() {
+            records.finish(outcome);
+        }
+    }
+}
+
+impl Body for AnswerStream {
+    type Data = Bytes;
+    type Error = CutError;
+
+    fn poll_frame(
+        mut self: Pin<&mut Self>,
+        cx: &mut Context<'_>,
+    ) -> Poll<Option<Result<Frame<Bytes>, CutError>>> {
+        if self.late.as_mut().poll(cx).is_ready() {
+            self.end(Outcome::Unknown);
+            return Poll::Ready(Some(Err(CutError::new(&"the deadline has passed"))));
+        }
+        let frame = ready!(Pin::new(&mut self.body).poll_frame(cx));
+        match &frame {
+            Some(Ok(_)) => {}
+            Some(Err(_)) => self.end(Outcome::Unknown),
+            None => self.end(Outcome::Answered),
+        }
+        Poll::Ready(frame)
+    }
+
+    fn is_end_stream(&self) -> bool {
+        // The end is seen by reading it, since that ends the records.
+        self.records.is_none() && self.body.is_end_stream()
+    }
+}
--- /dev/null
+++ b/crates/marigoldd/src/caller/decisions.rs
@@ -0,0 +1,141 @@
+//! The decisions that every request of an ingress shares.
+
+use std::sync::{Mutex, MutexGuard, PoisonError};
+
+use marigold_control::{Endpoint, View};
+use marigold_request::Refusal;
+use marigold_request::balance::TwoChoices;
+use marigold_request::burn::{BurnCounters, BurnReport, CallEnd};
+use marigold_request::limits::Limiter;
+use marigold_request::once::KeyMint;
+use marigold_request::retry::{Attempt, Decision, RetryPolicy};
+use marigold_request::router::{CallReport, Router};
+use marigold_types::{Address, CallerName, Class, ServiceName};
+use rand_chacha::ChaCha8Rng;
+use rand_chacha::rand_core::SeedableRng;
+use tokio::time::Instant;
+
+use crate::Shared;
+
+/// Routing, limits, retries and counts, each behind a lock that is held for one decision.
+pub struct Decisions {
+    router: Mutex<Router>,
+    retry: Mutex<RetryPolicy>,
+    limiter: Mutex<Limiter>,
+    burn: Mutex<BurnCounters>,
+    mint: Mutex<KeyMint>,
+}
+
+impl Decisions {
+    /// Builds the decisions of a daemon that starts now.
+    #[must_use]
+    pub fn new(shared: &Shared) -> Self {
+        let settings = &shared.settings;
+        let now = Instant::now();
+        let rng = ChaCha8Rng::seed_from_u64(rand::random());
+        let router = Router::new(
+            settings.daemon.data_centre.clone(),
+            settings.daemon.region.clone(),
+            Box::new(TwoChoices),
+            rng,
+        );
+        let attempts = u8::try_from(settings.request.attempts).unwrap_or(u8::MAX);
+        let decisions = Self {
+            router: Mutex::new(router),
+            retry: Mutex::new(RetryPolicy::new(settings.request.retry_percent, attempts)),
+            limiter: Mutex::new(Limiter::new(shared.local.address, now)),
+            burn: Mutex::new(BurnCounters::new(settings.daemon.data_centre.clone(), now)),
+            mint: Mutex::new(KeyMint::new(settings.request.key_ttl)),
+        };
+        decisions.refresh(&shared.view.load());
+        decisions
+    }
+
+    /// Takes the limits and objectives of a published view.
+    pub fn refresh(&self, view: &View) {
+        let now = Instant::now();
+        lock(&self.limiter).refresh(view, now);
+        lock(&self.burn).set_config(&view.config, now);
+    }
+
+    /// Chooses a backend server and counts the attempt that goes to it.
+    ///
+    /// # Errors
+    ///
+    /// When none takes work.
+    pub fn choose(
+        &self,
+        view: &View,
+        service: &ServiceName,
+        exclude: &[Address],
+    ) -> Result<Endpoint, Refusal> {
+        let now = Instant::now();
+        let mut router = lock(&self.router);
+        let endpoint = router.pick(view, service, exclude, now)?;
+        router.started(&endpoint, now);
+        Ok(endpoint)
+    }
+
+    /// Chooses a backend server for a key, without sending anything to it.
+    ///
+    /// # Errors
+    ///
+    /// When none takes work.
+    pub fn place(&self, view: &View, service: &ServiceName) -> Result<Endpoint, Refusal> {
+        lock(&self.router).pick(view, service, &[], Instant::now())
+    }
+
+    /// Counts an attempt at a backend server that was not chosen here.
+    pub fn started(&self, endpoint: &Endpoint) {
+        lock(&self.router).started(endpoint, Instant::now());
+    }
+
+    /// Learns from the end of an attempt.
+    pub fn finished(&self, address: Address, report: &CallReport) {
+        lock(&self.router).finished(address, report, Instant::now());
+    }
+
+    /// Passes or refuses a call by the declared limits.
+    ///
+    /// # Errors
+    ///
+    /// When a limit is used up.
+    pub fn allow(&self, service: &ServiceName, caller: Option<&CallerName>) -> Result<(), Refusal> {
+        lock(&self.limiter).allow(service, caller, Instant::now())
+    }
+
+    /// Counts a first attempt for the retry budget.
+    pub fn first_attempt(&self) {
+        lock(&self.retry).started();
+    }
+
+    /// Decides whether a request is sent again.
+    pub fn decide(&self, attempt: &Attempt) -> Decision {
+        lock(&self.retry).decide(attempt)
+    }
+
+    /// Counts the end of a call.
+    pub fn count(&self, service: &ServiceName, class: Class, end: &CallEnd) {
+        lock(&self.burn).count(service, class, end, Instant::now());
+    }
+
+    /// Returns this daemon's part of the report on service-level burn.
+    #[must_use]
+    pub fn burn(&self) -> BurnReport {
+        lock(&self.burn).report(Instant::now())
+    }
+
+    /// Returns the limits, to exchange shares with other daemons.
+    pub fn limiter(&self) -> MutexGuard<'_, Limiter> {
+        lock(&self.limiter)
+    }
+
+    /// Returns the mint of keys.
+    pub fn mint(&self) -> MutexGuard<'_, KeyMint> {
+        lock(&self.mint)
+    }
+}
+
+fn lock<T>(mutex: &Mutex<T>) -> MutexGuard<'_, T> {
+    mutex.lock().unwrap_or_else(PoisonError::into_inner)
+}
--- /dev/null
+++ b/crates/marigoldd/src/caller/fields.rs
@@ -0,0 +1,58 @@
+//! HTTP headers on their way between caller and backend server.
+
+use std::sync::Arc;
+
+use hyper::HeaderMap;
+use hyper::header::{self, HeaderName, HeaderValue};
+
+/// Headers that belong to one connection and are not handed on (RFC 9110, section 7.6.1).
+const HOP_BY_HOP: [HeaderName; 6] = [
+    header::CONNECTION,
+    header::PROXY_AUTHENTICATE,
+    header::PROXY_AUTHORIZATION,
+    header::TE,
+    header::TRANSFER_ENCODING,
+    header::UPGRADE,
+];
+/// Further ones that have no constant.
+const HOP_BY_HOP_NAMES: [&str; 3] = ["keep-alive", "proxy-connection", "trailer"];
+/// The start of the headers that the mesh itself sets; a caller's are not handed on.
+const OWN_PREFIX: &str = "marigold-";
+
+/// The headers of a message as they travel between daemons, in order.
+pub type Fields = Vec<(Arc<str>, Vec<u8>)>;
+
+/// Returns the headers that are handed on.
+#[must_use]
+pub fn from_headers(headers: &HeaderMap) -> Fields {
+    let named: Vec<String> = headers
+        .get_all(header::CONNECTION)
+        .iter()
+        .filter_map(|value| value.to_str().ok())
+        .flat_map(|value| value.split(','))
+        .map(|name| name.trim().to_ascii_lowercase())
+        .collect();
+    let kept = headers.iter().filter(|(name, _)| {
+        let text = name.as_str();
+        !HOP_BY_HOP.contains(name)
+            && !HOP_BY_HOP_NAMES.contains(&text)
+            && !text.starts_with(OWN_PREFIX)
+            && !named.iter().any(|other| other == text)
+    });
+    kept.map(|(name, value)| (Arc::from(name.as_str()), value.as_bytes().to_vec()))
+        .collect()
+}
+
+/// Returns `fields` as headers; those that are malformed are left out.
+#[must_use]
+pub fn to_headers(fields: &Fields) -> HeaderMap {
+    let mut headers = HeaderMap::with_capacity(fields.len() + 4);
+    for (name, value) in fields {
+        let name = HeaderName::from_bytes(name.as_bytes());
+        let value = HeaderValue::from_bytes(value);
+        if let (Ok(name), Ok(value)) = (name, value) {
+            headers.append(name, value);
+        }
+    }
+    headers
+}
--- /dev/null
+++ b/crates/marigoldd/src/caller/guarded_io.rs
@@ -0,0 +1,93 @@
+//! A caller's connection that is given up when the caller stops reading.
+
+use std::io;
+use std::pin::Pin;
+use std::task::{Context, Poll};
+use std::time::Duration;
+
+use tokio::io::{AsyncRead, AsyncWrite, ReadBuf};
+use tokio::time::{Instant, Sleep, sleep_until};
+
+/// Fails a write that has waited too long for the other end to read.
+#[derive(Debug)]
+pub struct GuardedIo<T> {
+    io: T,
+    limit: Duration,
+    stalled: Option<Pin<Box<Sleep>>>,
+}
+
+impl<T> GuardedIo<T> {
+    /// Guards `io`; a write may wait for `limit` at most.
+    #[must_use]
+    pub fn new(io: T, limit: Duration) -> Self {
+        Self {
+            io,
+            limit,
+            stalled: None,
+        }
+    }
+
+    /// Turns a write that waits into an error once the limit is over.
+    fn judge<R>(
+        &mut self,
+        cx: &mut Context<'_>,
+        result: Poll<io::Result<R>>,
+    ) -> Poll<io::Result<R>> {
+        if result.is_ready() {
+            self.stalled = None;
+            return result;
+        }
+        let limit = self.limit;
+        let stalled = self
+            .stalled
+            .get_or_insert_with(|| Box::pin(sleep_until(Instant::now() + limit)));
+        match stalled.as_mut().poll(cx) {
+            Poll::Ready(()) => Poll::Ready(Err(io::ErrorKind::TimedOut.into())),
+            Poll::Pending => Poll::Pending,
+        }
+    }
+}
+
+impl<T: AsyncRead + Unpin> AsyncRead for GuardedIo<T> {
+    fn poll_read(
+        mut self: Pin<&mut Self>,
+        cx: &mut Context<'_>,
+        buffer: &mut ReadBuf<'_>,
+    ) -> Poll<io::Result<()>> {
+        Pin::new(&mut self.io).poll_read(cx, buffer)
+    }
+}
+
+impl<T: AsyncWrite + Unpin> AsyncWrite for GuardedIo<T> {
+    fn poll_write(
+        mut self: Pin<&mut Self>,
+        cx: &mut Context<'_>,
+        bytes: &[u8],
+    ) -> Poll<io::Result<usize>> {
+        let result = Pin::new(&mut self.io).poll_write(cx, bytes);
+        self.judge(cx, result)
+    }
+
+    fn poll_write_vectored(
+        mut self: Pin<&mut Self>,
+        cx: &mut Context<'_>,
+        parts: &[io::IoSlice<'_>],
+    ) -> Poll<io::Result<usize>> {
+        let result = Pin::new(&mut self.io).poll_write_vectored(cx, parts);
+        self.judge(cx, result)
+    }
+
+    fn is_write_vectored(&self) -> bool {
+        self.io.is_write_vectored()
+    }
+
+    fn poll_flush(mut self: Pin<&mut Self>, cx: &mut Context<'_>) -> Poll<io::Result<()>> {
+        let result = Pin::new(&mut self.io).poll_flush(cx);
+        self.judge(cx, result)
+    }
+
+    fn poll_shutdown(mut self: Pin<&mut Self>, cx: &mut Context<'_>) -> Poll<io::Result<()>> {
+        let result = Pin::new(&mut self.io).poll_shutdown(cx);
+        self.judge(cx, result)
+    }
+}
--- /dev/null
+++ b/crates/marigoldd/src/caller/http_server.rs
@@ -0,0 +1,70 @@
+//! Takes callers' connections over HTTP/1.1.
+
+use std::convert::Infallible;
+use std::sync::Arc;
+use std::time::Duration;
+
+use hyper::server::conn::http1;
+use hyper::service::service_fn;
+use hyper_util::rt::{TokioIo, TokioTimer};
+use marigold_request::drain::Phase;
+use tokio::net::{TcpListener, TcpStream};
+use tokio::sync::{Semaphore, watch};
+
+use super::guarded_io::GuardedIo;
+use super::ingress::Ingress;
+use crate::executor::prepare;
+
+/// The most connections of callers; further ones wait to be accepted.
+const MAX_CONNECTIONS: usize = 8_192;
+/// How long to wait after the system refused a connection, as when it is out of descriptors.
+const ACCEPT_DELAY: Duration = Duration::from_millis(50);
+
+/// Serves callers on `listener` until the daemon ends.
+pub async fn serve(listener: TcpListener, ingress: Arc<Ingress>) {
+    let permits = Arc::new(Semaphore::new(MAX_CONNECTIONS));
+    let phase = ingress.in_flight.phase();
+    // The semaphore is never closed.
+    while let Ok(permit) = permits.clone().acquire_owned().await {
+        let Ok((stream, _)) = listener.accept().await else {
+            tokio::time::sleep(ACCEPT_DELAY).await;
+            continue;
+        };
+        let (ingress, phase) = (ingress.clone(), phase.clone());
+        tokio::spawn(async move {
+            serve_connection(stream, ingress, phase).await;
+            drop(permit);
+        });
+    }
+}
+
+async fn serve_connection(
+    stream: TcpStream,
+    ingress: Arc<Ingress>,
+    mut phase: watch::Receiver<Phase>,
+) {
+    if prepare(&stream).is_err() {
+        return;
+    }
+    let settings = ingress.shared.settings.caller.clone();
+    let io = TokioIo::new(GuardedIo::new(stream, settings.write_timeout.duration()));
+    let service = service_fn(move |request| {
+        let ingress = ingress.clone();
+        async move { Ok::<_, Infallible>(ingress.handle(request).await) }
+    });
+    let max_head = usize::try_from(settings.max_head.0).unwrap_or(usize::MAX);
+    let connection = http1::Builder::new()
+        .timer(TokioTimer::new())
+        .header_read_timeout(settings.head_timeout.duration())
+        .max_buf_size(max_head)
+        .serve_connection(io, service);
+    tokio::pin!(connection);
+    let finishing = phase.wait_for(|phase| matches!(phase, Phase::Finishing | Phase::Exit(_)));
+    tokio::select! {
+        // An error here is a caller that left or talked nonsense; hyper has answered it.
+        _ = connection.as_mut() => return,
+        _ = finishing => {}
+    }
+    connection.as_mut().graceful_shutdown();
+    let _ = connection.await;
+}
--- /dev/null
+++ b/crates/marigoldd/src/caller/ingress.rs
@@ -0,0 +1,312 @@
+//! A caller's request from its head to the last word on it.
+
+use std::sync::Arc;
+
+use http_body_util::BodyExt;
+use hyper::body::{Body, Incoming};
+use hyper::{Method, Request, Response, StatusCode, Version};
+use marigold_control::View;
+use marigold_request::deadline::Deadline;
+use marigold_request::retry::{Attempt, Decision};
+use marigold_request::{CallHead, Refusal, RefusalReason, StreamOpen};
+use marigold_types::{Address, Outcome, RequestId};
+use tokio::time::{Instant, timeout_at};
+
+use super::answer_stream::{AnswerStream, Records, WholeAnswer};
+use super::attempt_record::AttemptRecord;
+use super::call_options::CallOptions;
+use super::call_record::CallRecord;
+use super::decisions::Decisions;
+use super::key_desk::{KEYS_PATH, KeyDesk};
+use super::meters::CallMeters;
+use super::remote_call::{Attempted, RemoteCall};
+use super::replay_body::{AttemptBody, ReplayBody};
+use super::response::{self, CallerBody};
+use super::{fields, route};
+use crate::Shared;
+use crate::executor::{Answer, AnswerBody, InFlight, LocalExecutor, RETRY_DELAY, Ran, Witnesses};
+use crate::peer::QuicPeers;
+
+/// What every request of an ingress needs.
+pub struct Ingress {
+    /// The daemon's blackboard.
+    pub shared: Arc<Shared>,
+    /// The connections to other daemons.
+    pub peers: Arc<QuicPeers>,
+    /// The executor of this daemon.
+    pub executor: Arc<LocalExecutor>,
+    /// The witness of this daemon, and the way to those of others.
+    pub witnesses: Arc<Witnesses>,
+    /// The decisions.
+    pub decisions: Arc<Decisions>,
+    /// The counters.
+    pub meters: Arc<CallMeters>,
+    /// What is in flight.
+    pub in_flight: Arc<InFlight>,
+    /// Makes keys.
+    pub keys: KeyDesk,
+}
+
+/// A request that has been read and may run.
+pub(super) struct Call {
+    pub(super) head: CallHead,
+    pub(super) body: ReplayBody,
+    pub(super) deadline: Deadline,
+}
+
+/// What came of a call in the end.
+pub(super) struct Ended {
+    pub(super) ran: Ran,
+    pub(super) attempt: Option<AttemptRecord>,
+}
+
+impl Ingress {
+    /// Answers one request of a caller.
+    pub async fn handle(&self, request: Request<Incoming>) -> Response<CallerBody> {
+        let start = Instant::now();
+        if let Some(refusal) = refuse_form(&request) {
+            return refusal;
+        }
+        let Some(counted) = self.in_flight.start() else {
+            let refusal = Refusal::after(RefusalReason::Draining, RETRY_DELAY);
+            return response::not_run(None, refusal, "");
+        };
+        let view = self.shared.view.load_full();
+        if !view.serving {
+            let refusal = Refusal::after(RefusalReason::NotServing, RETRY_DELAY);
+            return response::not_run(None, refusal, "");
+        }
+        if request.uri().path() == KEYS_PATH {
+            return self.keys.handle(self, &view, &request).await;
+        }
+        let call = match self.read(&view, request, start) {
+            Ok(call) => call,
+            Err(refusal) => return *refusal,
+        };
+        let record = CallRecord::new(
+            self.decisions.clone(),
+            self.meters.clone(),
+            call.head.service.clone(),
+            call.head.class,
+            start,
+            counted,
+        );
+        self.serve(&view, call, record).await
+    }
+
+    /// Reads the head of a request and finds its route.
+    fn read(
+        &self,
+        view: &View,
+        request: Request<Incoming>,
+        start: Instant,
+    ) -> Result<Call, Box<Response<CallerBody>>> {
+        let (parts, body) = request.into_parts();
+        let options = CallOptions::read(&parts.headers).map_err(|error| {
+            let detail = error.to_string();
+            Box::new(response::bad_request(
+                StatusCode::BAD_REQUEST,
+                "bad-header",
+                &detail,
+            ))
+        })?;
+        let max_body = self.shared.settings.caller.max_body.0;
+        if body.size_hint().lower() > max_body {
+            let detail = format!("allowed are {max_body} bytes");
+            return Err(Box::new(response::bad_request(
+                StatusCode::PAYLOAD_TOO_LARGE,
+                "body-too-large",
+                &detail,
+            )));
+        }
+        let Some((name, route)) = route::find(view, parts.uri.path()) else {
+            let refusal = Refusal::last(RefusalReason::NoRoute);
+            return Err(Box::new(response::not_run(None, refusal, "")));
+        };
+        let deadline = Deadline::new(route.deadline, options.left, start);
+        let target = parts
+            .uri
+            .path_and_query()
+            .map_or("/", |target| target.as_str());
+        let head = CallHead {
+            id: RequestId::random(),
+            route: name.clone(),
+            service: route.service.clone(),
+            class: route.class,
+            idempotent: route.idempotent,
+            left: deadline.left(start),
+            depth: options.depth,
+            attempt: options.attempt,
+            caller: options.caller,
+            key: options.key,
+            method: Arc::from(parts.method.as_str()),
+            target: Arc::from(target),
+            headers: fields::from_headers(&parts.headers),
+        };
+        Ok(Call {
+            head,
+            body: ReplayBody::new(body, max_body),
+            deadline,
+        })
+    }
+
+    async fn serve(&self, view: &View, call: Call, record: CallRecord) -> Response<CallerBody> {
+        let (id, deadline, body) = (call.head.id, call.deadline, call.body.clone());
+        let allowed = self
+            .decisions
+            .allow(&call.head.service, call.head.caller.as_ref());
+        let ended = match allowed {
+            Err(refusal) => Ended::early(Ran::NotRun(refusal)),
+            Ok(()) if call.head.key.is_some() => match self.run_keyed(view, call).await {
+                Ok(ended) => ended,
+                Err(error) => {
+                    record.finish(Outcome::NotRun, Some(RefusalReason::KeyInvalid));
+                    let refusal = Refusal::last(RefusalReason::KeyInvalid);
+                    return response::not_run(Some(id), refusal, &error.to_string());
+                }
+            },
+            Ok(()) => self.run_plain(view, call).await,
+        };
+        let Ended { ran, attempt } = ended;
+        match ran {
+            Ran::Answered(answer) => respond(id, answer, deadline, attempt, record),
+            Ran::NotRun(refusal) => {
+                record.finish(Outcome::NotRun, Some(refusal.reason));
+                response::not_run(Some(id), refusal, "")
+            }
+            Ran::Unknown(_) if body.is_too_large() => {
+                record.finish(Outcome::Unknown, None);
+                response::too_large(id)
+            }
+            Ran::Unknown(step) => {
+                record.finish(Outcome::Unknown, None);
+                response::unknown(id, &step)
+            }
+        }
+    }
+
+    /// Runs a request without a key, with the retries that are allowed.
+    async fn run_plain(&self, view: &View, mut call: Call) -> Ended {
+        let inherited = call.head.attempt;
+        let mut tried: Vec<Address> = Vec::new();
+        let mut last = None;
+        self.decisions.first_attempt();
+        for number in 0..=u8::MAX {
+            let chosen = self.decisions.choose(view, &call.head.service, &tried);
+            let endpoint = match chosen {
+                Ok(endpoint) => endpoint,
+                // What the executor said tells the caller more than that no other is left.
+                Err(refusal) => return Ended::early(last.unwrap_or(Ran::NotRun(refusal))),
+            };
+            let address = endpoint.instance.address;
+            let mut record = AttemptRecord::new(self.decisions.clone(), address);
+            self.meters.count_attempt(number);
+            call.head.left = call.deadline.left(Instant::now());
+            call.head.attempt = inherited.saturating_add(number);
+            let body = call.body.attempt();
+            let attempted = self.attempt(address, &mut call, body).await;
+            record.load = attempted.load;
+            let (outcome, refusal) = match &attempted.ran {
+                Ran::Answered(answer) => {
+                    record.status = Some(answer.status);
+                    return Ended {
+                        ran: attempted.ran,
+                        attempt: Some(record),
+                    };
+                }
+                Ran::NotRun(refusal) => (Outcome::NotRun, Some(*refusal)),
+                Ran::Unknown(_) => (Outcome::Unknown, None),
+            };
+            record.finish(outcome, refusal.map(|refusal| refusal.reason));
+            let decision = self.decisions.decide(&Attempt {
+                number,
+                inherited,
+                outcome,
+                refusal,
+                idempotent: call.head.idempotent,
+                keyed: false,
+                left: call.deadline.left(Instant::now()),
+            });
+            if decision == Decision::GiveUp || !call.body.is_replayable() {
+                return Ended::early(attempted.ran);
+            }
+            tried.push(address);
+            last = Some(attempted.ran);
+        }
+        Ended::early(last.unwrap_or_else(|| Ran::unknown("retries")))
+    }
+
+    /// Sends a request once to the executor of the daemon at `address`.
+    pub(super) async fn attempt(
+        &self,
+        address: Address,
+        call: &mut Call,
+        body: AttemptBody,
+    ) -> Attempted {
+        if address == self.shared.local.address {
+            let ran = self.executor.run(call.head.clone(), body.boxed_unsync());
+            return Attempted {
+                ran: ran.await,
+                load: Some(self.executor.load()),
+            };
+        }
+        let deadline = call.deadline.0;
+        let remote = RemoteCall {
+            peers: &self.peers,
+            to: address,
+            idempotent: call.head.idempotent,
+            deadline,
+        };
+        let open = StreamOpen::Call(call.head.clone());
+        let mut sent = false;
+        let run = remote.run(call.head.id, &open, body, &mut sent);
+        match timeout_at(deadline, run).await {
+            Ok(attempted) => attempted,
+            Err(_) if sent => Attempted::without_word(Ran::unknown("deadline at another daemon")),
+            Err(_) => {
+                let refusal = Refusal::last(RefusalReason::Deadline);
+                Attempted::without_word(Ran::NotRun(refusal))
+            }
+        }
+    }
+}
+
+impl Ended {
+    /// Builds the end of a call without an answer on its way.
+    pub(super) fn early(ran: Ran) -> Self {
+        Self { ran, attempt: None }
+    }
+}
+
+/// Refuses what this side of HTTP does not take.
+fn refuse_form(request: &Request<Incoming>) -> Option<Response<CallerBody>> {
+    if request.version() != Version::HTTP_11 {
+        // An answer of HTTP/1.0 may end with its connection, so that a cut one would look whole.
+        let status = StatusCode::HTTP_VERSION_NOT_SUPPORTED;
+        let refusal = response::bad_request(status, "bad-version", "allowed: HTTP/1.1");
+        return Some(refusal);
+    }
+    if request.method() == Method::CONNECT {
+        let status = StatusCode::METHOD_NOT_ALLOWED;
+        let refusal = response::bad_request(status, "bad-method", "CONNECT is not proxied");
+        return Some(refusal);
+    }
+    None
+}
+
+/// Builds the response of an answer; its records end with its body.
+fn respond(
+    id: RequestId,
+    answer: Answer,
+    deadline: Deadline,
+    attempt: Option<AttemptRecord>,
+    mut call: CallRecord,
+) -> Response<CallerBody> {
+    call.answer(answer.status);
+    let records = Records { attempt, call };
+    let body = match answer.body {
+        AnswerBody::Whole(bytes) => WholeAnswer::new(bytes, records).boxed_unsync(),
+        AnswerBody::Stream(body) => AnswerStream::new(body, deadline.0, records).boxed_unsync(),
+    };
+    response::answered(id, answer.status, &answer.fields, answer.stored, body)
+}
--- /dev/null
+++ b/crates/marigoldd/src/caller/key_desk.rs
@@ -0,0 +1,224 @@
+//! Gives callers keys for requests that may not run twice.
+
+use std::hash::{DefaultHasher, Hash, Hasher};
+use std::sync::Arc;
+use std::time::Duration;
+
+use hyper::body::Incoming;
+use hyper::{Method, Request, Response, StatusCode};
+use marigold_control::{Endpoint, EndpointState, View};
+use marigold_request::once::KeyMint;
+use marigold_request::{Refusal, RefusalReason, WitnessAnswer, WitnessRequest};
+use marigold_types::{Interval, ServiceName};
+use serde::Serialize;
+use tokio::time::Instant;
+
+use super::ingress::Ingress;
+use super::response::{self, CallerBody};
+use super::route;
+
+/// Where callers get keys.
+pub const KEYS_PATH: &str = "/.marigold/keys";
+/// The most keys of one request.
+const MAX_COUNT: usize = 64;
+/// How long a witness may take to answer.
+const RESERVE_TIMEOUT: Duration = Duration::from_secs(1);
+/// Witnesses that are asked one after the other.
+const MAX_WITNESSES: usize = 2;
+/// When to come back when no witness answers.
+const RETRY: Interval = Interval::from_millis(500);
+
+/// The JSON of new keys.
+#[derive(Debug, Serialize)]
+struct NewKeys<'a> {
+    service: &'a ServiceName,
+    keys: Vec<Arc<str>>,
+    ttl_ms: u64,
+}
+
+/// What a caller asks for in the query.
+struct Question {
+    service: ServiceName,
+    count: usize,
+}
+
+/// Serves [`KEYS_PATH`].
+#[derive(Debug, Default)]
+pub struct KeyDesk;
+
+impl KeyDesk {
+    /// Answers a request for keys.
+    pub async fn handle(
+        &self,
+        ingress: &Ingress,
+        view: &View,
+        request: &Request<Incoming>,
+    ) -> Response<CallerBody> {
+        if request.method() != Method::POST {
+            let status = StatusCode::METHOD_NOT_ALLOWED;
+            return response::bad_request(status, "bad-method", "allowed: POST");
+        }
+        let question = match Question::read(view, request.uri().query().unwrap_or_default()) {
+            Ok(question) => question,
+            Err(detail) => {
+                let status = StatusCode::BAD_REQUEST;
+                return response::bad_request(status, "bad-query", &detail);
+            }
+        };
+        let mut keys = Vec::with_capacity(question.count);
+        while keys.len() < question.count {
+            match make(ingress, view, &question.service).await {
+                Ok(key) => keys.push(key),
+                Err(refusal) => return response::not_run(None, refusal, ""),
+            }
+        }
+        let ttl = ingress.shared.settings.request.key_ttl.duration();
+        let keys = NewKeys {
+            service: &question.service,
+            keys,
+            ttl_ms: u64::try_from(ttl.as_millis()).unwrap_or(u64::MAX),
+        };
+        response::json(StatusCode::OK, &keys)
+    }
+}
+
+impl Question {
+    /// Reads `service=NAME` or `path=PATH`, and `count=N`.
+    fn read(view: &View, query: &str) -> Result<Self, String> {
+        const ALLOWED: &str = "allowed: service=NAME or path=PATH, and count=1 to 64";
+        let mut service = None;
+        let mut count = 1;
+        for pair in query.split('&').filter(|pair| !pair.is_empty()) {
+            match pair.split_once('=') {
+                Some(("service", name)) => {
+                    service = Some(
+                        name.parse()
+                            .map_err(|error| format!("{error}; {ALLOWED}"))?,
+                    );
+                }
+                Some(("path", path)) => {
+                    let found = route::find(view, path);
+                    let (_, route) = found.ok_or(format!("no route takes {path}; {ALLOWED}"))?;
+                    service = Some(route.service.clone());
+                }
+                Some(("count", text)) => {
+                    let number = text.parse().ok().filter(|n| (1..=MAX_COUNT).contains(n));
+                    count = number.ok_or(format!("count={text}; {ALLOWED}"))?;
+                }
+                _ => return Err(format!("{pair}; {ALLOWED}")),
+            }
+        }
+        let service = service.ok_or(format!("no service is given; {ALLOWED}"))?;
+        if view.config.service(&service).is_none() {
+            return Err(format!("service {service} is not declared"));
+        }
+        Ok(Self { service, count })
+    }
+}
+
+/// Makes one key, asking a witness first when no reservation is left.
+async fn make(ingress: &Ingress, view: &View, service: &ServiceName) -> Result<Arc<str>, Refusal> {
+    let executor = ingress.decisions.place(view, service)?;
+    for witness in witnesses(ingress, view, &executor)
+        .into_iter()
+        .take(MAX_WITNESSES)
+    {
+        let id = witness.instance;
+        let now = Instant::now();
+        let wanted = ingress.decisions.mint().needs(&id, now);
+        let made = mint(ingress, &executor, &witness, service);
+        if let Some(key) = made {
+            if wanted {
+                prefetch(ingress, witness);
+            }
+            return Ok(key);
+        }
+        reserve(ingress, &witness).await;
+        if let Some(key) = mint(ingress, &executor, &witness, service) {
+            return Ok(key);
+        }
+    }
+    Err(Refusal::after(RefusalReason::NoWitness, RETRY))
+}
+
+fn mint(
+    ingress: &Ingress,
+    executor: &Endpoint,
+    witness: &Endpoint,
+    service: &ServiceName,
+) -> Option<Arc<str>> {
+    ingress.decisions.mint().mint(
+        executor.instance,
+        witness.instance,
+        service,
+        &ingress.shared.mesh_key,
+        &mut rand::rng(),
+        Instant::now(),
+    )
+}
+
+/// Asks a witness ahead of need, so that a later caller does not wait.
+fn prefetch(ingress: &Ingress, witness: Endpoint) {
+    let (witnesses, decisions) = (ingress.witnesses.clone(), ingress.decisions.clone());
+    tokio::spawn(async move {
+        ask(&witnesses, &decisions, &witness).await;
+    });
+}
+
+async fn reserve(ingress: &Ingress, witness: &Endpoint) {
+    ask(&ingress.witnesses, &ingress.decisions, witness).await;
+}
+
+async fn ask(
+    witnesses: &crate::executor::Witnesses,
+    decisions: &super::decisions::Decisions,
+    witness: &Endpoint,
+) {
+    let request = WitnessRequest::Reserve {
+        count: KeyMint::BATCH,
+    };
+    let until = Instant::now() + RESERVE_TIMEOUT;
+    let answer = witnesses
+        .ask(witness.instance.address, request, until)
+        .await;
+    let mut mint = decisions.mint();
+    match answer {
+        Some(WitnessAnswer::Reserved { uptime }) => {
+            mint.reserved(witness.instance, uptime, Instant::now());
+        }
+        _ => mint.forget(&witness.instance),
+    }
+}
+
+/// Returns the daemons that may witness for `executor`, best first: another data centre of the
+/// same region, then any other data centre, then any other daemon.
+///
+/// Within each, a hash spreads the ingresses and keeps one ingress at the same witness, so that its
+/// reservation lasts.
+fn witnesses(ingress: &Ingress, view: &View, executor: &Endpoint) -> Vec<Endpoint> {
+    let others = view.endpoints.values().flat_map(|list| list.iter());
+    let mut list: Vec<Endpoint> = others
+        .filter(|other| other.state == EndpointState::Ready)
+        .filter(|other| other.instance.address != executor.instance.address)
+        .cloned()
+        .collect();
+    let rank = |other: &Endpoint| {
+        let near = other.region == executor.region;
+        let apart = other.data_centre != executor.data_centre;
+        let distance = match (apart, near) {
+            (true, true) => 0,
+            (true, false) => 1,
+            (false, _) => 2,
+        };
+        (distance, hash(ingress, other))
+    };
+    list.sort_by_cached_key(rank);
+    list
+}
+
+fn hash(ingress: &Ingress, other: &Endpoint) -> u64 {
+    let mut hasher = DefaultHasher::new();
+    ingress.shared.local.hash(&mut hasher);
+    other.instance.hash(&mut hasher);
+    hasher.finish()
+}
--- /dev/null
+++ b/crates/marigoldd/src/caller/keyed.rs
@@ -0,0 +1,87 @@
+//! A request that runs at most once. See docs/design/at-most-once.md.
+
+use std::time::Duration;
+
+use marigold_control::View;
+use marigold_request::once::{KeyError, RequestKey, Resolution, Word};
+use marigold_request::{RefusalReason, WitnessRequest};
+use marigold_types::Outcome;
+use tokio::time::Instant;
+
+use super::attempt_record::AttemptRecord;
+use super::ingress::{Call, Ended, Ingress};
+use crate::executor::Ran;
+
+/// How long a witness may take to seal a key.
+const SEAL_TIMEOUT: Duration = Duration::from_secs(1);
+
+impl Ingress {
+    /// Runs a request with a key, which goes to the key's executor and to no other.
+    pub(super) async fn run_keyed(&self, view: &View, mut call: Call) -> Result<Ended, KeyError> {
+        let text = call.head.key.clone().unwrap_or_default();
+        let key = RequestKey::open_for(&text, &call.head.service, &self.shared.mesh_key)?;
+        let address = key.executor.address;
+        let endpoint = view
+            .endpoints_of(&key.service)
+            .iter()
+            .find(|endpoint| endpoint.instance == key.executor);
+        let mut record = endpoint.map(|endpoint| {
+            self.decisions.started(endpoint);
+            AttemptRecord::new(self.decisions.clone(), address)
+        });
+        self.meters.count_attempt(0);
+        let body = call.body.attempt();
+        let attempted = self.attempt(address, &mut call, body).await;
+        if let Some(record) = &mut record {
+            record.load = attempted.load;
+        }
+        let word = match &attempted.ran {
+            Ran::Answered(answer) => {
+                if let Some(record) = &mut record {
+                    record.status = Some(answer.status);
+                }
+                return Ok(Ended {
+                    ran: attempted.ran,
+                    attempt: record,
+                });
+            }
+            // Without its load the word is not the executor's but this daemon's own.
+            Ran::NotRun(refusal) if attempted.load.is_some() => Word::NotRun(*refusal),
+            Ran::NotRun(refusal) => Word::Silent(refusal.reason),
+            Ran::Unknown(_) if attempted.load.is_some() => Word::Unknown,
+            Ran::Unknown(_) => Word::Silent(RefusalReason::Unreachable),
+        };
+        if let Some(record) = record {
+            let (outcome, reason) = match &attempted.ran {
+                Ran::NotRun(refusal) => (Outcome::NotRun, Some(refusal.reason)),
+                _ => (Outcome::Unknown, None),
+            };
+            record.finish(outcome, reason);
+        }
+        Ok(Ended::early(
+            self.resolve(&call, &key, word, attempted.ran).await,
+        ))
+    }
+
+    /// Says the last word, after the witness where the executor gave none.
+    async fn resolve(&self, call: &Call, key: &RequestKey, word: Word, ran: Ran) -> Ran {
+        let resolution = match Resolution::of_word(word) {
+            Resolution::AskWitness(reason) => {
+                let text = call.head.key.clone().unwrap_or_default();
+                let request = WitnessRequest::Seal { key: text };
+                let until = call.deadline.0.min(Instant::now() + SEAL_TIMEOUT);
+                let witness = key.witness.address;
+                let answer = self.witnesses.ask(witness, request, until).await;
+                Resolution::of_seal(answer.as_ref(), reason)
+            }
+            other => other,
+        };
+        match resolution {
+            Resolution::NotRun(refusal) => Ran::NotRun(refusal),
+            _ => match ran {
+                Ran::Unknown(step) => Ran::Unknown(step),
+                _ => Ran::unknown("the executor of the key gave no word"),
+            },
+        }
+    }
+}
--- /dev/null
+++ b/crates/marigoldd/src/caller/peer_body.rs
@@ -0,0 +1,97 @@
+//! The body of an answer that comes from another daemon.
+
+use std::any::Any;
+use std::pin::Pin;
+use std::sync::Arc;
+use std::task::{Context, Poll};
+
+use bytes::Bytes;
+use hyper::body::{Body, Frame};
+use marigold_request::silence::Verdict;
+use marigold_types::Address;
+use tokio::time::{Sleep, sleep_until};
+
+use crate::peer::{CutError, PeerLink, QuicBody, QuicPeers, Waiting};
+
+/// Reads an answer's body and gives it up when its connection has gone silent.
+pub struct PeerBody {
+    body: QuicBody,
+    link: PeerLink,
+    peers: Arc<QuicPeers>,
+    from: Address,
+    /// Counts as waiting, so that the connection is judged.
+    waiting: Option<Waiting>,
+    due: Option<Pin<Box<Sleep>>>,
+    _guards: Box<dyn Any + Send>,
+}
+
+impl PeerBody {
+    /// Builds the body of an answer from the daemon at `from`; `guards` are dropped with it.
+    #[must_use]
+    pub fn new(
+        body: QuicBody,
+        link: PeerLink,
+        peers: Arc<QuicPeers>,
+        from: Address,
+        guards: impl Any + Send,
+    ) -> Self {
+        Self {
+            body,
+            link,
+            peers,
+            from,
+            waiting: None,
+            due: None,
+            _guards: Box::new(guards),
+        }
+    }
+
+    /// Returns whether the connection has gone silent, and looks again when it is time.
+    fn poll_silence(&mut self, cx: &mut Context<'_>) -> bool {
+        if self.waiting.is_none() {
+            self.waiting = Some(self.link.wait());
+        }
+        loop {
+            let Some(next) = self.link.next_judge() else {
+                return false;
+            };
+            let due = self.due.get_or_insert_with(|| Box::pin(sleep_until(next)));
+            if due.as_mut().poll(cx).is_pending() {
+                return false;
+            }
+            self.due = None;
+            if self.link.judge() == Verdict::Replace {
+                self.peers.retire(self.from, &self.link);
+                return true;
+            }
+        }
+    }
+}
+
+impl Body for PeerBody {
+    type Data = Bytes;
+    type Error = CutError;
+
+    fn poll_frame(
+        mut self: Pin<&mut Self>,
+        cx: &mut Context<'_>,
+    ) -> Poll<Option<Result<Frame<Bytes>, CutError>>> {
+        match Pin::new(&mut self.body).poll_frame(cx) {
+            Poll::Ready(frame) => {
+                if let Some(waiting) = self.waiting.take() {
+                    waiting.answered();
+                }
+                self.due = None;
+                Poll::Ready(frame)
+            }
+            Poll::Pending if self.poll_silence(cx) => Poll::Ready(Some(Err(CutError::new(
+                &"the connection to the other daemon is silent",
+            )))),
+            Poll::Pending => Poll::Pending,
+        }
+    }
+
+    fn is_end_stream(&self) -> bool {
+        self.body.is_end_stream()
+    }
+}
--- /dev/null
+++ b/crates/marigoldd/src/caller/response.rs
@@ -0,0 +1,200 @@
+//! What a caller is told. See docs/OUTCOME-HEADERS.md.
+
+use bytes::Bytes;
+use http_body_util::combinators::UnsyncBoxBody;
+use http_body_util::{BodyExt, Full};
+use hyper::header::{self, HeaderName, HeaderValue};
+use hyper::{HeaderMap, Response, StatusCode};
+use marigold_request::{Refusal, RefusalReason};
+use marigold_types::{Interval, Outcome, RequestId};
+use serde::Serialize;
+
+use super::fields::{self, Fields};
+use crate::peer::CutError;
+
+/// The header that says what became of the request.
+pub const OUTCOME_HEADER: HeaderName = HeaderName::from_static("marigold-outcome");
+/// The header that says why it was not answered.
+pub const REASON_HEADER: HeaderName = HeaderName::from_static("marigold-reason");
+/// The header that names the request.
+pub const ID_HEADER: HeaderName = HeaderName::from_static("marigold-request-id");
+/// The header of an answer that was kept from an earlier run.
+pub const STORED_HEADER: HeaderName = HeaderName::from_static("marigold-stored");
+/// The header that says when to come back, in milliseconds.
+pub const RETRY_HEADER: HeaderName = HeaderName::from_static("marigold-retry-after-ms");
+
+const MILLIS: u128 = 1_000;
+
+/// The body of what a caller is told.
+pub type CallerBody = UnsyncBoxBody<Bytes, CutError>;
+
+/// The JSON of a request that was not answered.
+#[derive(Debug, Serialize)]
+struct Problem<'a> {
+    outcome: Outcome,
+    reason: &'a str,
+    request: Option<RequestId>,
+    #[serde(skip_serializing_if = "Option::is_none")]
+    retry_after_ms: Option<u64>,
+    #[serde(skip_serializing_if = "str::is_empty")]
+    detail: &'a str,
+}
+
+/// Builds the backend server's answer.
+#[must_use]
+pub fn answered(
+    id: RequestId,
+    status: u16,
+    fields: &Fields,
+    stored: bool,
+    body: CallerBody,
+) -> Response<CallerBody> {
+    let mut response = Response::new(body);
+    *response.status_mut() = StatusCode::from_u16(status).unwrap_or(StatusCode::BAD_GATEWAY);
+    let mut headers = fields::to_headers(fields);
+    mark(&mut headers, Outcome::Answered, Some(id));
+    if stored {
+        headers.insert(STORED_HEADER, HeaderValue::from_static("true"));
+    }
+    *response.headers_mut() = headers;
+    response
+}
+
+/// Builds the word that a request certainly did not run.
+#[must_use]
+pub fn not_run(id: Option<RequestId>, refusal: Refusal, detail: &str) -> Response<CallerBody> {
+    let reason = refusal.reason.to_string();
+    let status = refusal_status(refusal.reason);
+    let mut response = problem(status, Outcome::NotRun, &reason, id, detail, &refusal);
+    let headers = response.headers_mut();
+    if let Some(after) = refusal.retry_after {
+        // The standard header has whole seconds; it is rounded up, never down.
+        let seconds = after.duration().as_millis().div_ceil(MILLIS);
+        set(headers, header::RETRY_AFTER, &seconds.to_string());
+        set(headers, RETRY_HEADER, &millis(after).to_string());
+    }
+    if refusal.reason == RefusalReason::Draining {
+        headers.insert(header::CONNECTION, HeaderValue::from_static("close"));
+    }
+    response
+}
+
+/// Builds the word that a request may have run; it was lost at `step`.
+#[must_use]
+pub fn unknown(id: RequestId, step: &str) -> Response<CallerBody> {
+    let status = if step.starts_with("deadline") {
+        StatusCode::GATEWAY_TIMEOUT
+    } else {
+        StatusCode::BAD_GATEWAY
+    };
+    let none = Refusal::last(RefusalReason::Deadline);
+    problem(status, Outcome::Unknown, step, Some(id), "", &none)
+}
+
+/// Builds the word that a request's body turned out too large after its start had been sent on.
+#[must_use]
+pub fn too_large(id: RequestId) -> Response<CallerBody> {
+    let none = Refusal::last(RefusalReason::Deadline);
+    let status = StatusCode::PAYLOAD_TOO_LARGE;
+    problem(
+        status,
+        Outcome::Unknown,
+        "body-too-large",
+        Some(id),
+        "",
+        &none,
+    )
+}
+
+/// Builds the word that a request itself is wrong, so that it did not run.
+#[must_use]
+pub fn bad_request(status: StatusCode, reason: &str, detail: &str) -> Response<CallerBody> {
+    let none = Refusal::last(RefusalReason::NoRoute);
+    problem(status, Outcome::NotRun, reason, None, detail, &none)
+}
+
+/// Builds a JSON response.
+#[must_use]
+pub fn json<T: Serialize>(status: StatusCode, value: &T) -> Response<CallerBody> {
+    let text = serde_json::to_vec(value).unwrap_or_default();
+    let mut response = Response::new(whole(Bytes::from(text)));
+    *response.status_mut() = status;
+    response.headers_mut().insert(
+        header::CONTENT_TYPE,
+        HeaderValue::from_static("application/json"),
+    );
+    response
+}
+
+/// Returns `bytes` as a body.
+#[must_use]
+pub fn whole(bytes: Bytes) -> CallerBody {
+    Full::new(bytes)
+        .map_err(|never| match never {})
+        .boxed_unsync()
+}
+
+fn problem(
+    status: StatusCode,
+    outcome: Outcome,
+    reason: &str,
+    request: Option<RequestId>,
+    detail: &str,
+    refusal: &Refusal,
+) -> Response<CallerBody> {
+    let problem = Problem {
+        outcome,
+        reason,
+        request,
+        retry_after_ms: refusal.retry_after.map(millis),
+        detail,
+    };
+    let mut response = json(status, &problem);
+    let headers = response.headers_mut();
+    mark(headers, outcome, request);
+    set(headers, REASON_HEADER, reason);
+    response
+}
+
+fn mark(headers: &mut HeaderMap, outcome: Outcome, id: Option<RequestId>) {
+    let value = match outcome {
+        Outcome::Answered => HeaderValue::from_static("answered"),
+        Outcome::NotRun => HeaderValue::from_static("not-run"),
+        Outcome::Unknown => HeaderValue::from_static("unknown"),
+    };
+    headers.insert(OUTCOME_HEADER, value);
+    if let Some(id) = id {
+        set(headers, ID_HEADER, &id.to_string());
+    }
+}
+
+fn set(headers: &mut HeaderMap, name: HeaderName, text: &str) {
+    if let Ok(value) = HeaderValue::from_str(text) {
+        headers.insert(name, value);
+    }
+}
+
+fn millis(interval: Interval) -> u64 {
+    u64::try_from(interval.duration().as_millis()).unwrap_or(u64::MAX)
+}
+
+/// Returns the HTTP status of a refusal.
+fn refusal_status(reason: RefusalReason) -> StatusCode {
+    match reason {
+        RefusalReason::NoRoute => StatusCode::NOT_FOUND,
+        RefusalReason::Limited => StatusCode::TOO_MANY_REQUESTS,
+        RefusalReason::Deadline => StatusCode::GATEWAY_TIMEOUT,
+        RefusalReason::KeyInvalid => StatusCode::BAD_REQUEST,
+        RefusalReason::KeyRefused | RefusalReason::KeyReused => StatusCode::CONFLICT,
+        RefusalReason::NotServing
+        | RefusalReason::NoBackendServer
+        | RefusalReason::Overloaded
+        | RefusalReason::Draining
+        | RefusalReason::Cancelled
+        | RefusalReason::Unreachable
+        | RefusalReason::Quarantined
+        | RefusalReason::KeysFull
+        | RefusalReason::NoWitness
+        | RefusalReason::NoConnection => StatusCode::SERVICE_UNAVAILABLE,
+    }
+}
--- a/crates/marigoldd/src/executor.rs
+++ b/crates/marigoldd/src/executor.rs
@@ -1,1 +1,33 @@
 //! The only way to the backend server beside the daemon.
+//!
+//! See docs/design/http.md and docs/design/at-most-once.md.
+
+mod backend_body;
+mod backend_call;
+mod backend_pool;
+mod collect;
+mod in_flight;
+mod local_executor;
+mod once;
+mod prober;
+mod reply;
+mod slots;
+mod stream_executor;
+mod upkeep;
+mod witnesses;
+
+use marigold_types::Interval;
+
+pub use backend_call::WHOLE_BYTES;
+pub use collect::{Collected, collect};
+pub use in_flight::{Counted, InFlight};
+pub use local_executor::LocalExecutor;
+pub use reply::{Answer, AnswerBody, Ran, RequestBody};
+pub use stream_executor::StreamExecutor;
+pub use upkeep::upkeep;
+pub use witnesses::Witnesses;
+
+pub(crate) use backend_pool::prepare;
+
+/// When a caller is asked to come back after a refusal that another daemon may not share.
+pub(crate) const RETRY_DELAY: Interval = Interval::from_millis(250);
--- /dev/null
+++ b/crates/marigoldd/src/executor/backend_body.rs
@@ -0,0 +1,70 @@
+//! The body of a backend server's answer as it comes.
+
+use std::pin::Pin;
+use std::sync::Arc;
+use std::task::{Context, Poll, ready};
+
+use bytes::Bytes;
+use hyper::body::{Body, Frame, Incoming, SizeHint};
+
+use super::backend_pool::{BackendConnection, BackendPool};
+use crate::peer::CutError;
+
+/// An answer's body, which gives its connection back once it is whole.
+pub struct BackendBody {
+    incoming: Incoming,
+    connection: Option<BackendConnection>,
+    pool: Arc<BackendPool>,
+}
+
+impl BackendBody {
+    pub(super) fn new(
+        incoming: Incoming,
+        connection: BackendConnection,
+        pool: Arc<BackendPool>,
+    ) -> Self {
+        Self {
+            incoming,
+            connection: Some(connection),
+            pool,
+        }
+    }
+
+    fn end(&mut self) {
+        if let Some(connection) = self.connection.take() {
+            self.pool.release(connection);
+        }
+    }
+}
+
+impl Body for BackendBody {
+    type Data = Bytes;
+    type Error = CutError;
+
+    fn poll_frame(
+        mut self: Pin<&mut Self>,
+        cx: &mut Context<'_>,
+    ) -> Poll<Option<Result<Frame<Bytes>, CutError>>> {
+        let frame = ready!(Pin::new(&mut self.incoming).poll_frame(cx));
+        match frame {
+            Some(Ok(frame)) => Poll::Ready(Some(Ok(frame))),
+            Some(Err(error)) => {
+                self.connection = None;
+                Poll::Ready(Some(Err(CutError::new(&error))))
+            }
+            None => {
+                self.end();
+                Poll::Ready(None)
+            }
+        }
+    }
+
+    fn is_end_stream(&self) -> bool {
+        // The end is seen by reading it, since that gives the connection back.
+        self.connection.is_none() && self.incoming.is_end_stream()
+    }
+
+    fn size_hint(&self) -> SizeHint {
+        self.incoming.size_hint()
+    }
+}
--- /dev/null
+++ b/crates/marigoldd/src/executor/backend_call.rs
@@ -0,0 +1,139 @@
+//! Hands a request on to the backend server.
+
+use std::sync::Arc;
+
+use bytes::Bytes;
+use http_body_util::BodyExt;
+use hyper::body::{Body, Incoming};
+use hyper::header::{self, HeaderName, HeaderValue};
+use hyper::{Method, Request, Response, Uri, Version};
+use marigold_request::deadline::Deadline;
+use marigold_request::{CallHead, Refusal, RefusalReason};
+use tokio::time::{Instant, timeout_at};
+
+use super::backend_body::BackendBody;
+use super::backend_pool::{BackendConnection, BackendPool};
+use super::{Answer, AnswerBody, Ran, RequestBody};
+use crate::caller::fields;
+
+/// The largest answer that is read whole before its head is sent on, so that a cut one becomes an
+/// *unknown* that the caller can read.
+pub const WHOLE_BYTES: u64 = 64 << 10;
+
+const ID_HEADER: HeaderName = HeaderName::from_static("marigold-request-id");
+const DEPTH_HEADER: HeaderName = HeaderName::from_static("marigold-depth");
+const ATTEMPT_HEADER: HeaderName = HeaderName::from_static("marigold-attempt");
+
+/// Why no answer came.
+enum Failure {
+    /// Nothing of the request was handed on.
+    NotSent,
+    /// Something may have been.
+    Lost(&'static str),
+}
+
+/// One request on its way to the backend server.
+pub struct BackendCall {
+    /// The connections to it.
+    pub pool: Arc<BackendPool>,
+    /// The connection that was opened for the request.
+    pub connection: BackendConnection,
+    /// When nobody waits for the answer any more.
+    pub deadline: Deadline,
+}
+
+impl BackendCall {
+    /// Sends the request and reads its answer, the whole of it when it is small.
+    pub async fn run(self, head: &CallHead, body: RequestBody) -> Ran {
+        let Some(request) = build(head, body, self.deadline) else {
+            return Ran::NotRun(Refusal::last(RefusalReason::NoRoute));
+        };
+        let until = self.deadline.0;
+        let Ok(result) = timeout_at(until, self.exchange(request)).await else {
+            return Ran::unknown("deadline at the backend server");
+        };
+        match result {
+            Ok(answer) => Ran::Answered(answer),
+            Err(Failure::NotSent) => Ran::NotRun(Refusal::after(
+                RefusalReason::NoConnection,
+                super::RETRY_DELAY,
+            )),
+            Err(Failure::Lost(step)) => Ran::unknown(step),
+        }
+    }
+
+    async fn exchange(mut self, request: Request<RequestBody>) -> Result<Answer, Failure> {
+        let response = self.send(request).await?;
+        let (parts, incoming) = response.into_parts();
+        let whole = incoming
+            .size_hint()
+            .exact()
+            .is_some_and(|size| size <= WHOLE_BYTES);
+        let fields = fields::from_headers(&parts.headers);
+        let body = if whole {
+            AnswerBody::Whole(self.read_whole(incoming).await?)
+        } else {
+            let body = BackendBody::new(incoming, self.connection, self.pool);
+            AnswerBody::Stream(body.boxed_unsync())
+        };
+        Ok(Answer {
+            status: parts.status.as_u16(),
+            fields,
+            stored: false,
+            body,
+        })
+    }
+
+    /// Sends the request, once more over a new connection when the first was closed before it.
+    async fn send(&mut self, request: Request<RequestBody>) -> Result<Response<Incoming>, Failure> {
+        let mut error = match self.connection.sender.try_send_request(request).await {
+            Ok(response) => return Ok(response),
+            Err(error) => error,
+        };
+        // Only a request that comes back unsent is proof that nothing ran.
+        let Some(request) = error.take_message() else {
+            return Err(Failure::Lost("connection to the backend server"));
+        };
+        let opened = self.pool.open(self.deadline.0).await;
+        self.connection = opened.map_err(|_| Failure::NotSent)?;
+        let sent = self.connection.sender.try_send_request(request).await;
+        sent.map_err(|mut error| match error.take_message() {
+            Some(_) => Failure::NotSent,
+            None => Failure::Lost("connection to the backend server"),
+        })
+    }
+
+    async fn read_whole(self, incoming: Incoming) -> Result<Bytes, Failure> {
+        let collected = incoming.collect().await;
+        let collected =
+            collected.map_err(|_| Failure::Lost("answer of the backend server cut off"))?;
+        self.pool.release(self.connection);
+        Ok(collected.to_bytes())
+    }
+}
+
+/// Returns the HTTP request, or none when a part of it is malformed.
+fn build(head: &CallHead, body: RequestBody, deadline: Deadline) -> Option<Request<RequestBody>> {
+    let mut request = Request::new(body);
+    *request.method_mut() = Method::from_bytes(head.method.as_bytes()).ok()?;
+    *request.uri_mut() = head.target.parse::<Uri>().ok()?;
+    *request.version_mut() = Version::HTTP_11;
+    let mut headers = fields::to_headers(&head.headers);
+    if !headers.contains_key(header::HOST) {
+        headers.insert(header::HOST, HeaderValue::from_static("localhost"));
+    }
+    let mut set = |name, text: String| {
+        if let Ok(value) = HeaderValue::from_str(&text) {
+            headers.insert(name, value);
+        }
+    };
+    set(ID_HEADER, head.id.to_string());
+    set(DEPTH_HEADER, head.depth.saturating_add(1).to_string());
+    set(ATTEMPT_HEADER, head.attempt.to_string());
+    set(
+        HeaderName::from_static(Deadline::HEADER),
+        deadline.to_header(Instant::now()),
+    );
+    *request.headers_mut() = headers;
+    Some(request)
+}
--- /dev/null
+++ b/crates/marigoldd/src/executor/collect.rs
@@ -0,0 +1,71 @@
+//! Reads a body as far as a bound.
+
+use std::collections::VecDeque;
+use std::pin::Pin;
+use std::task::{Context, Poll};
+
+use bytes::{Bytes, BytesMut};
+use http_body_util::BodyExt;
+use http_body_util::combinators::UnsyncBoxBody;
+use hyper::body::{Body, Frame};
+
+use super::AnswerBody;
+use crate::peer::CutError;
+
+/// What was read of a body.
+pub enum Collected {
+    /// All of it.
+    Whole(Bytes),
+    /// It is larger: what was read, and the rest after it.
+    More(UnsyncBoxBody<Bytes, CutError>),
+}
+
+/// Reads `body` whole when it has at most `limit` bytes.
+///
+/// # Errors
+///
+/// When the body is cut off.
+pub async fn collect(body: AnswerBody, limit: usize) -> Result<Collected, CutError> {
+    let mut rest = match body {
+        AnswerBody::Whole(bytes) => return Ok(Collected::Whole(bytes)),
+        AnswerBody::Stream(body) => body,
+    };
+    let mut parts = VecDeque::new();
+    let mut size = 0;
+    while let Some(frame) = rest.frame().await {
+        let Ok(data) = frame?.into_data() else {
+            continue;
+        };
+        size += data.len();
+        parts.push_back(data);
+        if size > limit {
+            return Ok(Collected::More(Resumed { parts, rest }.boxed_unsync()));
+        }
+    }
+    let mut whole = BytesMut::with_capacity(size);
+    for part in parts {
+        whole.extend_from_slice(&part);
+    }
+    Ok(Collected::Whole(whole.freeze()))
+}
+
+/// Parts that were read, then the rest.
+struct Resumed {
+    parts: VecDeque<Bytes>,
+    rest: UnsyncBoxBody<Bytes, CutError>,
+}
+
+impl Body for Resumed {
+    type Data = Bytes;
+    type Error = CutError;
+
+    fn poll_frame(
+        mut self: Pin<&mut Self>,
+        cx: &mut Context<'_>,
+    ) -> Poll<Option<Result<Frame<Bytes>, CutError>>> {
+        match self.parts.pop_front() {
+            Some(part) => Poll::Ready(Some(Ok(Frame::data(part)))),
+            None => Pin::new(&mut self.rest).poll_frame(cx),
+        }
+    }
+}
--- a/crates/marigoldd/src/lib.rs
+++ b/crates/marigoldd/src/lib.rs
@@ -9,7 +9,9 @@
 pub mod peer;
 
 mod backend_server;
+mod request_side;
 mod shared;
 
 pub use backend_server::BackendServer;
+pub use request_side::RequestSide;
 pub use shared::Shared;
--- a/crates/marigoldd/src/peer/acceptor.rs
+++ b/crates/marigoldd/src/peer/acceptor.rs
@@ -2,7 +2,7 @@
 
 use std::sync::{Arc, OnceLock};
 
-use marigold_types::Address;
+use marigold_types::{Address, Interval};
 use quinn::crypto::rustls::HandshakeData;
 use quinn::{Connection, Endpoint, Incoming};
 use tokio::sync::Semaphore;
@@ -11,6 +11,7 @@
 use super::call_stream::{CallSend, IncomingStream};
 use super::control_links::ControlLinks;
 use super::dialler::HANDSHAKE_TIMEOUT;
+use super::link_monitor::LinkMonitor;
 use super::meters::Meters;
 use super::peer_tls::is_identity;
 use super::registry::Registry;
@@ -24,6 +25,7 @@
     pub(super) registry: Arc<Registry>,
     pub(super) meters: Arc<Meters>,
     pub(super) control: Arc<ControlLinks>,
+    pub(super) silence: Interval,
     pub(super) server: Arc<OnceLock<Arc<dyn StreamServer>>>,
 }
 
@@ -76,7 +78,11 @@
             return;
         };
         let usage = self.registry.add(&connection, kind);
-        let link = PeerLink { connection, usage };
+        let link = PeerLink {
+            connection,
+            usage,
+            monitor: Arc::new(LinkMonitor::new(self.silence)),
+        };
         match kind {
             LinkKind::Control => self.serve_control(link).await,
             LinkKind::Call => self.serve_calls(&link).await,
--- a/crates/marigoldd/src/peer/dialler.rs
+++ b/crates/marigoldd/src/peer/dialler.rs
@@ -5,10 +5,11 @@
 use std::time::Duration;
 
 use marigold_auth::{AuthError, daemon_name};
-use marigold_types::Address;
+use marigold_types::{Address, Interval};
 use quinn::{ClientConfig, Endpoint};
 use tokio::time::{Instant, timeout};
 
+use super::link_monitor::LinkMonitor;
 use super::registry::Registry;
 use super::{LinkKind, PeerError, PeerLink, PeerTls};
 
@@ -31,6 +32,7 @@
     endpoint: Endpoint,
     configs: [ClientConfig; 2],
     registry: Arc<Registry>,
+    silence: Interval,
     spare: Mutex<Option<(Instant, Endpoint)>>,
 }
 
@@ -39,11 +41,13 @@
         endpoint: Endpoint,
         tls: &PeerTls,
         registry: Arc<Registry>,
+        silence: Interval,
     ) -> Result<Self, AuthError> {
         Ok(Self {
             endpoint,
             configs: [tls.client(LinkKind::Control)?, tls.client(LinkKind::Call)?],
             registry,
+            silence,
             spare: Mutex::default(),
         })
     }
@@ -74,7 +78,11 @@
             .map_err(|_| error("the handshake took too long".to_owned()))?
             .map_err(|e| error(e.to_string()))?;
         let usage = self.registry.add(&connection, kind);
-        Ok(PeerLink { connection, usage })
+        Ok(PeerLink {
+            connection,
+            usage,
+            monitor: Arc::new(LinkMonitor::new(self.silence)),
+        })
     }
 
     /// Returns an endpoint at a port that was not used before, or lately.
--- a/crates/marigoldd/src/peer/peer_link.rs
+++ b/crates/marigoldd/src/peer/peer_link.rs
@@ -3,8 +3,11 @@
 use std::sync::Arc;
 
 use bytes::Bytes;
+use marigold_request::silence::Verdict;
 use quinn::{Connection, VarInt};
+use tokio::time::Instant;
 
+use super::link_monitor::LinkMonitor;
 use super::registry::Usage;
 
 /// The code of a connection whose peer broke the protocol.
@@ -19,6 +22,8 @@
     pub(super) connection: Connection,
     /// How much it is used.
     pub(super) usage: Arc<Usage>,
+    /// Whether it has gone silent.
+    pub(super) monitor: Arc<LinkMonitor>,
 }
 
 impl PeerLink {
@@ -34,9 +39,42 @@
         self.connection.stats().udp_rx.datagrams
     }
 
+    /// Counts a request that waits for its answer until the guard goes.
+    #[must_use]
+    pub fn wait(&self) -> Waiting {
+        self.monitor.sent();
+        Waiting {
+            link: self.clone(),
+            answered: false,
+        }
+    }
+
+    /// Judges whether the connection has gone silent, and probes it when something is overdue.
+    #[must_use]
+    pub fn judge(&self) -> Verdict {
+        let verdict = self.monitor.judge(self.heard());
+        if verdict == Verdict::Probe {
+            self.probe();
+            self.monitor.probed();
+        }
+        verdict
+    }
+
+    /// Returns when to judge next.
+    #[must_use]
+    pub fn next_judge(&self) -> Option<Instant> {
+        self.monitor.next_judge()
+    }
+
+    /// Returns whether a new request may go over this connection.
+    #[must_use]
+    pub fn may_carry(&self, idempotent: bool) -> bool {
+        self.is_open() && self.monitor.may_carry(self.heard(), idempotent)
+    }
+
     /// Sends a packet that the peer has to acknowledge, so that [`PeerLink::heard`] grows if it
     /// lives.
-    pub fn probe(&self) {
+    fn probe(&self) {
         // A failed probe shows as silence, which is what it is.
         let _ = self.connection.send_datagram(Bytes::from_static(b"?"));
     }
@@ -49,3 +87,22 @@
         self.connection.close(CLOSE_SILENT, b"silent");
     }
 }
+
+/// A request that waits for its answer.
+pub struct Waiting {
+    link: PeerLink,
+    answered: bool,
+}
+
+impl Waiting {
+    /// Notes that the answer has come.
+    pub fn answered(mut self) {
+        self.answered = true;
+    }
+}
+
+impl Drop for Waiting {
+    fn drop(&mut self) {
+        self.link.monitor.ended(self.answered);
+    }
+}
--- a/crates/marigoldd/src/peer/quic_peers.rs
+++ b/crates/marigoldd/src/peer/quic_peers.rs
@@ -8,7 +8,7 @@
 use bytes::Bytes;
 use marigold_auth::AuthError;
 use marigold_control::Event;
-use marigold_types::Address;
+use marigold_types::{Address, Interval};
 use quinn::{Endpoint, EndpointConfig, TokioRuntime, VarInt};
 use tokio::sync::mpsc;
 
@@ -37,6 +37,8 @@
 impl QuicPeers {
     /// Starts on a bound `socket`, as the daemon at `local`; what comes in goes to `events`.
     ///
+    /// A connection on which an answer is overdue for `silence` is probed, and replaced when the
+    /// probe is overdue as long.
     /// It must be called within a tokio runtime.
     ///
     /// # Errors
@@ -46,6 +48,7 @@
         socket: UdpSocket,
         local: Address,
         tls: &PeerTls,
+        silence: Interval,
         events: mpsc::Sender<Event>,
     ) -> Result<Arc<Self>, AuthError> {
         let config = EndpointConfig::new(Arc::new(tls.reset_key()));
@@ -57,7 +60,12 @@
         })?;
         let registry = Arc::new(Registry::new());
         let meters = Arc::new(Meters::new(local));
-        let dialler = Arc::new(Dialler::new(endpoint.clone(), tls, registry.clone())?);
+        let dialler = Arc::new(Dialler::new(
+            endpoint.clone(),
+            tls,
+            registry.clone(),
+            silence,
+        )?);
         let control = ControlLinks::new(ControlContext {
             local,
             dialler: dialler.clone(),
@@ -69,6 +77,7 @@
             registry: registry.clone(),
             meters: meters.clone(),
             control: control.clone(),
+            silence,
             server: server.clone(),
         };
         tokio::spawn(Arc::new(acceptor).run(endpoint.clone()));
@@ -95,13 +104,18 @@
         self.local
     }
 
-    /// Opens a stream to the daemon at `to`, connecting when there is no connection.
+    /// Opens a stream to the daemon at `to`, connecting when there is no connection that may carry
+    /// the request.
     ///
     /// # Errors
     ///
     /// When the daemon cannot be reached; nothing was sent then.
-    pub async fn open(&self, to: Address) -> Result<CallStream, PeerError> {
-        let link = self.calls.get(to).await?;
+    pub async fn open(&self, to: Address, idempotent: bool) -> Result<CallStream, PeerError> {
+        let mut link = self.calls.get(to).await?;
+        if !link.may_carry(idempotent) {
+            self.calls.retire(to, &link);
+            link = self.calls.get(to).await?;
+        }
         let opened = link.connection.open_bi().await;
         let (send, receive) = opened.map_err(|error| PeerError {
             step: "open stream",
--- /dev/null
+++ b/crates/marigoldd/src/request_side.rs
@@ -0,0 +1,98 @@
+//! The whole request side of one daemon.
+
+use std::sync::Arc;
+use std::time::Duration;
+
+use marigold_request::burn::BurnReport;
+use marigold_request::drain::ExitCode;
+use tokio::net::TcpListener;
+use tokio::time::{MissedTickBehavior, interval};
+
+use crate::Shared;
+use crate::caller::{self, CallMeters, Decisions, Ingress, KeyDesk};
+use crate::executor::{self, InFlight, LocalExecutor, StreamExecutor, Witnesses};
+use crate::peer::QuicPeers;
+
+/// How often the limits and objectives of the published view are taken in.
+const REFRESH: Duration = Duration::from_millis(250);
+
+/// Joins ingress, executor and witness of one daemon.
+pub struct RequestSide {
+    shared: Arc<Shared>,
+    ingress: Arc<Ingress>,
+    executor: Arc<LocalExecutor>,
+    in_flight: Arc<InFlight>,
+}
+
+impl RequestSide {
+    /// Builds the request side and lets it serve the streams of other daemons.
+    ///
+    /// The recorder of metrics must be installed before.
+    #[must_use]
+    pub fn new(shared: Arc<Shared>, peers: Arc<QuicPeers>) -> Arc<Self> {
+        let in_flight = InFlight::new(shared.settings.request.drain);
+        let witnesses = Arc::new(Witnesses::new(shared.clone(), peers.clone()));
+        let executor = LocalExecutor::new(shared.clone(), witnesses.clone(), in_flight.clone());
+        let streams = StreamExecutor::new(executor.clone(), witnesses.clone(), in_flight.clone());
+        peers.serve(Arc::new(streams));
+        let ingress = Arc::new(Ingress {
+            decisions: Arc::new(Decisions::new(&shared)),
+            meters: Arc::new(CallMeters::new(shared.local.address)),
+            shared: shared.clone(),
+            executor: executor.clone(),
+            in_flight: in_flight.clone(),
+            keys: KeyDesk,
+            witnesses,
+            peers,
+        });
+        Arc::new(Self {
+            shared,
+            ingress,
+            executor,
+            in_flight,
+        })
+    }
+
+    /// Serves callers on `listener` and does the upkeep, until the daemon ends.
+    pub async fn run(self: Arc<Self>, listener: TcpListener) {
+        tokio::join!(
+            caller::serve(listener, self.ingress.clone()),
+            executor::upkeep(self.executor.clone()),
+            self.refresh(),
+        );
+    }
+
+    /// Returns this daemon's part of the report on service-level burn.
+    #[must_use]
+    pub fn burn(&self) -> BurnReport {
+        self.ingress.decisions.burn()
+    }
+
+    /// Returns how many requests are in flight.
+    #[must_use]
+    pub fn in_flight(&self) -> usize {
+        self.in_flight.count()
+    }
+
+    /// Takes a signal to end: the daemon says that it is leaving; a second one ends at once.
+    pub fn signal(&self) {
+        self.in_flight.signal();
+        self.shared.draining.send_replace(true);
+    }
+
+    /// Leads a shutdown after the first signal: what is in flight ends, nothing new begins.
+    ///
+    /// It returns within the setting `drain`, counted from the first signal.
+    pub async fn drain(&self) -> ExitCode {
+        self.in_flight.finish().await
+    }
+
+    async fn refresh(&self) {
+        let mut ticks = interval(REFRESH);
+        ticks.set_missed_tick_behavior(MissedTickBehavior::Delay);
+        loop {
+            ticks.tick().await;
+            self.ingress.decisions.refresh(&self.shared.view.load());
+        }
+    }
+}
