Add the open-loop load generator with its accounting

Cause: lost and doubled calls can only be told by comparing what callers heard with what backend servers ran. Change: calls fall due at a fixed rate on a thread of their own, latency counts from the due time, each answer must echo its own id, and the ledger is audited against the backend servers' run counts.

--- /dev/null
+++ b/crates/marigold-standin/src/load.rs
@@ -0,0 +1,32 @@
+//! An open-loop load generator that accounts for every call.
+//!
+//! Calls are due at a fixed rate, whatever became of the ones before, and each latency counts from
+//! the time that its call was due, so that a stall shows in every call it delays (Tene's coordinated
+//! omission). See docs/BACKEND-SERVER.md for how the runs are counted.
+
+mod args;
+mod audit;
+mod caller;
+mod key_ring;
+mod ledger;
+mod pacer;
+mod plan;
+mod report;
+mod result;
+mod route;
+mod run;
+mod summary;
+mod tally;
+
+pub use args::LoadArgs;
+pub use audit::Audit;
+pub use caller::Caller;
+pub use key_ring::KeyRing;
+pub use ledger::{Entry, Ledger};
+pub use plan::LoadPlan;
+pub use report::{LoadReport, RouteReport};
+pub use result::{CallEnd, CallResult};
+pub use route::LoadRoute;
+pub use run::LoadRun;
+pub use summary::Summary;
+pub use tally::Tally;
--- /dev/null
+++ b/crates/marigold-standin/src/load/caller.rs
@@ -0,0 +1,196 @@
+//! Makes calls as a caller of the mesh does.
+
+use std::net::SocketAddr;
+use std::time::Duration;
+
+use bytes::Bytes;
+use http_body_util::{BodyExt, Full, Limited};
+use hyper::body::Incoming;
+use hyper::{HeaderMap, Request, Response, StatusCode};
+use hyper_util::client::legacy::Client;
+use hyper_util::client::legacy::connect::HttpConnector;
+use hyper_util::rt::{TokioExecutor, TokioTimer};
+use marigold_types::{Digest, Outcome};
+
+use super::{CallEnd, LoadRoute};
+use crate::StandinError;
+use crate::backend::{LOAD_ID, pattern};
+
+const OUTCOME: &str = "marigold-outcome";
+const KEY: &str = "idempotency-key";
+const MAX_ANSWER_BYTES: usize = 64 << 20;
+const KEY_TIMEOUT: Duration = Duration::from_secs(5);
+
+/// A caller with its own connections.
+#[derive(Debug, Clone)]
+pub struct Caller {
+    client: Client<HttpConnector, Full<Bytes>>,
+    direct: bool,
+    timeout: Duration,
+}
+
+impl Caller {
+    /// Builds a caller; `direct` is for backend servers, which name no outcome.
+    #[must_use]
+    pub fn new(keep_alive: bool, direct: bool, timeout: Duration) -> Self {
+        let mut connector = HttpConnector::new();
+        connector.set_nodelay(true);
+        let idle = if keep_alive { usize::MAX } else { 0 };
+        let client = Client::builder(TokioExecutor::new())
+            .pool_timer(TokioTimer::new())
+            .pool_max_idle_per_host(idle)
+            // A call is sent once; what to do about it is not the client library's to decide.
+            .retry_canceled_requests(false)
+            .build(connector);
+        Self {
+            client,
+            direct,
+            timeout,
+        }
+    }
+
+    /// Calls `route` at `target` under `id` and checks that its own whole answer came.
+    pub async fn call(
+        &self,
+        target: SocketAddr,
+        route: &LoadRoute,
+        id: &str,
+        key: Option<&str>,
+    ) -> CallEnd {
+        let Some(request) = build(target, route, id, key) else {
+            return CallEnd::Unreached;
+        };
+        let exchange = self.exchange(request, route, id);
+        match tokio::time::timeout(self.timeout, exchange).await {
+            Ok(end) => end,
+            Err(_) => CallEnd::TimedOut,
+        }
+    }
+
+    /// Posts nothing to `path` and returns the answer.
+    ///
+    /// # Errors
+    ///
+    /// When no whole answer with status 200 comes.
+    pub async fn post(&self, target: SocketAddr, path: &str) -> Result<Bytes, StandinError> {
+        const STEP: &str = "post";
+        let request = Request::post(format!("http://{target}{path}"))
+            .body(Full::default())
+            .map_err(|error| StandinError::new(STEP, &target, &error))?;
+        let answer = async {
+            let response = self
+                .client
+                .request(request)
+                .await
+                .map_err(|error| StandinError::new(STEP, &target, &error))?;
+            let status = response.status();
+            let body = read(response)
+                .await
+                .ok_or_else(|| StandinError::new(STEP, &target, &"the answer is cut off"))?;
+            if status == StatusCode::OK {
+                return Ok(body);
+            }
+            let said = String::from_utf8_lossy(&body);
+            Err(StandinError::new(
+                STEP,
+                &target,
+                &format!("{status}: {said}"),
+            ))
+        };
+        tokio::time::timeout(KEY_TIMEOUT, answer)
+            .await
+            .unwrap_or_else(|_| Err(StandinError::new(STEP, &target, &"no answer in 5 s")))
+    }
+
+    async fn exchange(
+        &self,
+        request: Request<Full<Bytes>>,
+        route: &LoadRoute,
+        id: &str,
+    ) -> CallEnd {
+        let response = match self.client.request(request).await {
+            Ok(response) => response,
+            Err(error) if error.is_connect() => return CallEnd::Unreached,
+            Err(_) => return CallEnd::Cut,
+        };
+        let status = response.status();
+        let headers = response.headers().clone();
+        let Some(body) = read(response).await else {
+            return CallEnd::Cut;
+        };
+        match self.outcome(status, &headers) {
+            Some(Outcome::NotRun) => CallEnd::NotRun,
+            Some(Outcome::Unknown) => CallEnd::Unknown,
+            Some(Outcome::Answered) if is_own(status, &headers, &body, route, id) => {
+                CallEnd::Answered(status.as_u16())
+            }
+            Some(Outcome::Answered) | None => CallEnd::Wrong,
+        }
+    }
+
+    fn outcome(&self, status: StatusCode, headers: &HeaderMap) -> Option<Outcome> {
+        if self.direct {
+            let shed = status == StatusCode::SERVICE_UNAVAILABLE;
+            return Some(if shed {
+                Outcome::NotRun
+            } else {
+                Outcome::Answered
+            });
+        }
+        headers.get(OUTCOME)?.to_str().ok()?.parse().ok()
+    }
+}
+
+fn build(
+    target: SocketAddr,
+    route: &LoadRoute,
+    id: &str,
+    key: Option<&str>,
+) -> Option<Request<Full<Bytes>>> {
+    let uri = format!("http://{target}{}", route.path);
+    let size = usize::try_from(route.body.0).ok()?;
+    let request = if size == 0 && route.once.is_none() {
+        Request::get(uri)
+    } else {
+        Request::post(uri)
+    };
+    let request = match key {
+        Some(key) => request.header(KEY, key),
+        None => request,
+    };
+    let request = request.header(LOAD_ID, id);
+    request.body(Full::from(pattern(0, size))).ok()
+}
+
+async fn read(response: Response<Incoming>) -> Option<Bytes> {
+    let body = Limited::new(response.into_body(), MAX_ANSWER_BYTES);
+    Some(body.collect().await.ok()?.to_bytes())
+}
+
+/// Returns whether an answer is the whole one to the call `id`.
+fn is_own(
+    status: StatusCode,
+    headers: &HeaderMap,
+    body: &Bytes,
+    route: &LoadRoute,
+    id: &str,
+) -> bool {
+    if status != StatusCode::OK {
+        // An error's text is the backend server's own; only its id could be another call's.
+        return headers.get(LOAD_ID).is_none_or(|found| found == id);
+    }
+    if headers.get(LOAD_ID).is_none_or(|found| found != id) {
+        return false;
+    }
+    let parts: Vec<&str> = route.path.split('/').collect();
+    match parts.as_slice() {
+        [.., "blob", size] => size
+            .parse()
+            .is_ok_and(|size: usize| *body == pattern(0, size)),
+        [.., "push"] => {
+            let size = usize::try_from(route.body.0).unwrap_or_default();
+            *body == Digest::of(&pattern(0, size)).to_string()
+        }
+        _ => body == id,
+    }
+}
--- a/crates/marigold-standin/src/main.rs
+++ b/crates/marigold-standin/src/main.rs
@@ -5,6 +5,7 @@
 use clap::{Parser, Subcommand};
 use marigold_standin::StandinError;
 use marigold_standin::backend::BackendArgs;
+use marigold_standin::load::LoadArgs;
 use marigold_standin::log::LogArgs;
 
 /// Stand-ins and measurements of marigoldproxy; nothing here is part of a running mesh.
@@ -19,6 +20,7 @@
 enum Command {
     Log(LogArgs),
     Backend(BackendArgs),
+    Load(LoadArgs),
 }
 
 fn main() -> ExitCode {
@@ -36,6 +38,7 @@
     match command {
         Command::Log(args) => args.run().map(|()| ExitCode::SUCCESS),
         Command::Backend(args) => on_runtime(args.run()).map(|()| ExitCode::SUCCESS),
+        Command::Load(args) => on_runtime(args.run()).map(verdict),
     }
 }
 
@@ -44,3 +47,11 @@
         .map_err(|error| StandinError::new("start", &"runtime", &error))?;
     runtime.block_on(task)
 }
+
+fn verdict(clean: bool) -> ExitCode {
+    if clean {
+        ExitCode::SUCCESS
+    } else {
+        ExitCode::FAILURE
+    }
+}
