--- a/crates/marigold-standin/src/backend/handler.rs
+++ b/crates/marigold-standin/src/backend/handler.rs
@@ -11,6 +11,7 @@
 use hyper::body::{Frame, Incoming};
 use hyper::header::RETRY_AFTER;
 use hyper::{HeaderMap, Method, Request, Response, StatusCode};
+use marigold_request::deadline::Deadline;
 use serde::Serialize;
 use sha2::{Digest, Sha256};
 
@@ -19,7 +20,7 @@
 
 const REQUEST_ID: &str = "marigold-request-id";
 /// The milliseconds left to a request.
-const DEADLINE: &str = "marigold-deadline";
+const DEADLINE: &str = Deadline::HEADER;
 const MAX_ORDER_BYTES: usize = 4 << 10;
 const MAX_BLOB_BYTES: u64 = 16 << 30;
 const MAX_HOPS: u8 = 16;
--- a/crates/marigold-standin/tests/backend.rs
+++ b/crates/marigold-standin/tests/backend.rs
@@ -144,7 +144,7 @@
 async fn deadline_ends_work() {
     let standin = BackendStandin::start(slow_plan()).await.unwrap();
     let request = Request::get(format!("http://{}/x", standin.address()))
-        .header("marigold-deadline", "1")
+        .header("marigold-deadline-ms", "1")
         .body(Full::default())
         .unwrap();
     let answer = caller().request(request).await.unwrap();
