--- a/crates/marigold-standin/src/lib.rs
+++ b/crates/marigold-standin/src/lib.rs
@@ -5,6 +5,7 @@
 pub mod backend;
 pub mod load;
 pub mod log;
+pub mod measure;
 pub mod range;
 
 mod error;
--- /dev/null
+++ b/crates/marigold-standin/src/measure/plot.rs
@@ -0,0 +1,90 @@
+//! Plots as SVG.
+
+use std::path::Path;
+
+use plotters::prelude::*;
+use serde::{Deserialize, Serialize};
+
+use crate::StandinError;
+
+const SIZE: (u32, u32) = (720, 420);
+const MARGIN: u32 = 12;
+const LABELS: u32 = 56;
+/// The part of the range that is left free above the highest point.
+const HEADROOM: f64 = 1.1;
+
+/// One line of a plot.
+#[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
+pub struct Series {
+    /// Its name in the legend.
+    pub name: String,
+    /// Its points, from left to right.
+    pub points: Vec<(f64, f64)>,
+}
+
+/// A plot of some lines.
+#[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
+pub struct Plot {
+    /// The file's name without its ending.
+    pub file: String,
+    /// The title.
+    pub title: String,
+    /// What runs to the right, with its unit.
+    pub x: String,
+    /// What runs upwards, with its unit.
+    pub y: String,
+    /// The lines.
+    pub series: Vec<Series>,
+}
+
+impl Plot {
+    /// Draws the plot into `folder` and returns the file's name.
+    ///
+    /// # Errors
+    ///
+    /// When the file cannot be written.
+    pub fn draw(&self, folder: &Path) -> Result<String, StandinError> {
+        let name = format!("{}.svg", self.file);
+        let path = folder.join(&name);
+        self.render(&path)
+            .map_err(|error| StandinError::new("draw", &path.display(), &error))?;
+        Ok(name)
+    }
+
+    fn render(&self, path: &Path) -> Result<(), Box<dyn std::error::Error>> {
+        let points = || self.series.iter().flat_map(|series| &series.points);
+        let right = points().map(|point| point.0).fold(1e-9, f64::max);
+        let top = points().map(|point| point.1).fold(1e-9, f64::max) * HEADROOM;
+
+        let area = SVGBackend::new(path, SIZE).into_drawing_area();
+        area.fill(&WHITE)?;
+        let mut chart = ChartBuilder::on(&area)
+            .caption(&self.title, ("sans-serif", 18))
+            .margin(MARGIN)
+            .x_label_area_size(LABELS)
+            .y_label_area_size(LABELS)
+            .build_cartesian_2d(0.0..right, 0.0..top)?;
+        chart
+            .configure_mesh()
+            .x_desc(&self.x)
+            .y_desc(&self.y)
+            .draw()?;
+        for (index, series) in self.series.iter().enumerate() {
+            let colour = Palette99::pick(index).to_rgba();
+            chart
+                .draw_series(LineSeries::new(
+                    series.points.iter().copied(),
+                    colour.stroke_width(2),
+                ))?
+                .label(&series.name)
+                .legend(move |(x, y)| PathElement::new([(x, y), (x + 16, y)], colour));
+        }
+        chart
+            .configure_series_labels()
+            .background_style(WHITE.mix(0.8))
+            .border_style(BLACK)
+            .draw()?;
+        area.present()?;
+        Ok(())
+    }
+}
