--- a/crates/marigold-standin/src/lib.rs
+++ b/crates/marigold-standin/src/lib.rs
@@ -3,7 +3,9 @@
 //! They are for tests and measurements only; nothing here is part of a running mesh.
 
 pub mod backend;
+pub mod load;
 pub mod log;
+pub mod measure;
 pub mod range;
 
 mod error;
