--- a/crates/marigoldd/tests/support/mesh.rs
+++ b/crates/marigoldd/tests/support/mesh.rs
@@ -133,12 +133,12 @@
         let shared = Arc::new(Shared {
             settings,
             local,
-            view: ArcSwap::from_pointee(View {
+            view: ArcSwap::from_pointee(View::new(
                 local,
-                serving: true,
-                config: self.config.clone(),
-                endpoints: BTreeMap::new(),
-            }),
+                true,
+                self.config.clone(),
+                BTreeMap::new(),
+            )),
             server: watch::Sender::new(server),
             healthy: watch::Sender::new(false),
             draining: watch::Sender::new(false),
@@ -172,12 +172,12 @@
         list.sort_by_key(|endpoint| endpoint.instance);
         let list: Arc<[Endpoint]> = list.into();
         for daemon in &self.daemons {
-            daemon.shared.view.store(Arc::new(View {
-                local: daemon.shared.local,
-                serving: true,
-                config: self.config.clone(),
-                endpoints: BTreeMap::from([(SERVICE.parse().unwrap(), list.clone())]),
-            }));
+            daemon.shared.view.store(Arc::new(View::new(
+                daemon.shared.local,
+                true,
+                self.config.clone(),
+                BTreeMap::from([(SERVICE.parse().unwrap(), list.clone())]),
+            )));
         }
     }
 }
