Let the profile give the control side's defaults

Cause: each interval had a default of its own, so a daemon with the bytes profile and no other setting would still have run at the time profile's intervals. Change: what is not set goes by the profile; poll moves to [control], the only part that uses it. Conclusion: the settings' tests pass.

--- a/crates/marigold-settings/src/config/log.rs
+++ b/crates/marigold-settings/src/config/log.rs
@@ -13,8 +13,6 @@
     pub url: Arc<str>,
     /// How long one request to it may take.
     pub timeout: Interval,
-    /// How often a follower reads it.
-    pub poll: Interval,
 }
 
 impl Default for LogSettings {
@@ -22,7 +20,6 @@
         Self {
             url: Arc::from("http://127.0.0.1:9000"),
             timeout: Interval::from_millis(5_000),
-            poll: Interval::from_millis(500),
         }
     }
 }
@@ -45,12 +42,6 @@
                 Interval::from_millis(100)..=Interval::from_millis(60_000),
                 "how long one request to the log may take",
             ),
-            poll: reader.ranged(
-                "poll",
-                base.poll,
-                Interval::from_millis(50)..=Interval::from_millis(10_000),
-                "how often a follower reads the log",
-            ),
         };
         reader.finish();
         settings
--- a/crates/marigold-settings/src/reader.rs
+++ b/crates/marigold-settings/src/reader.rs
@@ -40,23 +40,39 @@
         range: RangeInclusive<T>,
         meaning: &'static str,
     ) -> T
+    where
+        T: FromStr + Display + PartialOrd,
+        T::Err: Display,
+    {
+        let text = default.to_string();
+        self.ranged_or(key, &text, range, meaning)
+            .unwrap_or(default)
+    }
+
+    /// Reads a value that must lie in `range`, or none, for which `otherwise` stands in the
+    /// reference.
+    pub fn ranged_or<T>(
+        &mut self,
+        key: &'static str,
+        otherwise: &str,
+        range: RangeInclusive<T>,
+        meaning: &'static str,
+    ) -> Option<T>
     where
         T: FromStr + Display + PartialOrd,
         T::Err: Display,
     {
         let allowed = format!("{} to {}", range.start(), range.end());
-        self.note(key, default.to_string(), &allowed, meaning);
-        let Some(section) = self.section else {
-            return default;
-        };
-        let value = section.optional(key, self.faults).unwrap_or(default);
+        self.note(key, otherwise.to_owned(), &allowed, meaning);
+        let section = self.section?;
+        let value = section.optional(key, self.faults)?;
         if !range.contains(&value) {
             let line = section.find(key).map_or(section.line, |entry| entry.line);
             let problem = format!("`{value}` is out of range");
             self.faults
                 .add(line, &section.setting(key), &problem, &allowed);
         }
-        value
+        Some(value)
     }
 
     /// Reads a value that has a default.
