Run the daemon: control loop, announcements, shutdown, and its program

Cause: the decisions and the network had nothing that joined them in one process. The program checks settings, keys and certificate before it binds.

--- a/crates/marigoldd/src/lib.rs
+++ b/crates/marigoldd/src/lib.rs
@@ -8,7 +8,11 @@
 pub mod executor;
 pub mod peer;
 
+mod announcer;
 mod backend_server;
+mod control_loop;
+mod control_options;
+mod daemon;
 mod logging;
 mod metrics;
 mod request_side;
@@ -17,6 +21,7 @@
 mod sockets;
 
 pub use backend_server::BackendServer;
+pub use daemon::{Daemon, DaemonParts, StartError};
 pub use logging::install as install_logging;
 pub use metrics::Metrics;
 pub use request_side::RequestSide;
--- a/crates/marigoldd/src/peer/peer_tls.rs
+++ b/crates/marigoldd/src/peer/peer_tls.rs
@@ -11,12 +11,13 @@
 use quinn::{ClientConfig, ServerConfig};
 use ring::digest::{SHA256, digest};
 use rustls::RootCertStore;
-use rustls::client::verify_server_name;
+use rustls::client::danger::ServerCertVerifier;
+use rustls::client::{WebPkiServerVerifier, verify_server_name};
 use rustls::crypto::CryptoProvider;
 use rustls::server::{ParsedCertificate, WebPkiClientVerifier};
 use rustls::version::TLS13;
 use rustls_pki_types::pem::PemObject;
-use rustls_pki_types::{CertificateDer, PrivateKeyDer, ServerName};
+use rustls_pki_types::{CertificateDer, PrivateKeyDer, ServerName, UnixTime};
 
 use super::{LinkKind, transport};
 
@@ -66,6 +67,31 @@
         })
     }
 
+    /// Checks that the credentials are those of the daemon at `address` and of this mesh.
+    ///
+    /// # Errors
+    ///
+    /// When key and certificate do not belong together, another authority issued the certificate,
+    /// or it is another daemon's.
+    pub fn check(&self, address: Address) -> Result<(), AuthError> {
+        self.server()?;
+        let verifier =
+            WebPkiServerVerifier::builder_with_provider(self.authority.clone(), provider())
+                .build()
+                .map_err(|error| fault(&error.to_string()))?;
+        let name = daemon_name(address);
+        let server =
+            ServerName::try_from(name.clone()).map_err(|error| fault(&error.to_string()))?;
+        let (first, rest) = self
+            .chain
+            .split_first()
+            .ok_or_else(|| fault("certificate: none"))?;
+        verifier
+            .verify_server_cert(first, rest, &server, &[], UnixTime::now())
+            .map_err(|error| fault(&format!("certificate for {name}: {error}")))?;
+        Ok(())
+    }
+
     /// Returns the configuration of the accepting side.
     ///
     /// # Errors
--- /dev/null
+++ b/crates/marigoldd/src/run.rs
@@ -0,0 +1,106 @@
+//! Runs the daemon from its settings file to its exit code.
+
+use std::fmt::Display;
+use std::path::Path;
+use std::process::ExitCode;
+use std::sync::Arc;
+
+use marigold_log::HttpLog;
+use marigold_settings::Settings;
+use marigoldd::{Daemon, DaemonParts, Secrets, Sockets, install_logging};
+use tokio::runtime::{Builder, Runtime};
+use tokio::signal::unix::{Signal, SignalKind, signal};
+
+use crate::cli::Arguments;
+
+/// Threads of the daemon's runtime; it shares its instance with the backend server.
+const WORKERS: usize = 2;
+/// The exit code of wrong settings or keys.
+const EXIT_SETTINGS: u8 = 2;
+/// The exit code of a daemon that could not start or run.
+const EXIT_FAILED: u8 = 1;
+
+/// Checks or runs the daemon, and returns its exit code.
+pub fn run(arguments: &Arguments) -> ExitCode {
+    let parts = match prepare(&arguments.settings) {
+        Ok(parts) => parts,
+        Err(fault) => {
+            eprintln!("{fault}");
+            return ExitCode::from(EXIT_SETTINGS);
+        }
+    };
+    if arguments.check {
+        println!("{}: no fault found", arguments.settings.display());
+        return ExitCode::SUCCESS;
+    }
+    match start(parts) {
+        Ok(code) => code,
+        Err(error) => fail(&*error),
+    }
+}
+
+/// Prints an error and returns the exit code of a failure.
+pub fn fail(error: &dyn Display) -> ExitCode {
+    eprintln!("marigoldd: {error}");
+    ExitCode::from(EXIT_FAILED)
+}
+
+/// Reads the settings and the files they name; the error is text for the operator.
+fn prepare(path: &Path) -> Result<(Settings, Secrets), String> {
+    let file = path.display().to_string();
+    let text = std::fs::read_to_string(path).map_err(|error| format!("{file}: {error}"))?;
+    let settings = Settings::parse(&file, &text).map_err(|faults| faults.to_string())?;
+    let secrets = Secrets::read(&settings.tls).map_err(|error| error.to_string())?;
+    secrets
+        .check(settings.daemon.address)
+        .map_err(|error| error.to_string())?;
+    Ok((settings, secrets))
+}
+
+fn start((settings, secrets): (Settings, Secrets)) -> Result<ExitCode, Box<dyn std::error::Error>> {
+    install_logging(&settings.logging)?;
+    let sockets = Sockets::bind(&settings)?;
+    let log = Arc::new(HttpLog::new(&settings.log.url));
+    let runtime = build_runtime()?;
+    let parts = DaemonParts {
+        settings,
+        sockets,
+        secrets,
+        log,
+    };
+    runtime.block_on(serve(parts))
+}
+
+fn build_runtime() -> std::io::Result<Runtime> {
+    Builder::new_multi_thread()
+        .worker_threads(WORKERS)
+        .enable_all()
+        .build()
+}
+
+async fn serve(parts: DaemonParts) -> Result<ExitCode, Box<dyn std::error::Error>> {
+    let mut terminate = signal(SignalKind::terminate())?;
+    let mut interrupt = signal(SignalKind::interrupt())?;
+    let daemon = Daemon::start(parts)?;
+
+    // An operator's drain and a signal begin the same shutdown.
+    tokio::select! {
+        () = next(&mut terminate, &mut interrupt) => {}
+        () = daemon.leaving() => {}
+    }
+    let stop = daemon.stop();
+    tokio::pin!(stop);
+    loop {
+        tokio::select! {
+            code = &mut stop => return Ok(ExitCode::from(code.code())),
+            () = next(&mut terminate, &mut interrupt) => daemon.signal(),
+        }
+    }
+}
+
+async fn next(terminate: &mut Signal, interrupt: &mut Signal) {
+    tokio::select! {
+        _ = terminate.recv() => {}
+        _ = interrupt.recv() => {}
+    }
+}
--- a/crates/marigoldd/src/secrets.rs
+++ b/crates/marigoldd/src/secrets.rs
@@ -3,7 +3,11 @@
 use std::path::{Path, PathBuf};
 use std::sync::Arc;
 
+use marigold_auth::{AuthError, Credentials, MeshKey};
 use marigold_settings::TlsSettings;
+use marigold_types::Address;
+
+use crate::peer::PeerTls;
 
 /// A file of keys or certificates that could not be read; its content is never repeated.
 #[derive(Debug, Clone, PartialEq, Eq, thiserror::Error)]
@@ -42,6 +46,30 @@
             mesh_key: read(&settings.mesh_key)?,
         })
     }
+
+    /// Checks that the texts hold the keys and the certificate of the daemon at `address`.
+    ///
+    /// # Errors
+    ///
+    /// When a text is malformed, the certificate is of another mesh or daemon, or the key is not
+    /// the certificate's.
+    pub fn check(&self, address: Address) -> Result<(), AuthError> {
+        MeshKey::from_file_text(&self.mesh_key)?;
+        self.to_tls()?.check(address)
+    }
+
+    /// Reads the certificates and the key.
+    ///
+    /// # Errors
+    ///
+    /// When a text holds no PEM.
+    pub fn to_tls(&self) -> Result<PeerTls, AuthError> {
+        let credentials = Credentials {
+            certificate: self.certificate.to_string(),
+            key: self.key.to_string(),
+        };
+        PeerTls::from_pem(&self.authority, &credentials)
+    }
 }
 
 fn read(path: &Path) -> Result<Arc<str>, SecretsError> {
