--- a/crates/marigoldd/src/lib.rs
+++ b/crates/marigoldd/src/lib.rs
@@ -9,9 +9,17 @@
 pub mod peer;
 
 mod backend_server;
+mod logging;
+mod metrics;
 mod request_side;
+mod secrets;
 mod shared;
+mod sockets;
 
 pub use backend_server::BackendServer;
+pub use logging::install as install_logging;
+pub use metrics::Metrics;
 pub use request_side::RequestSide;
+pub use secrets::{Secrets, SecretsError};
 pub use shared::Shared;
+pub use sockets::{SocketError, Sockets};
--- a/crates/marigoldd/src/peer/peer_tls.rs
+++ b/crates/marigoldd/src/peer/peer_tls.rs
@@ -1,11 +1,9 @@
 //! The certificates by which daemons know one another.
 
 use std::any::Any;
-use std::path::Path;
 use std::sync::Arc;
 
-use marigold_auth::{AuthError, Credentials, daemon_name};
-use marigold_settings::TlsSettings;
+use marigold_auth::{AuthError, daemon_name};
 use marigold_types::Address;
 use quinn::crypto::rustls::{QuicClientConfig, QuicServerConfig};
 use quinn::{ClientConfig, ServerConfig};
@@ -32,36 +30,23 @@
 }
 
 impl PeerTls {
-    /// Reads the files that the settings name.
-    ///
-    /// # Errors
-    ///
-    /// When a file cannot be read or holds no PEM; a key is not repeated.
-    pub fn from_settings(settings: &TlsSettings) -> Result<Self, AuthError> {
-        let credentials = Credentials {
-            certificate: read(&settings.certificate)?,
-            key: read(&settings.key)?,
-        };
-        Self::from_pem(&read(&settings.authority)?, &credentials)
-    }
-
-    /// Reads PEM texts: the mesh's authority and the daemon's own credentials.
+    /// Reads PEM texts: the certificate of the mesh's authority, and the daemon's own with its key.
     ///
     /// # Errors
     ///
     /// When a text holds no PEM; the key is not repeated.
-    pub fn from_pem(authority: &str, credentials: &Credentials) -> Result<Self, AuthError> {
+    pub fn from_pem(authority: &str, certificate: &str, key: &str) -> Result<Self, AuthError> {
         let mut roots = RootCertStore::empty();
         for certificate in certificates(authority, "authority")? {
             roots
                 .add(certificate)
                 .map_err(|error| fault(&format!("authority: {error}")))?;
         }
-        let key = PrivateKeyDer::from_pem_slice(credentials.key.as_bytes())
-            .map_err(|_| fault("key: no PEM key"))?;
+        let key =
+            PrivateKeyDer::from_pem_slice(key.as_bytes()).map_err(|_| fault("key: no PEM key"))?;
         Ok(Self {
             authority: Arc::new(roots),
-            chain: certificates(&credentials.certificate, "certificate")?,
+            chain: certificates(certificate, "certificate")?,
             key,
         })
     }
@@ -147,10 +132,6 @@
     }
 }
 
-fn read(path: &Path) -> Result<String, AuthError> {
-    std::fs::read_to_string(path).map_err(|error| fault(&format!("{}: {error}", path.display())))
-}
-
 fn fault(reason: &str) -> AuthError {
     AuthError {
         step: STEP,
--- a/crates/marigoldd/tests/support/mesh.rs
+++ b/crates/marigoldd/tests/support/mesh.rs
@@ -113,7 +113,8 @@
         let address = Address(socket.local_addr().unwrap());
         let credentials = self.authority.issue(address).unwrap();
         let authority = self.authority.to_credentials().certificate;
-        let tls = PeerTls::from_pem(&authority, &credentials).unwrap();
+        let tls =
+            PeerTls::from_pem(&authority, &credentials.certificate, &credentials.key).unwrap();
         let local = InstanceId {
             address,
             incarnation: Incarnation(incarnation),
