--- /dev/null
+++ b/crates/marigold-standin/src/fleet/customer.rs
@@ -0,0 +1,141 @@
+//! The two customers' meshes at their size of today.
+
+use marigold_config::Intent;
+use marigold_settings::{ControlSettings, Profile, RequestSettings};
+use marigold_types::{DataCentre, Interval, ServiceName, SlotCount};
+
+use super::{MeshPlan, NodePlan};
+use crate::StandinError;
+use crate::backend::{BackendPlan, ServiceTime};
+use crate::load::LoadRoute;
+
+const TREGARON_INTENT: &str = include_str!("../../../../examples/tregaron/mesh.ini");
+const ASPEN_INTENT: &str = include_str!("../../../../examples/aspen-coulee/mesh.ini");
+const SERVICE_TIME: Interval = Interval::from_millis(5);
+const CONNECT_DELAY: Interval = Interval::from_millis(1);
+const POLL: Interval = Interval::from_millis(500);
+
+/// A customer whose mesh the demonstration and the measurements start.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum Customer {
+    /// Tregaron Fuel Haulage, which weighs convergence time more.
+    Tregaron,
+    /// Aspen Coulee Municipal Utility, which weighs control bytes more.
+    AspenCoulee,
+}
+
+impl Customer {
+    /// Both customers.
+    pub const ALL: [Self; 2] = [Self::Tregaron, Self::AspenCoulee];
+
+    /// Returns the mesh's name.
+    #[must_use]
+    pub const fn name(self) -> &'static str {
+        match self {
+            Self::Tregaron => "tregaron",
+            Self::AspenCoulee => "aspen-coulee",
+        }
+    }
+
+    /// Returns the text of the sample intent.
+    #[must_use]
+    pub const fn intent_text(self) -> &'static str {
+        match self {
+            Self::Tregaron => TREGARON_INTENT,
+            Self::AspenCoulee => ASPEN_INTENT,
+        }
+    }
+
+    /// Reads the sample intent.
+    ///
+    /// # Errors
+    ///
+    /// When the sample has a mistake.
+    pub fn intent(self) -> Result<Intent, StandinError> {
+        Intent::parse(self.name(), self.intent_text())
+            .map_err(|faults| StandinError::new("read intent", &self.name(), &faults))
+    }
+
+    /// Returns the control profile that the customer chose.
+    #[must_use]
+    pub const fn profile(self) -> Profile {
+        match self {
+            Self::Tregaron => Profile::Time,
+            Self::AspenCoulee => Profile::Bytes,
+        }
+    }
+
+    /// Returns the calls that the customer's callers make.
+    #[must_use]
+    pub fn load(self) -> Vec<LoadRoute> {
+        match self {
+            Self::Tregaron => vec![
+                LoadRoute::repeatable("/lookup/gantry").weighing(6),
+                LoadRoute::repeatable("/permissions/load").weighing(2),
+                LoadRoute::repeatable("/readings/meter").weighing(1),
+                LoadRoute::once("/orders/load", service("delivery-ledger")).weighing(3),
+            ],
+            Self::AspenCoulee => vec![
+                LoadRoute::repeatable("/classgit/refs").weighing(4),
+                LoadRoute::repeatable("/classgit/blob/100000").weighing(1),
+                LoadRoute::repeatable("/permissions/push").weighing(2),
+                LoadRoute::repeatable("/archive/night").weighing(1),
+                LoadRoute::once("/push/branch", service("classgit")).weighing(2),
+                LoadRoute::once("/submit/work", service("gradeflow")).weighing(2),
+            ],
+        }
+    }
+
+    /// Returns the mesh of today's size.
+    #[must_use]
+    pub fn mesh(self) -> MeshPlan {
+        let (region, centres, services) = match self {
+            Self::Tregaron => (
+                "dyfed",
+                ["carmarthen-depot", "milford-terminal", "aberystwyth-yard"],
+                [("dispatch-desk", 5, 15, 120), ("delivery-ledger", 5, 15, 120)],
+            ),
+            Self::AspenCoulee => (
+                "prairie-west",
+                ["hall-a", "hall-b", "hall-c"],
+                [("classgit", 5, 6, 110), ("gradeflow", 4, 6, 110)],
+            ),
+        };
+        let mut nodes = Vec::new();
+        for (name, workers, slots, connections) in services {
+            for _ in 0..workers {
+                let centre = centres[nodes.len() % centres.len()];
+                let backend = BackendPlan {
+                    slots: SlotCount(slots),
+                    connections,
+                    connect_delay: CONNECT_DELAY,
+                    time: ServiceTime::Exponential(SERVICE_TIME),
+                    seed: nodes.len() as u64,
+                    ..BackendPlan::new(service(name))
+                };
+                nodes.push(NodePlan {
+                    data_centre: data_centre(centre),
+                    backend: Some(backend),
+                });
+            }
+        }
+        MeshPlan {
+            region: region.parse().expect("a valid name"),
+            nodes,
+            control: ControlSettings {
+                profile: self.profile(),
+                ..ControlSettings::default()
+            },
+            request: RequestSettings::default(),
+            poll: POLL,
+        }
+    }
+}
+
+fn service(name: &str) -> ServiceName {
+    name.parse().expect("a valid name")
+}
+
+fn data_centre(name: &str) -> DataCentre {
+    name.parse().expect("a valid name")
+}
--- /dev/null
+++ b/crates/marigold-standin/src/fleet/node.rs
@@ -0,0 +1,210 @@
+//! A running daemon with the backend server beside it.
+
+use std::net::{Ipv4Addr, SocketAddr, TcpListener, UdpSocket};
+use std::sync::Arc;
+
+use marigold_auth::{Authority, MeshKey};
+use marigold_log::PlatformLog;
+use marigold_settings::Settings;
+use marigold_types::{Address, Version};
+use marigoldd::{Daemon, DaemonParts, Secrets, Sockets};
+
+use super::{MeshPlan, NodePlan};
+use crate::StandinError;
+use crate::backend::{BackendPlan, BackendStandin};
+
+/// A daemon, and what is needed to start it again at the same addresses.
+pub struct Node {
+    plan: NodePlan,
+    settings: Settings,
+    secrets: Secrets,
+    log: Arc<dyn PlatformLog>,
+    daemon: Option<Daemon>,
+    backend: Option<BackendStandin>,
+}
+
+/// Bound sockets of a node that is not started yet, so that every node knows the others' addresses.
+pub(super) struct NodeSockets {
+    sockets: Sockets,
+    peer: Address,
+    caller: SocketAddr,
+    admin: SocketAddr,
+}
+
+impl NodeSockets {
+    pub(super) fn bind() -> Result<Self, StandinError> {
+        let any = SocketAddr::from((Ipv4Addr::LOCALHOST, 0));
+        let wrap = |error: std::io::Error| StandinError::new("listen", &any, &error);
+        let peer = UdpSocket::bind(any).map_err(wrap)?;
+        let caller = TcpListener::bind(any).map_err(wrap)?;
+        let admin = TcpListener::bind(any).map_err(wrap)?;
+        Ok(Self {
+            peer: Address(peer.local_addr().map_err(wrap)?),
+            caller: caller.local_addr().map_err(wrap)?,
+            admin: admin.local_addr().map_err(wrap)?,
+            sockets: Sockets {
+                peer,
+                caller,
+                admin,
+            },
+        })
+    }
+
+    pub(super) fn peer(&self) -> Address {
+        self.peer
+    }
+}
+
+/// What every node of a mesh is given.
+pub(super) struct NodeContext<'a> {
+    pub(super) plan: &'a MeshPlan,
+    pub(super) base: &'a Settings,
+    pub(super) authority: &'a Authority,
+    pub(super) mesh_key: &'a MeshKey,
+    pub(super) log: &'a Arc<dyn PlatformLog>,
+}
+
+impl Node {
+    pub(super) async fn start(
+        context: &NodeContext<'_>,
+        plan: NodePlan,
+        bound: NodeSockets,
+    ) -> Result<Self, StandinError> {
+        let mut settings = context.base.clone();
+        settings.daemon.address = bound.peer;
+        settings.daemon.data_centre = plan.data_centre.clone();
+        settings.daemon.region = context.plan.region.clone();
+        settings.caller.listen = bound.caller;
+        settings.admin.listen = bound.admin;
+        let issued = context.authority.issue(bound.peer);
+        let issued = issued.map_err(|error| StandinError::new("issue", &bound.peer, &error))?;
+        let secrets = Secrets {
+            authority: Arc::from(context.authority.to_credentials().certificate),
+            certificate: Arc::from(issued.certificate),
+            key: Arc::from(issued.key),
+            mesh_key: Arc::from(context.mesh_key.to_file_text()),
+        };
+        let mut node = Self {
+            plan,
+            settings,
+            secrets,
+            log: context.log.clone(),
+            daemon: None,
+            backend: None,
+        };
+        node.run_daemon(bound.sockets).await?;
+        node.start_backend().await?;
+        Ok(node)
+    }
+
+    async fn run_daemon(&mut self, sockets: Sockets) -> Result<(), StandinError> {
+        let parts = DaemonParts {
+            settings: self.settings.clone(),
+            sockets,
+            secrets: self.secrets.clone(),
+            log: self.log.clone(),
+        };
+        let daemon = Daemon::start(parts).await;
+        let wrap = |error| StandinError::new("start daemon", &self.settings.daemon.address, &error);
+        self.daemon = Some(daemon.map_err(wrap)?);
+        Ok(())
+    }
+
+    async fn start_backend(&mut self) -> Result<(), StandinError> {
+        let Some(plan) = &self.plan.backend else {
+            return Ok(());
+        };
+        let plan = BackendPlan {
+            egress: Some(self.caller()),
+            ..plan.clone()
+        };
+        let mut backend = BackendStandin::start(plan).await?;
+        backend.announce_to(self.admin());
+        self.backend = Some(backend);
+        Ok(())
+    }
+
+    /// Starts the daemon again at its addresses, as another incarnation.
+    ///
+    /// # Errors
+    ///
+    /// When an address is in use or the daemon does not start.
+    pub async fn restart(&mut self) -> Result<(), StandinError> {
+        let sockets = Sockets::bind(&self.settings);
+        let wrap = |error| StandinError::new("listen", &self.settings.daemon.address, &error);
+        self.run_daemon(sockets.map_err(wrap)?).await
+    }
+
+    /// Stops the backend server and the daemon as an operator would.
+    ///
+    /// # Errors
+    ///
+    /// When the daemon does not take the announcement back.
+    pub async fn stop(&mut self) -> Result<(), StandinError> {
+        if let Some(backend) = &mut self.backend {
+            backend.leave().await?;
+        }
+        if let Some(daemon) = self.daemon.take() {
+            daemon.stop().await;
+        }
+        Ok(())
+    }
+
+    /// Drops the daemon without warning; the backend server stays and keeps its counts.
+    pub fn abort(&mut self) {
+        if let Some(daemon) = self.daemon.take() {
+            daemon.abort();
+        }
+        if let Some(backend) = &mut self.backend {
+            backend.fall_silent();
+        }
+    }
+
+    /// Returns whether the daemon runs.
+    #[must_use]
+    pub fn is_up(&self) -> bool {
+        self.daemon.is_some()
+    }
+
+    /// Returns the daemon.
+    #[must_use]
+    pub fn daemon(&self) -> Option<&Daemon> {
+        self.daemon.as_ref()
+    }
+
+    /// Returns the backend server.
+    #[must_use]
+    pub fn backend(&self) -> Option<&BackendStandin> {
+        self.backend.as_ref()
+    }
+
+    /// Returns the backend server for changes of its state.
+    #[must_use]
+    pub fn backend_mut(&mut self) -> Option<&mut BackendStandin> {
+        self.backend.as_mut()
+    }
+
+    /// Returns where it listens for callers.
+    #[must_use]
+    pub fn caller(&self) -> SocketAddr {
+        self.settings.caller.listen
+    }
+
+    /// Returns where it listens for operators.
+    #[must_use]
+    pub fn admin(&self) -> SocketAddr {
+        self.settings.admin.listen
+    }
+
+    /// Returns where it listens for other daemons.
+    #[must_use]
+    pub fn address(&self) -> Address {
+        self.settings.daemon.address
+    }
+
+    /// Returns the version that the daemon holds; nothing when it is down.
+    #[must_use]
+    pub fn version(&self) -> Option<Version> {
+        self.daemon.as_ref().map(|daemon| daemon.status().version)
+    }
+}
--- a/crates/marigold-standin/src/load.rs
+++ b/crates/marigold-standin/src/load.rs
@@ -17,6 +17,7 @@
 mod run;
 mod summary;
 mod tally;
+mod word;
 
 pub use args::LoadArgs;
 pub use audit::Audit;
@@ -30,3 +31,4 @@
 pub use run::LoadRun;
 pub use summary::Summary;
 pub use tally::Tally;
+pub use word::Word;
--- a/crates/marigold-standin/src/load/args.rs
+++ b/crates/marigold-standin/src/load/args.rs
@@ -159,6 +159,9 @@
         report.cut,
         report.timed_out
     );
+    for (reason, count) in &report.reasons {
+        println!("not answered for {reason}: {count}");
+    }
     match report.audit {
         Some(audit) => println!(
             "lost {}, doubled {}, reruns {}",
--- a/crates/marigold-standin/src/load/caller.rs
+++ b/crates/marigold-standin/src/load/caller.rs
@@ -1,6 +1,7 @@
 //! Makes calls as a caller of the mesh does.
 
 use std::net::SocketAddr;
+use std::sync::Arc;
 use std::time::Duration;
 
 use bytes::Bytes;
@@ -12,11 +13,12 @@
 use hyper_util::rt::{TokioExecutor, TokioTimer};
 use marigold_types::{Digest, Outcome};
 
-use super::{CallEnd, LoadRoute};
+use super::{CallEnd, LoadRoute, Word};
 use crate::StandinError;
 use crate::backend::{LOAD_ID, pattern};
 
 const OUTCOME: &str = "marigold-outcome";
+const REASON: &str = "marigold-reason";
 const KEY: &str = "idempotency-key";
 const MAX_ANSWER_BYTES: usize = 64 << 20;
 const KEY_TIMEOUT: Duration = Duration::from_secs(5);
@@ -56,14 +58,14 @@
         route: &LoadRoute,
         id: &str,
         key: Option<&str>,
-    ) -> CallEnd {
+    ) -> Word {
         let Some(request) = build(target, route, id, key) else {
-            return CallEnd::Unreached;
+            return CallEnd::Unreached.into();
         };
         let exchange = self.exchange(request, route, id);
         match tokio::time::timeout(self.timeout, exchange).await {
-            Ok(end) => end,
-            Err(_) => CallEnd::TimedOut,
+            Ok(word) => word,
+            Err(_) => CallEnd::TimedOut.into(),
         }
     }
 
@@ -102,29 +104,31 @@
             .unwrap_or_else(|_| Err(StandinError::new(STEP, &target, &"no answer in 5 s")))
     }
 
-    async fn exchange(
-        &self,
-        request: Request<Full<Bytes>>,
-        route: &LoadRoute,
-        id: &str,
-    ) -> CallEnd {
+    async fn exchange(&self, request: Request<Full<Bytes>>, route: &LoadRoute, id: &str) -> Word {
         let response = match self.client.request(request).await {
             Ok(response) => response,
-            Err(error) if error.is_connect() => return CallEnd::Unreached,
-            Err(_) => return CallEnd::Cut,
+            Err(error) if error.is_connect() || was_not_sent(&error) => {
+                return CallEnd::Unreached.into();
+            }
+            Err(_) => return CallEnd::Cut.into(),
         };
         let status = response.status();
         let headers = response.headers().clone();
         let Some(body) = read(response).await else {
-            return CallEnd::Cut;
+            return CallEnd::Cut.into();
         };
-        match self.outcome(status, &headers) {
+        let end = match self.outcome(status, &headers) {
             Some(Outcome::NotRun) => CallEnd::NotRun,
             Some(Outcome::Unknown) => CallEnd::Unknown,
             Some(Outcome::Answered) if is_own(status, &headers, &body, route, id) => {
                 CallEnd::Answered(status.as_u16())
             }
             Some(Outcome::Answered) | None => CallEnd::Wrong,
+        };
+        let reason = headers.get(REASON).and_then(|reason| reason.to_str().ok());
+        Word {
+            end,
+            reason: reason.map(Arc::from),
         }
     }
 
@@ -162,6 +166,13 @@
     request.body(Full::from(pattern(0, size))).ok()
 }
 
+/// Returns whether the connection closed before anything of the request was written to it.
+fn was_not_sent(error: &hyper_util::client::legacy::Error) -> bool {
+    let source = std::error::Error::source(error);
+    let source = source.and_then(|source| source.downcast_ref::<hyper::Error>());
+    source.is_some_and(hyper::Error::is_canceled)
+}
+
 async fn read(response: Response<Incoming>) -> Option<Bytes> {
     let body = Limited::new(response.into_body(), MAX_ANSWER_BYTES);
     Some(body.collect().await.ok()?.to_bytes())
--- a/crates/marigold-standin/src/load/key_ring.rs
+++ b/crates/marigold-standin/src/load/key_ring.rs
@@ -12,6 +12,8 @@
 
 /// The most keys that are kept for later; older ones expire unused.
 const MAX_KEPT: usize = 1_000;
+/// How many keys are asked for at once.
+const BATCH: u32 = 16;
 
 #[derive(Deserialize)]
 struct KeyAnswer {
@@ -40,7 +42,7 @@
         if let Some(key) = self.pop(service) {
             return Ok(key);
         }
-        let mut keys = Self::fetch(caller, daemon, service).await?;
+        let mut keys = Self::fetch(caller, daemon, service, BATCH).await?;
         let key = keys.pop().ok_or_else(|| {
             StandinError::new("fetch keys", &daemon, &"the daemon gave an empty batch")
         })?;
@@ -48,7 +50,7 @@
         Ok(key)
     }
 
-    /// Asks the daemon at `daemon` for a batch of keys.
+    /// Asks the daemon at `daemon` for `count` keys.
     ///
     /// # Errors
     ///
@@ -57,8 +59,9 @@
         caller: &Caller,
         daemon: SocketAddr,
         service: &ServiceName,
+        count: u32,
     ) -> Result<Vec<String>, StandinError> {
-        let path = format!("/.marigold/keys?service={service}");
+        let path = format!("/.marigold/keys?service={service}&count={count}");
         let body = caller.post(daemon, &path).await?;
         let answer: KeyAnswer = serde_json::from_slice(&body)
             .map_err(|error| StandinError::new("fetch keys", &daemon, &error))?;
--- a/crates/marigold-standin/src/load/report.rs
+++ b/crates/marigold-standin/src/load/report.rs
@@ -1,5 +1,7 @@
 //! The result of a load run.
 
+use std::collections::BTreeMap;
+
 use serde::{Deserialize, Serialize};
 
 use super::{Audit, Summary};
@@ -44,6 +46,8 @@
     pub cut: u64,
     /// Calls that their caller gave up.
     pub timed_out: u64,
+    /// The mesh's reasons for not answering, with how often each was given.
+    pub reasons: BTreeMap<String, u64>,
     /// How late the generator itself sent its calls.
     pub late: Summary,
     /// Every route.
--- a/crates/marigold-standin/src/load/result.rs
+++ b/crates/marigold-standin/src/load/result.rs
@@ -1,5 +1,6 @@
 //! How one call ended, as its caller saw it.
 
+use std::sync::Arc;
 use std::time::Duration;
 
 use marigold_types::Outcome;
@@ -15,7 +16,8 @@
     NotRun,
     /// The mesh said that it may have run.
     Unknown,
-    /// The daemon could not be connected to, so that it did not run.
+    /// The daemon could not be connected to, or the connection closed before the call was written to
+    /// it, so that it did not run.
     Unreached,
     /// The connection broke before the whole answer was there.
     Cut,
@@ -36,7 +38,7 @@
 }
 
 /// One call that has ended.
-#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+#[derive(Debug, Clone, PartialEq, Eq)]
 pub struct CallResult {
     /// Its number within the run.
     pub number: u64,
@@ -44,6 +46,8 @@
     pub route: usize,
     /// How it ended.
     pub end: CallEnd,
+    /// Why it was not answered, where the mesh said so.
+    pub reason: Option<Arc<str>>,
     /// The time from when it was due to its end.
     pub latency: Duration,
     /// How much later than due it was sent.
--- a/crates/marigold-standin/src/load/run.rs
+++ b/crates/marigold-standin/src/load/run.rs
@@ -2,7 +2,7 @@
 
 use std::sync::Arc;
 use std::sync::atomic::{AtomicU64, Ordering};
-use std::time::{Duration, Instant};
+use std::time::Instant;
 
 use rand::distr::weighted::WeightedIndex;
 use rand::prelude::*;
@@ -11,7 +11,7 @@
 use tokio::sync::{Semaphore, mpsc};
 
 use super::pacer::Pacer;
-use super::{CallEnd, CallResult, Caller, KeyRing, Ledger, LoadPlan, LoadReport, Tally};
+use super::{CallResult, Caller, KeyRing, Ledger, LoadPlan, LoadReport, Tally};
 use crate::StandinError;
 
 /// What a call's task tells the run.
@@ -73,6 +73,7 @@
         let pacing = self.pace(notes);
         // The channel holds at most three notes for each call in flight and ends with the last call.
         while let Some(note) = inbox.recv().await {
+            let progressed = !matches!(note, Note::Sent { .. });
             match note {
                 Note::Sent { number, once } => self.ledger.send(number, once),
                 Note::Unsent => tally.add_unsent(),
@@ -81,7 +82,7 @@
                     self.ledger.end(&result);
                 }
             }
-            if !matches!(note, Note::Sent { .. }) {
+            if progressed {
                 self.done.fetch_add(1, Ordering::Relaxed);
             }
         }
@@ -146,12 +147,13 @@
 
         let _ = self.notes.send(Note::Sent { number, once });
         let id = format!("{}{number}", self.prefix);
-        let end: CallEnd = self.caller.call(target, kind, &id, key.as_deref()).await;
-        let latency: Duration = due.elapsed();
+        let word = self.caller.call(target, kind, &id, key.as_deref()).await;
+        let latency = due.elapsed();
         let _ = self.notes.send(Note::Ended(CallResult {
             number,
             route,
-            end,
+            end: word.end,
+            reason: word.reason,
             latency,
             late,
         }));
--- a/crates/marigold-standin/src/load/tally.rs
+++ b/crates/marigold-standin/src/load/tally.rs
@@ -54,6 +54,10 @@
     pub fn add(&mut self, result: &CallResult) {
         self.report.sent += 1;
         Summary::record(&mut self.late, result.late);
+        if let Some(reason) = &result.reason {
+            let count = self.report.reasons.entry(reason.to_string()).or_default();
+            *count += 1;
+        }
         match result.end {
             CallEnd::Unreached => self.report.unreached += 1,
             CallEnd::Cut => self.report.cut += 1,
--- a/crates/marigold-standin/tests/load.rs
+++ b/crates/marigold-standin/tests/load.rs
@@ -16,6 +16,7 @@
             number: 7,
             route: 0,
             end,
+            reason: None,
             latency: Duration::ZERO,
             late: Duration::ZERO,
         });
