--- a/crates/marigold-ini/src/fault.rs
+++ b/crates/marigold-ini/src/fault.rs
@@ -27,6 +27,10 @@
             problem,
             allowed,
         } = self;
-        write!(f, "{file}:{line}: {setting}: {problem}; allowed: {allowed}")
+        match line {
+            0 => write!(f, "{file}: ")?,
+            _ => write!(f, "{file}:{line}: ")?,
+        }
+        write!(f, "{setting}: {problem}; allowed: {allowed}")
     }
 }
--- a/crates/marigoldd/src/secrets.rs
+++ b/crates/marigoldd/src/secrets.rs
@@ -3,7 +3,7 @@
 use std::path::{Path, PathBuf};
 use std::sync::Arc;
 
-use marigold_auth::{AuthError, Credentials, MeshKey};
+use marigold_auth::{AuthError, MeshKey};
 use marigold_settings::TlsSettings;
 use marigold_types::Address;
 
@@ -64,11 +64,7 @@
     ///
     /// When a text holds no PEM.
     pub fn to_tls(&self) -> Result<PeerTls, AuthError> {
-        let credentials = Credentials {
-            certificate: self.certificate.to_string(),
-            key: self.key.to_string(),
-        };
-        PeerTls::from_pem(&self.authority, &credentials)
+        PeerTls::from_pem(&self.authority, &self.certificate, &self.key)
     }
 }
 
