--- a/crates/marigold-config/src/check.rs
+++ b/crates/marigold-config/src/check.rs
@@ -155,11 +155,13 @@
             checker.add("service", &problem, SERVICE_ALLOWED);
         }
         if let Declaration::Route(route) = declaration.as_ref() {
-            if let Some(first) = paths.get(&*route.path) {
+            // `/orders` and `/orders/` take the same requests.
+            let path = route.path.trim_end_matches('/');
+            if let Some(first) = paths.get(path) {
                 let problem = format!("path `{}` is taken by {first}", route.path);
                 checker.add("path", &problem, "each path once");
             } else {
-                paths.insert(&route.path, resource);
+                paths.insert(path, resource);
             }
         }
     }
