Put a gate before the operators' server that counts bytes, seconds and connections

The gate takes the connections, hands at most 1.1 MB of each to the server on loopback, closes it after a time, and holds at most 32 of this host's and 32 of others'. It looks into nothing, and tells the server which peer stands behind a connection. Weighed: another server library, which the house style speaks against.

--- a/crates/marigoldd/src/admin.rs
+++ b/crates/marigoldd/src/admin.rs
@@ -6,6 +6,7 @@
 mod access;
 mod announcements;
 mod error;
+mod gate;
 mod log_session;
 mod operators;
 mod parts;
--- a/crates/marigoldd/src/admin/access.rs
+++ b/crates/marigoldd/src/admin/access.rs
@@ -1,7 +1,7 @@
 //! Who a request comes from.
 
 use std::io::Read;
-use std::net::IpAddr;
+use std::net::{IpAddr, SocketAddr};
 use std::time::{SystemTime, UNIX_EPOCH};
 
 use marigold_api::{Problem, ProblemKind};
@@ -68,8 +68,8 @@
 }
 
 /// Makes sure that a request comes from the daemon's own host.
-pub fn check_host(parts: &AdminParts, request: &Request) -> Result<(), Problem> {
-    let peer = request.remote_addr().ip().to_canonical();
+pub fn check_host(parts: &AdminParts, peer: SocketAddr) -> Result<(), Problem> {
+    let peer = peer.ip().to_canonical();
     let settings = &parts.shared.settings;
     let own: [IpAddr; 2] = [settings.daemon.address.0.ip(), settings.admin.listen.ip()];
     if peer.is_loopback() || own.contains(&peer) {
--- a/crates/marigoldd/src/admin/operators.rs
+++ b/crates/marigoldd/src/admin/operators.rs
@@ -143,9 +143,14 @@
     serde_json::from_slice(body).map_err(|error| bad_request(format!("the body: {error}")))
 }
 
+/// Returns how long a request over the log may take.
+pub fn longest(parts: &AdminParts) -> Duration {
+    parts.shared.settings.log.timeout.duration() * ATTEMPTS
+}
+
 fn deadline(parts: &AdminParts) -> Instant {
     let _context = parts.runtime.enter();
-    Instant::now() + parts.shared.settings.log.timeout.duration() * ATTEMPTS
+    Instant::now() + longest(parts)
 }
 
 /// Runs a request over the log to its end, on the thread of the operator's request.
--- a/crates/marigoldd/src/admin/routes.rs
+++ b/crates/marigoldd/src/admin/routes.rs
@@ -1,5 +1,8 @@
 //! Which path leads where.
 
+use std::net::SocketAddr;
+use std::sync::Arc;
+
 use marigold_api::{Problem, ProblemKind};
 use rouille::{Request, Response};
 use tokio::sync::Semaphore;
@@ -7,6 +10,7 @@
 
 use super::access::{check_host, read_body, verify};
 use super::announcements::Announcements;
+use super::gate::Peers;
 use super::operators;
 use super::parts::AdminParts;
 use super::reply::{Reply, bad_request, json, problem};
@@ -19,16 +23,18 @@
 /// Answers requests.
 pub struct Routes {
     parts: AdminParts,
-    announcements: std::sync::Arc<Announcements>,
+    announcements: Arc<Announcements>,
+    peers: Peers,
     permits: Semaphore,
 }
 
 impl Routes {
     /// Builds the routes.
-    pub fn new(parts: AdminParts, announcements: std::sync::Arc<Announcements>) -> Self {
+    pub fn new(parts: AdminParts, announcements: Arc<Announcements>, peers: Peers) -> Self {
         Self {
             parts,
             announcements,
+            peers,
             permits: Semaphore::new(LOG_REQUESTS),
         }
     }
@@ -47,13 +53,14 @@
 
     fn route(&self, request: &Request) -> Reply {
         let parts = &self.parts;
+        let peer = self.find_peer(request)?;
         let path = request.url();
         match (request.method(), path.as_str()) {
             ("GET", "/healthz") => Ok(Response::text("ok\n")),
             ("GET", "/readyz") => Ok(self.ready()),
             ("GET", "/metrics") => Ok(Response::text(parts.metrics.render())),
-            ("POST", "/v1/announce") => self.announce(request),
-            ("DELETE", "/v1/announce") => self.withdraw(request),
+            ("POST", "/v1/announce") => self.announce(request, peer),
+            ("DELETE", "/v1/announce") => self.withdraw(peer),
             ("GET", "/v1/status") => verify(parts, request).map(|_| operators::status(parts)),
             ("GET", "/v1/burn") => verify(parts, request).map(|_| operators::burn(parts)),
             ("POST", "/v1/drain") => operators::drain(parts, &verify(parts, request)?),
@@ -102,8 +109,14 @@
         Response::text(text).with_status_code(status)
     }
 
-    fn announce(&self, request: &Request) -> Reply {
-        check_host(&self.parts, request)?;
+    /// Finds whom the request is from; what did not come by the gate is not bounded by it.
+    fn find_peer(&self, request: &Request) -> Result<SocketAddr, Problem> {
+        let peer = self.peers.find(*request.remote_addr());
+        peer.ok_or_else(|| bad_request("use the address of the settings, [admin] listen"))
+    }
+
+    fn announce(&self, request: &Request, peer: SocketAddr) -> Reply {
+        check_host(&self.parts, peer)?;
         let body = read_body(request)?;
         let server: BackendServer = serde_json::from_slice(&body)
             .map_err(|error| bad_request(format!("the announcement: {error}")))?;
@@ -113,8 +126,8 @@
         Ok(json(status, &answer))
     }
 
-    fn withdraw(&self, request: &Request) -> Reply {
-        check_host(&self.parts, request)?;
+    fn withdraw(&self, peer: SocketAddr) -> Reply {
+        check_host(&self.parts, peer)?;
         self.announcements.withdraw();
         Ok(Response::empty_204())
     }
--- a/crates/marigoldd/tests/admin.rs
+++ b/crates/marigoldd/tests/admin.rs
@@ -163,6 +163,16 @@
         body: &[u8],
         proof: Option<&RequestProof>,
     ) -> Answer {
+        self.try_send(method, target, body, proof).unwrap()
+    }
+
+    fn try_send(
+        &self,
+        method: &str,
+        target: &str,
+        body: &[u8],
+        proof: Option<&RequestProof>,
+    ) -> Result<Answer, ureq::Error> {
         let config = ureq::Agent::config_builder()
             .timeout_global(Some(Duration::from_secs(30)))
             .http_status_as_error(false);
@@ -178,11 +188,11 @@
                 .header(RequestProof::TIME_HEADER, proof.time.0.to_string())
                 .header(RequestProof::SIGNATURE_HEADER, proof.signature.to_string());
         }
-        let mut response = agent.run(request.body(body).unwrap()).unwrap();
-        Answer {
+        let mut response = agent.run(request.body(body).unwrap())?;
+        Ok(Answer {
             status: response.status().as_u16(),
-            body: response.body_mut().read_to_vec().unwrap(),
-        }
+            body: response.body_mut().read_to_vec()?,
+        })
     }
 
     fn signed(&self, method: &str, target: &str, body: &[u8]) -> Answer {
@@ -388,6 +398,62 @@
     assert!(!answer.starts_with(b"HTTP/1.1 200"));
 }
 
+/// A head without an end takes up no more memory than a body may.
+#[test]
+fn endless_head_is_cut_off() {
+    let bench = Bench::new();
+    let mut stream = TcpStream::connect(bench.server.address()).unwrap();
+    stream
+        .set_write_timeout(Some(Duration::from_secs(20)))
+        .unwrap();
+    stream.write_all(b"GET / HTTP/1.1\r\nx: ").unwrap();
+    let chunk = vec![b'a'; 1 << 16];
+    let mut sent = 0;
+    while sent < 100 << 20 && stream.write_all(&chunk).is_ok() {
+        sent += chunk.len();
+    }
+    // What was sent beyond the bound stands in the buffers of the sockets.
+    assert!(sent < 50 << 20, "{sent}");
+    assert_eq!(bench.send("GET", "/healthz", b"", None).status, 200);
+}
+
+/// Connections beyond the bound are closed at once.
+#[test]
+fn connections_are_bounded() {
+    let bench = Bench::new();
+    let open = |_| {
+        let stream = TcpStream::connect(bench.server.address()).unwrap();
+        stream.set_nonblocking(true).unwrap();
+        stream
+    };
+    let mut streams: Vec<TcpStream> = (0..60).map(open).collect();
+    let is_closed = |stream: &mut TcpStream| !matches!(stream.read(&mut [0]), Err(error) if error.kind() == std::io::ErrorKind::WouldBlock);
+    // 32 stay open and the rest is closed, however long that takes on a busy machine.
+    wait_until(|| {
+        streams
+            .iter_mut()
+            .filter_map(|s| is_closed(s).then_some(()))
+            .count()
+            >= 28
+    });
+    drop(streams);
+    wait_until(|| {
+        let answer = bench.try_send("GET", "/healthz", b"", None);
+        answer.is_ok_and(|answer| answer.status == 200)
+    });
+}
+
+/// Waits for something that has to happen sooner or later.
+fn wait_until(mut done: impl FnMut() -> bool) {
+    for _ in 0..6_000 {
+        if done() {
+            return;
+        }
+        std::thread::sleep(Duration::from_millis(10));
+    }
+    panic!("it never happened");
+}
+
 fn desk() -> BackendServer {
     serde_json::from_str(
         r#"{"service":"desk","address":"127.0.0.1:8100","slots":15,"connections":120}"#,
