Add the operators' command line

A file for each command; the exit code tells done, no, bad input, not reached, and not yet known apart. A confirmation whose answer is lost is sent to the next daemon, since the fold counts a copy once.

--- /dev/null
+++ b/crates/marigoldctl/src/changes.rs
@@ -0,0 +1,128 @@
+//! The changes of a plan as operators read them.
+
+use std::collections::BTreeMap;
+
+use marigold_config::{Change, Config, Declaration, Resource};
+use serde::Serialize;
+use serde_json::Value;
+
+/// What becomes of a resource.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Serialize)]
+#[serde(rename_all = "lowercase")]
+pub enum ChangeKind {
+    /// It is declared anew.
+    Added,
+    /// Some of its fields change.
+    Changed,
+    /// It goes.
+    Removed,
+}
+
+/// One change with what it means in words.
+#[derive(Debug, Clone, PartialEq, Eq, Serialize)]
+pub struct ChangeRow {
+    /// What becomes of the resource.
+    pub kind: ChangeKind,
+    /// The resource, as `route:orders`.
+    pub resource: String,
+    /// Each field that changes, as `slots: 8 -> 15`.
+    pub fields: Vec<String>,
+}
+
+impl ChangeRow {
+    /// Describes `changes` to `config`.
+    #[must_use]
+    pub fn list(config: &Config, changes: &[Change]) -> Vec<Self> {
+        changes
+            .iter()
+            .map(|change| Self::new(config, change))
+            .collect()
+    }
+
+    fn new(config: &Config, change: &Change) -> Self {
+        let before = config.find(&change.resource);
+        let after = change.after.as_ref();
+        let kind = match (before, after) {
+            (_, None) => ChangeKind::Removed,
+            (None, Some(_)) => ChangeKind::Added,
+            (Some(_), Some(_)) => ChangeKind::Changed,
+        };
+        let (before, after) = (fields_of(before), fields_of(after));
+        let mut fields = Vec::new();
+        for key in before
+            .keys()
+            .chain(after.keys().filter(|key| !before.contains_key(*key)))
+        {
+            match (before.get(key), after.get(key)) {
+                (Some(old), Some(new)) if old != new => {
+                    fields.push(format!("{key}: {old} -> {new}"));
+                }
+                (None, Some(new)) => fields.push(format!("{key}: {new}")),
+                (Some(old), None) if kind == ChangeKind::Changed => {
+                    fields.push(format!("{key}: {old} -> none"));
+                }
+                _ => {}
+            }
+        }
+        Self {
+            kind,
+            resource: change.resource.to_string(),
+            fields,
+        }
+    }
+
+    /// Returns the row's sign, as in a diff.
+    #[must_use]
+    pub fn sign(&self) -> &'static str {
+        match self.kind {
+            ChangeKind::Added => "+",
+            ChangeKind::Changed => "~",
+            ChangeKind::Removed => "-",
+        }
+    }
+}
+
+/// Returns the services whose calls a change is about.
+pub fn services_of(config: &Config, change: &Change) -> Vec<String> {
+    let named = |declaration: &Declaration| match declaration {
+        Declaration::Route(route) => Some(route.service.to_string()),
+        Declaration::Limit(limit) => Some(limit.service.to_string()),
+        _ => None,
+    };
+    let mut services: Vec<String> = match &change.resource {
+        Resource::Service(name) | Resource::Objective(name) => vec![name.to_string()],
+        _ => Vec::new(),
+    };
+    services.extend(config.find(&change.resource).and_then(named));
+    services.extend(change.after.as_ref().and_then(named));
+    services.sort();
+    services.dedup();
+    services
+}
+
+/// Returns a declaration's fields as texts, in the order of their names.
+fn fields_of(declaration: Option<&Declaration>) -> BTreeMap<String, String> {
+    let value = declaration.and_then(|declaration| serde_json::to_value(declaration).ok());
+    let Some(Value::Object(kinds)) = value else {
+        return BTreeMap::new();
+    };
+    let fields = kinds.into_iter().flat_map(|(_, fields)| match fields {
+        Value::Object(fields) => fields,
+        _ => serde_json::Map::new(),
+    });
+    let fields = fields.filter(|(_, value)| !value.is_null());
+    fields.map(|(key, value)| (key, display(&value))).collect()
+}
+
+fn display(value: &Value) -> String {
+    match value {
+        Value::String(text) => text.clone(),
+        Value::Array(list) => list.iter().map(display).collect::<Vec<_>>().join(", "),
+        // An interval has one field, its milliseconds.
+        Value::Object(fields) => match fields.get("millis").and_then(Value::as_u64) {
+            Some(millis) => marigold_types::Interval::from_millis(millis).to_string(),
+            None => value.to_string(),
+        },
+        other => other.to_string(),
+    }
+}
--- /dev/null
+++ b/crates/marigoldctl/src/cli.rs
@@ -0,0 +1,159 @@
+//! The arguments of `marigoldctl`.
+
+use std::path::PathBuf;
+
+use clap::{Args, Parser, Subcommand};
+use clap_complete::Shell;
+use marigold_config::PlanId;
+use marigold_types::{Address, Interval, OperatorName};
+
+use crate::DaemonUrl;
+
+/// The operators' command line of marigoldproxy.
+///
+/// An intent file, kept in version control, declares the whole configuration. `plan` shows and
+/// stores what would change, `confirm` puts it in force on every proxy.
+#[derive(Debug, Parser)]
+#[command(name = "marigoldctl", version)]
+pub struct Arguments {
+    /// A daemon to ask, as `http://10.0.0.1:9001`; give several, and the next is asked when one
+    /// is down.
+    #[arg(
+        long,
+        global = true,
+        value_name = "URL",
+        env = "MARIGOLD_DAEMON",
+        value_delimiter = ','
+    )]
+    pub daemon: Vec<DaemonUrl>,
+
+    /// The operator's key file; `marigoldctl keys operator` makes one.
+    #[arg(long, global = true, value_name = "FILE", env = "MARIGOLD_KEY")]
+    pub key: Option<PathBuf>,
+
+    /// How long one daemon may take to answer.
+    #[arg(long, global = true, value_name = "TIME", default_value = "30s")]
+    pub answer_within: Interval,
+
+    /// Print the result as JSON.
+    #[arg(long, global = true)]
+    pub json: bool,
+
+    /// What to do.
+    #[command(subcommand)]
+    pub command: Command,
+}
+
+/// The commands.
+#[derive(Debug, Subcommand)]
+pub enum Command {
+    /// Check an intent file, or a daemon's settings, and report every fault at once.
+    Check {
+        /// The file.
+        file: PathBuf,
+        /// The file holds a daemon's settings.
+        #[arg(long)]
+        settings: bool,
+    },
+    /// Show what an intent would change and where, and store that as a plan.
+    Plan {
+        /// The intent file: the whole configuration; what it does not declare is removed.
+        file: PathBuf,
+        /// How long the plan can be confirmed.
+        #[arg(long, value_name = "TIME", default_value = "1h")]
+        life: Interval,
+        /// Show the changes and store nothing.
+        #[arg(long)]
+        dry_run: bool,
+    },
+    /// Put a stored plan in force; running it again is safe.
+    Confirm {
+        /// The plan's id, as `plan` printed it.
+        plan: PlanId,
+        /// Wait until every daemon holds the new version.
+        #[arg(long)]
+        wait: bool,
+        /// How long to wait for that.
+        #[arg(long, value_name = "TIME", default_value = "60s")]
+        timeout: Interval,
+    },
+    /// Show a stored plan and how far it has come.
+    Show {
+        /// The plan's id.
+        plan: PlanId,
+    },
+    /// Show who holds which version; the exit code tells whether the mesh has converged.
+    Status,
+    /// Show the last confirmations and what became of them.
+    History,
+    /// Show how an intent differs from the configuration in force; the exit code tells whether.
+    Diff {
+        /// The intent file.
+        file: PathBuf,
+    },
+    /// Let the first daemon given leave: it takes no new work and ends once it has none.
+    Drain,
+    /// Reports.
+    #[command(subcommand)]
+    Report(Report),
+    /// Make keys and certificates.
+    #[command(subcommand)]
+    Keys(Keys),
+    /// Print the completions of a shell.
+    Completions {
+        /// The shell.
+        shell: Shell,
+    },
+    /// Print the man page, or write one for each command into a directory.
+    Man {
+        /// The directory.
+        directory: Option<PathBuf>,
+    },
+    /// Print docs/COMMANDS.md.
+    #[command(hide = true)]
+    Reference,
+}
+
+/// The reports.
+#[derive(Debug, Subcommand)]
+pub enum Report {
+    /// Show how fast services use up their objectives, as the daemons given have counted it.
+    Burn {
+        /// Write the report as a page of HTML.
+        #[arg(long, value_name = "FILE")]
+        html: Option<PathBuf>,
+    },
+}
+
+/// The commands about keys.
+#[derive(Debug, Subcommand)]
+pub enum Keys {
+    /// Make the mesh's certificate authority, the daemons' common secret, and the root operator.
+    Init {
+        /// The directory that the files go to; none of them may be there yet.
+        directory: PathBuf,
+        /// The root operator's name.
+        #[arg(long, value_name = "NAME", default_value = "root")]
+        operator: OperatorName,
+    },
+    /// Issue a daemon's certificate.
+    Issue(Issue),
+    /// Make an operator's key and print the section that declares it.
+    Operator {
+        /// The operator's name.
+        name: OperatorName,
+        /// The directory that the key file goes to.
+        #[arg(long, value_name = "DIR", default_value = ".")]
+        directory: PathBuf,
+    },
+}
+
+/// Whom a certificate is for.
+#[derive(Debug, Args)]
+pub struct Issue {
+    /// The directory that `keys init` filled; the certificate goes there, too.
+    pub directory: PathBuf,
+    /// Where the daemon listens for other daemons, as `[daemon] address` of its settings.
+    #[arg(long, value_name = "IP:PORT")]
+    pub address: Address,
+}
--- /dev/null
+++ b/crates/marigoldctl/src/commands.rs
@@ -0,0 +1,80 @@
+//! One file for each command.
+
+mod burn_page;
+mod check;
+mod completions;
+mod confirm;
+mod diff;
+mod drain;
+mod history;
+mod keys;
+mod man;
+mod plan;
+mod report;
+mod show;
+mod status;
+
+use std::path::Path;
+use std::sync::Arc;
+
+use crate::cli::{Arguments, Command};
+use crate::output::say;
+use crate::{Client, CtlError, Outcome};
+
+/// Runs the command.
+///
+/// # Errors
+///
+/// When it could not run to its end; the error's code is the exit code.
+pub fn run(arguments: &Arguments) -> Result<Outcome, CtlError> {
+    let json = arguments.json;
+    match &arguments.command {
+        Command::Check { file, settings } => check::run(file, *settings, json),
+        Command::Plan {
+            file,
+            life,
+            dry_run,
+        } => plan::run(&client(arguments)?, file, *life, *dry_run, json),
+        Command::Confirm {
+            plan,
+            wait,
+            timeout,
+        } => confirm::run(&client(arguments)?, *plan, wait.then_some(*timeout), json),
+        Command::Show { plan } => show::run(&client(arguments)?, *plan, json),
+        Command::Status => status::run(&client(arguments)?, json),
+        Command::History => history::run(&client(arguments)?, json),
+        Command::Diff { file } => diff::run(&client(arguments)?, file, json),
+        Command::Drain => drain::run(&client(arguments)?, json),
+        Command::Report(report) => report::run(&client(arguments)?, report, json),
+        Command::Keys(keys) => keys::run(keys, json),
+        Command::Completions { shell } => Ok(completions::run(*shell)),
+        Command::Man { directory } => man::run(directory.as_deref()),
+        Command::Reference => {
+            say!("{}", crate::reference());
+            Ok(Outcome::Done)
+        }
+    }
+}
+
+/// Builds the way to the daemons from the arguments.
+fn client(arguments: &Arguments) -> Result<Client, CtlError> {
+    let key = arguments.key.as_deref().ok_or(CtlError::Usage(
+        "whose request is it? give --key FILE or set MARIGOLD_KEY",
+    ))?;
+    let key = Client::read_key(key)?;
+    let timeout = arguments.answer_within.duration();
+    Client::new(arguments.daemon.clone(), key, timeout)
+}
+
+/// Reads a file that an operator named.
+fn read_file(path: &Path) -> Result<String, CtlError> {
+    std::fs::read_to_string(path).map_err(|error| file_error("read", path, &error))
+}
+
+fn file_error(step: &'static str, path: &Path, error: &std::io::Error) -> CtlError {
+    CtlError::File {
+        step,
+        path: path.to_owned(),
+        reason: Arc::from(error.to_string()),
+    }
+}
--- /dev/null
+++ b/crates/marigoldctl/src/commands/check.rs
@@ -0,0 +1,49 @@
+//! `marigoldctl check`.
+
+use std::path::Path;
+
+use marigold_config::Intent;
+use marigold_ini::Faults;
+use marigold_settings::Settings;
+use serde::Serialize;
+
+use super::read_file;
+use crate::output::{print_json, say};
+use crate::{CtlError, Outcome};
+
+/// One mistake, as JSON.
+#[derive(Serialize)]
+struct FaultRow<'a> {
+    file: &'a str,
+    line: u32,
+    setting: &'a str,
+    problem: &'a str,
+    allowed: &'a str,
+}
+
+/// Checks a file and prints what is wrong with it.
+pub fn run(file: &Path, settings: bool, json: bool) -> Result<Outcome, CtlError> {
+    let text = read_file(file)?;
+    let name = file.display().to_string();
+    let checked = if settings {
+        Settings::parse(&name, &text).map(|_| ())
+    } else {
+        Intent::parse(&name, &text).map(|_| ())
+    };
+    if json {
+        let faults = checked.as_ref().err().map_or(&[][..], Faults::list);
+        let rows = faults.iter().map(|fault| FaultRow {
+            file: &fault.file,
+            line: fault.line,
+            setting: &fault.setting,
+            problem: &fault.problem,
+            allowed: &fault.allowed,
+        });
+        print_json(&rows.collect::<Vec<_>>())?;
+    }
+    checked.map_err(CtlError::Faults)?;
+    if !json {
+        say!("{name}: no faults");
+    }
+    Ok(Outcome::Done)
+}
--- /dev/null
+++ b/crates/marigoldctl/src/commands/history.rs
@@ -0,0 +1,60 @@
+//! `marigoldctl history`.
+
+use std::fmt::Write;
+
+use marigold_api::HistoryDocument;
+use marigold_config::{Entry, Verdict};
+
+use crate::output::{print_json, say, table};
+use crate::{Client, CtlError, Outcome, clock};
+
+/// How much of a plan's id is shown in a table.
+const SHORT_ID: usize = 12;
+
+/// Prints the last confirmations.
+pub fn run(client: &Client, json: bool) -> Result<Outcome, CtlError> {
+    let document: HistoryDocument = client.get("/v1/history")?.body;
+    if json {
+        print_json(&document)?;
+        return Ok(Outcome::Done);
+    }
+    if !document.fresh {
+        eprintln!("the platform's log cannot be read; this is what the daemon read before");
+    }
+    let mut table = table(&[
+        "time (UTC)",
+        "plan",
+        "by",
+        "confirmed by",
+        "changes",
+        "what came of it",
+    ]);
+    for entry in &document.entries {
+        table.add_row(cells(entry));
+    }
+    say!("{table}");
+    say!("version {} is in force", document.version);
+    Ok(Outcome::Done)
+}
+
+fn cells(entry: &Entry) -> [String; 6] {
+    let changed: Vec<String> = entry.changed.iter().map(ToString::to_string).collect();
+    let mut changed = changed.join("\n");
+    if entry.count > entry.changed.len() {
+        let _ = write!(changed, "\nand {} more", entry.count - entry.changed.len());
+    }
+    let verdict = match &entry.verdict {
+        Verdict::Accepted { version } => format!("version {version}"),
+        Verdict::Rejected { reason } => format!("refused: {reason}"),
+    };
+    let mut plan = entry.plan.to_string();
+    plan.truncate(SHORT_ID);
+    [
+        clock::display(entry.time),
+        plan,
+        entry.author.to_string(),
+        entry.operator.to_string(),
+        changed,
+        verdict,
+    ]
+}
--- /dev/null
+++ b/crates/marigoldctl/src/commands/man.rs
@@ -0,0 +1,25 @@
+//! `marigoldctl man`.
+
+use std::path::Path;
+
+use clap::CommandFactory;
+
+use super::file_error;
+use crate::cli::Arguments;
+use crate::output::say;
+use crate::{CtlError, Outcome};
+
+/// Prints the man page, or writes one for each command.
+pub fn run(directory: Option<&Path>) -> Result<Outcome, CtlError> {
+    if let Some(directory) = directory {
+        clap_mangen::generate_to(Arguments::command(), directory)
+            .map_err(|error| file_error("write man pages to", directory, &error))?;
+        return Ok(Outcome::Done);
+    }
+    let mut buffer = Vec::new();
+    clap_mangen::Man::new(Arguments::command())
+        .render(&mut buffer)
+        .map_err(|error| file_error("render", Path::new("marigoldctl.1"), &error))?;
+    say!("{}", String::from_utf8_lossy(&buffer));
+    Ok(Outcome::Done)
+}
--- /dev/null
+++ b/crates/marigoldctl/src/commands/show.rs
@@ -0,0 +1,48 @@
+//! `marigoldctl show`.
+
+use marigold_api::{ConfigDocument, PlanState, PlanView};
+use marigold_config::{PlanId, Verdict};
+
+use super::diff::print_changes;
+use crate::output::{print_json, say};
+use crate::{ChangeRow, Client, CtlError, Outcome, clock};
+
+/// Prints a stored plan.
+pub fn run(client: &Client, plan: PlanId, json: bool) -> Result<Outcome, CtlError> {
+    let view: PlanView = client.get(&format!("/v1/plans/{plan}"))?.body;
+    if json {
+        print_json(&view)?;
+    } else {
+        print_view(client, &view)?;
+    }
+    let negative = matches!(
+        view.state,
+        PlanState::Stale { .. } | PlanState::Settled(Verdict::Rejected { .. })
+    );
+    Ok(if negative {
+        Outcome::Negative
+    } else {
+        Outcome::Done
+    })
+}
+
+fn print_view(client: &Client, view: &PlanView) -> Result<(), CtlError> {
+    say!("plan {}", view.plan);
+    if let Some(content) = &view.content {
+        let plan = &content.plan;
+        say!("  by {}, base version {}", plan.operator, plan.base);
+        say!("  to be confirmed before {}", clock::display(plan.expires));
+        let document: ConfigDocument = client.get("/v1/config")?.body;
+        let config = document.to_config();
+        print_changes(&config, &ChangeRow::list(&config, &plan.changes));
+    }
+    match &view.state {
+        PlanState::Pending => say!("it waits for a confirmation"),
+        PlanState::Stale { text } => say!("it would be refused: {text}"),
+        PlanState::Settled(Verdict::Accepted { version }) => {
+            say!("it took effect as version {version}");
+        }
+        PlanState::Settled(Verdict::Rejected { reason }) => say!("it was refused: {reason}"),
+    }
+    Ok(())
+}
--- a/crates/marigoldctl/src/main.rs
+++ b/crates/marigoldctl/src/main.rs
@@ -1,3 +1,17 @@
-//! The `marigoldctl` program.
+//! The `marigoldctl` program: parses its arguments, runs the command, and exits with its code.
 
-fn main() {}
+use std::process::ExitCode;
+
+use clap::Parser;
+use marigoldctl::{Arguments, run};
+
+fn main() -> ExitCode {
+    let arguments = Arguments::parse();
+    match run(&arguments) {
+        Ok(outcome) => outcome.code().into(),
+        Err(error) => {
+            eprintln!("marigoldctl: {error}");
+            error.code().into()
+        }
+    }
+}
