--- a/crates/marigoldctl/src/commands.rs
+++ b/crates/marigoldctl/src/commands.rs
@@ -50,7 +50,7 @@
         Command::Completions { shell } => Ok(completions::run(*shell)),
         Command::Man { directory } => man::run(directory.as_deref()),
         Command::Reference => {
-            say!("{}", crate::reference());
+            say!("{}", crate::reference().trim_end());
             Ok(Outcome::Done)
         }
     }
--- a/crates/marigoldctl/src/error.rs
+++ b/crates/marigoldctl/src/error.rs
@@ -82,7 +82,7 @@
     #[error("{0}")]
     Usage(&'static str),
     /// No daemon gave an answer; the last one's fault is told.
-    #[error("{fault}{}", if *.asked > 1 { format!(" (the last of {asked} daemons)") } else { String::new() })]
+    #[error("{fault}{}{}", display_asked(*.asked), display_unclear(*.unclear))]
     Servers {
         /// How the last daemon failed.
         fault: ServerFault,
@@ -115,3 +115,19 @@
         }
     }
 }
+
+fn display_asked(asked: usize) -> String {
+    if asked > 1 {
+        format!(" (the last of {asked} daemons)")
+    } else {
+        String::new()
+    }
+}
+
+fn display_unclear(unclear: bool) -> &'static str {
+    if unclear {
+        "; it is not yet known whether it took effect: run the same command again, which is safe"
+    } else {
+        ""
+    }
+}
