--- a/crates/marigoldctl/tests/commands.rs
+++ b/crates/marigoldctl/tests/commands.rs
@@ -116,7 +116,7 @@
     let file = bench.scratch.file("ann.json", &ann.to_file_text());
     let intent = bench.scratch.file("mesh.ini", MESH);
     let ann_key = std::path::Path::new(&file);
-    let unknown = bench.run_as(ann_key, &bench.url, &["plan", &intent]);
+    let unknown = Bench::run_as(ann_key, &bench.url, &["plan", &intent]);
     assert_eq!(unknown.code, 1);
     assert!(
         unknown.err.contains("operator `ann` is not declared"),
@@ -125,7 +125,7 @@
 
     let other = OperatorKey::generate("root".parse().unwrap()).unwrap();
     let file = bench.scratch.file("other.json", &other.to_file_text());
-    let forged = bench.run_as(std::path::Path::new(&file), &bench.url, &["status"]);
+    let forged = Bench::run_as(std::path::Path::new(&file), &bench.url, &["status"]);
     assert_eq!(forged.code, 1);
     assert!(
         forged.err.contains("signature is not that of `root`"),
@@ -212,9 +212,9 @@
 fn next_daemon_is_asked() {
     let bench = Bench::new();
     let daemons = format!("{},{}", closed(), bench.url);
-    let output = bench.run_as(&bench.root, &daemons, &["status"]);
+    let output = Bench::run_as(&bench.root, &daemons, &["status"]);
     assert_eq!(output.code, 0, "{output:?}");
-    let output = bench.run_as(&bench.root, &closed(), &["status"]);
+    let output = Bench::run_as(&bench.root, &closed(), &["status"]);
     assert_eq!(output.code, 3);
     assert!(
         output.err.contains("connect to daemon http://127.0.0.1"),
@@ -233,7 +233,7 @@
         let (mut stream, _) = listener.accept().unwrap();
         let _ = stream.read(&mut [0; 4096]);
     });
-    let output = bench.run_as(&bench.root, &url, &["confirm", &id]);
+    let output = Bench::run_as(&bench.root, &url, &["confirm", &id]);
     dying.join().unwrap();
     assert_eq!(output.code, 4, "{output:?}");
     assert!(
--- a/crates/marigoldctl/tests/common/mod.rs
+++ b/crates/marigoldctl/tests/common/mod.rs
@@ -218,10 +218,10 @@
 
     /// Runs the program as the root operator.
     pub fn run(&self, args: &[&str]) -> Output {
-        self.run_as(&self.root, &self.url, args)
+        Self::run_as(&self.root, &self.url, args)
     }
 
-    pub fn run_as(&self, key: &Path, daemon: &str, args: &[&str]) -> Output {
+    pub fn run_as(key: &Path, daemon: &str, args: &[&str]) -> Output {
         let key = key.display().to_string();
         let mut all = vec!["--daemon", daemon, "--key", &key];
         all.extend(args);
