--- a/crates/marigold-control/src/controllers/configuration.rs
+++ b/crates/marigold-control/src/controllers/configuration.rs
@@ -4,7 +4,7 @@
 use std::time::Duration;
 
 use marigold_config::{Config, Delta};
-use marigold_types::Address;
+use marigold_types::{Address, Version};
 use rand::RngExt;
 use rand::seq::IndexedRandom;
 use rand_chacha::ChaCha8Rng;
@@ -27,6 +27,7 @@
     rng: ChaCha8Rng,
     check: Option<StartCheck>,
     holders: Vec<Address>,
+    wanted: Version,
     fetching: Option<Instant>,
     next: Option<Instant>,
 }
@@ -56,6 +57,7 @@
             rng,
             check: Some(StartCheck::after_start()),
             holders: Vec::new(),
+            wanted: Version::default(),
             fetching: None,
             next: None,
         }
@@ -65,6 +67,10 @@
         if let Some(check) = &mut self.check {
             check.ask(board, now, out);
         }
+        if board.config.version >= self.wanted {
+            self.next = None;
+            self.holders.clear();
+        }
         let lapsed = |since: Instant| now.duration_since(since) >= FETCH_PATIENCE;
         self.fetching = self.fetching.filter(|since| !lapsed(*since));
         let due = self.next.is_some_and(|next| now >= next);
@@ -129,7 +135,7 @@
     fn hear_mark(&mut self, board: &mut Board, from: Address, mark: Mark, now: Instant) {
         board.members.note_held(from, mark.version);
         if mark.version > board.config.version {
-            self.note_holder(from);
+            self.note_holder(from, mark.version);
             // The tree is most likely about to bring it.
             let grace = if board.is_serving() {
                 board.options.batch * 3
@@ -150,7 +156,8 @@
         board.notice_life(*life);
     }
 
-    fn note_holder(&mut self, from: Address) {
+    fn note_holder(&mut self, from: Address, version: Version) {
+        self.wanted = self.wanted.max(version);
         self.holders.retain(|holder| *holder != from);
         if self.holders.len() >= MAX_HOLDERS {
             self.holders.remove(0);
@@ -185,7 +192,7 @@
                 // Whatever is wrong with the step, the sender holds the version that it leads to.
                 let misses_base = matches!(error, marigold_config::DeltaError::OtherBase { .. });
                 out.counters.refused += u64::from(!misses_base);
-                self.note_holder(from);
+                self.note_holder(from, delta.to);
                 if misses_base && self.fetching.is_none() {
                     let held = board.config.version;
                     out.send(from, &Message::Fetch { held });
@@ -220,8 +227,6 @@
     fn replace(&mut self, board: &mut Board, config: Config) {
         if board.replace_config(Arc::new(config)) {
             self.fetching = None;
-            self.next = None;
-            self.holders.clear();
         }
     }
 
--- a/crates/marigold-control/src/controllers/remote.rs
+++ b/crates/marigold-control/src/controllers/remote.rs
@@ -10,7 +10,7 @@
 
 use crate::controller::{Controller, Input};
 use crate::controllers::gossip::remote_links;
-use crate::{Board, Event, Message, Outbox, Standing};
+use crate::{Board, Event, Message, Outbox};
 
 /// A data centre is held unreachable after so many intervals without a sign from it.
 const MISSED_ROUNDS: u32 = 3;
@@ -66,7 +66,7 @@
             board.unreached.clear();
             return;
         }
-        let names = other_centres(board);
+        let names = board.topology.centres.clone();
         self.links.retain(|name, _| names.contains(name));
         board.unreached.retain(|name| names.contains(name));
         for name in names {
@@ -143,16 +143,3 @@
         }
     }
 }
-
-fn other_centres(board: &Board) -> Vec<DataCentre> {
-    let mut names: Vec<DataCentre> = board
-        .members
-        .iter()
-        .filter(|entry| entry.member.standing != Standing::Dead)
-        .map(|entry| entry.member.data_centre.clone())
-        .filter(|name| *name != board.local.data_centre)
-        .collect();
-    names.sort_unstable();
-    names.dedup();
-    names
-}
--- a/crates/marigold-control/src/controllers/report.rs
+++ b/crates/marigold-control/src/controllers/report.rs
@@ -2,14 +2,19 @@
 
 use std::collections::BTreeMap;
 
-use marigold_types::Address;
+use marigold_types::{Address, Version};
 use tokio::time::Instant;
 
 use crate::controller::{Controller, Input};
 use crate::{Board, Event, Message, Outbox, Summary, Update};
 
-/// After so many intervals a summary is sent again although nothing changed.
+/// After so many intervals a summary is sent again to the parent although nothing changed.
 const REPEAT: u32 = 30;
+/// After so many intervals a follower tells everybody again although nothing changed.
+const REPEAT_ALL: u32 = 300;
+/// For so many intervals after a change a follower waits for all below it, so that everybody is
+/// told once, and of those that lag.
+const LAG_GRACE: u32 = 5;
 
 /// Counts the daemons below this one by version and tells its parent in the fan-out tree; a
 /// follower, which has none, tells everybody.
@@ -22,6 +27,8 @@
     next: Option<Instant>,
     last: Option<Sent>,
     number: u32,
+    /// The newest version counted, and since when.
+    newest: Option<(Version, Instant)>,
 }
 
 /// What was told, to whom and when.
@@ -64,13 +71,16 @@
         self.next = Some(now + board.options.report);
         let children = &board.topology.children;
         self.below.retain(|address, _| children.contains(address));
+        let members = &board.members;
+        board.reports.retain(|f, _| members.get(*f).is_some());
         let summary = self.count(board);
         let parent = board.topology.parent;
-        let period = board.options.report * REPEAT;
+        let repeat = if parent.is_some() { REPEAT } else { REPEAT_ALL };
+        let period = board.options.report * repeat;
         let known = self.last.as_ref().is_some_and(|last| {
             last.summary == summary && last.parent == parent && now - last.at < period
         });
-        if known {
+        if known || parent.is_none() && self.expects_more(board, &summary, now) {
             return;
         }
         self.tell(board, parent, &summary, now, out);
@@ -82,6 +92,16 @@
         });
     }
 
+    /// Returns whether a change is so new that most of those below are just about to tell.
+    fn expects_more(&mut self, board: &Board, summary: &Summary, now: Instant) -> bool {
+        let newest = self
+            .newest
+            .filter(|(version, _)| *version == summary.newest);
+        let (_, since) = *self.newest.insert(newest.unwrap_or((summary.newest, now)));
+        let grace = board.options.report * LAG_GRACE;
+        summary.holders < summary.total && now.duration_since(since) < grace
+    }
+
     fn count(&self, board: &Board) -> Summary {
         let newest = self.below.values().map(|below| below.newest);
         let newest = newest.fold(board.config.version, Ord::max);
--- a/crates/marigold-control/src/member_table.rs
+++ b/crates/marigold-control/src/member_table.rs
@@ -47,6 +47,7 @@
     index: BTreeMap<Address, MemberKey>,
     digests: Vec<u64>,
     generation: u64,
+    urgent: bool,
 }
 
 /// Returns where the daemon at `address` stands on the ring, and how it ranks as a follower.
@@ -84,6 +85,17 @@
         self.generation
     }
 
+    /// Returns whether a member has begun to leave since the last call of [`MemberTable::calm`].
+    #[must_use]
+    pub fn is_urgent(&self) -> bool {
+        self.urgent
+    }
+
+    /// Takes note that the last urgent change has been seen to.
+    pub fn calm(&mut self) {
+        self.urgent = false;
+    }
+
     /// Returns how many members are known, the dead ones among them.
     #[must_use]
     pub fn len(&self) -> usize {
@@ -136,6 +148,7 @@
         if member.standing != entry.member.standing || member.instance != entry.member.instance {
             entry.changed = now;
         }
+        self.urgent |= member.draining && !entry.member.draining;
         entry.member = member.clone();
         self.generation += 1;
         Merge::Newer
--- a/crates/marigold-control/src/plane.rs
+++ b/crates/marigold-control/src/plane.rs
@@ -147,7 +147,30 @@
         for controller in &mut self.controllers {
             controller.handle(&mut self.board, input, now, &mut self.out);
         }
-        self.refresh(now);
+        // Changes of members come by the hundred when a herd returns; a tick takes them together.
+        let waits = matches!(input, Input::Message { .. }) && !self.board.members.is_urgent();
+        if !waits || self.is_overtaken() {
+            self.board.members.calm();
+            self.refresh(now);
+        }
+    }
+
+    /// Returns whether anything but the members has changed since the view was published.
+    fn is_overtaken(&self) -> bool {
+        let Some(basis) = &self.basis else {
+            return true;
+        };
+        let members = basis.members;
+        *basis != self.take_basis(members)
+    }
+
+    fn take_basis(&self, members: u64) -> Basis {
+        Basis {
+            members,
+            version: self.board.config.version.0,
+            local: self.board.local.clone(),
+            gate: self.board.gate,
+        }
     }
 
     /// Works out the topology and the view anew when what they rest on has changed.
@@ -162,12 +185,7 @@
                 &self.board.options,
             );
         }
-        let basis = Basis {
-            members,
-            version: self.board.config.version.0,
-            local: self.board.local.clone(),
-            gate: self.board.gate,
-        };
+        let basis = self.take_basis(members);
         if self.basis.as_ref() != Some(&basis) {
             self.basis = Some(basis);
             self.publish(now);
--- a/crates/marigold-control/src/topology.rs
+++ b/crates/marigold-control/src/topology.rs
@@ -3,7 +3,7 @@
 //! Nothing here has to be agreed. Where two daemons see other members, a message goes a useless
 //! way or a missing one, and the comparison of marks makes up for it.
 
-use std::collections::BTreeMap;
+use std::collections::{BTreeMap, BTreeSet};
 
 use marigold_types::{Address, DataCentre};
 
@@ -29,6 +29,8 @@
     pub parent: Option<Address>,
     /// To whom it sends the configuration through the fan-out tree.
     pub children: Vec<Address>,
+    /// Every other data centre that a member is known of, whatever has become of it.
+    pub centres: BTreeSet<DataCentre>,
     /// The followers of each other data centre, best rank first; only a follower talks to them.
     pub remote: BTreeMap<DataCentre, Vec<Address>>,
 }
@@ -48,12 +50,10 @@
         topology.is_follower = topology.followers.contains(&local);
         topology.remote = followers;
         topology.remote.remove(data_centre);
-        topology.link_ring(&alive_ring(table, local, data_centre), local);
-        topology.link_tree(
-            &alive_ring(table, local, data_centre),
-            local,
-            options.fanout,
-        );
+        topology.centres = other_centres(table, data_centre);
+        let ring = alive_ring(table, local, data_centre);
+        topology.link_ring(&ring, local);
+        topology.link_tree(&ring, local, options.fanout);
         topology
     }
 
@@ -114,6 +114,17 @@
     }
 }
 
+fn other_centres(table: &MemberTable, own: &DataCentre) -> BTreeSet<DataCentre> {
+    let mut centres = BTreeSet::new();
+    for entry in table.iter() {
+        let name = &entry.member.data_centre;
+        if name != own && !centres.contains(name) {
+            centres.insert(name.clone());
+        }
+    }
+    centres
+}
+
 /// Returns whether `entry` is counted on to pass messages on.
 fn is_usable(entry: &Entry) -> bool {
     entry.member.standing == Standing::Alive
--- /dev/null
+++ b/crates/marigold-control/tests/routes.rs
@@ -0,0 +1,195 @@
+//! No route leads to what a daemon does not have.
+
+mod common;
+
+use std::sync::Arc;
+use std::time::Duration;
+
+use common::{Fixture, SECOND, address, service, set_route, set_service};
+use marigold_config::{Change, Config, Resource};
+use marigold_control::{ControlOptions, Endpoint, EndpointState, Event, View};
+use marigold_types::{Incarnation, InstanceId, SlotCount, Version};
+use quickcheck::{Arbitrary, Gen};
+
+/// The least number of interleavings that are tried.
+const ROUNDS: u64 = 30;
+const SERVICES: [&str; 3] = ["desk", "ledger", "git"];
+
+/// One step of an interleaving.
+#[derive(Debug, Clone)]
+enum Step {
+    Declare(usize),
+    Withdraw(usize),
+    Announce(usize, usize, bool),
+    Drain(usize),
+    Crash(usize),
+    Restart(usize),
+    Cut(bool),
+    Lose(bool),
+    Wait(u8),
+}
+
+impl Arbitrary for Step {
+    fn arbitrary(g: &mut Gen) -> Self {
+        let service = usize::arbitrary(g) % SERVICES.len();
+        let daemon = usize::arbitrary(g) % 4;
+        match u8::arbitrary(g) % 10 {
+            0 | 1 => Self::Declare(service),
+            2 => Self::Withdraw(service),
+            3 | 4 => Self::Announce(daemon, service, bool::arbitrary(g)),
+            5 => Self::Drain(daemon),
+            6 => Self::Crash(daemon),
+            7 => Self::Restart(daemon),
+            8 => Self::Cut(bool::arbitrary(g)),
+            _ if bool::arbitrary(g) => Self::Lose(bool::arbitrary(g)),
+            _ => Self::Wait(u8::arbitrary(g) % 50),
+        }
+    }
+}
+
+impl Step {
+    fn run(&self, fixture: &mut Fixture) {
+        match self {
+            Self::Declare(service) => {
+                let name = SERVICES[*service];
+                fixture.publish(vec![set_service(name), set_route(name, name, 1)]);
+            }
+            Self::Withdraw(service) => withdraw(fixture, SERVICES[*service]),
+            Self::Announce(daemon, service, healthy) => {
+                fixture.announce(address(0, *daemon), SERVICES[*service], *healthy);
+            }
+            Self::Drain(daemon) => fixture.mesh.handle(address(0, *daemon), &Event::Draining),
+            Self::Crash(daemon) => fixture.mesh.crash(address(0, *daemon)),
+            Self::Restart(daemon) => fixture.restart(address(0, *daemon)),
+            Self::Cut(cut) => {
+                let away = "dc1".parse().expect("a name");
+                fixture.mesh.cut = if *cut {
+                    vec![[away].into()]
+                } else {
+                    Vec::new()
+                };
+            }
+            Self::Lose(lose) => fixture.mesh.loss = if *lose { 300_000 } else { 0 },
+            Self::Wait(ticks) => {
+                let step = Duration::from_millis(100);
+                for _ in 0..*ticks {
+                    fixture.mesh.advance(step);
+                    check(fixture);
+                }
+            }
+        }
+        fixture.mesh.advance(Duration::from_millis(30));
+        check(fixture);
+    }
+}
+
+fn withdraw(fixture: &mut Fixture, name: &str) {
+    let route = Resource::Route(name.parse().expect("a name"));
+    let gone = |resource| Change {
+        resource,
+        after: None,
+    };
+    let changes = vec![gone(route), gone(Resource::Service(service(name)))];
+    fixture.publish(changes);
+}
+
+fn check(fixture: &Fixture) {
+    for plane in fixture.mesh.planes() {
+        let view = plane.view();
+        assert!(view.config.is_complete(), "a route without its service");
+        for name in view.live_routes() {
+            let (_, route) = view.route_for(&format!("/{name}")).expect("live");
+            assert!(view.config.service(&route.service).is_some());
+            let endpoints = view.endpoints_of(&route.service);
+            let takes = endpoints
+                .iter()
+                .filter(|e| e.state != EndpointState::Draining);
+            assert!(takes.count() > 0, "{name} has no backend server");
+        }
+        for (service, _) in view.config.routes().filter_map(|(name, route)| {
+            let live = view.live_routes().any(|live| live == name);
+            (!live).then_some((&route.service, name))
+        }) {
+            let endpoints = view.endpoints_of(service);
+            assert!(endpoints.iter().all(|e| e.state == EndpointState::Draining));
+        }
+    }
+}
+
+#[test]
+fn no_interleaving_leaves_a_route_dangling() {
+    for seed in 0..ROUNDS {
+        let mut g = Gen::from_size_and_seed(30, seed);
+        let steps = Vec::<Step>::arbitrary(&mut g);
+        let mut fixture = Fixture::new(ControlOptions::time(), &[4, 2], seed);
+        for step in &steps {
+            step.run(&mut fixture);
+        }
+        // Whatever happened, the survivors agree in the end.
+        fixture.mesh.loss = 0;
+        fixture.mesh.cut.clear();
+        fixture.mesh.advance(60 * SECOND);
+        check(&fixture);
+        assert!(fixture.versions().len() <= 1, "seed {seed}: {steps:?}");
+        assert!(fixture.all_serve(), "seed {seed}: {steps:?}");
+    }
+}
+
+fn view(paths: &[(&str, &str)], served: &[&str]) -> View {
+    let mut changes = Vec::new();
+    for (path, name) in paths {
+        changes.push(set_service(name));
+        let mut change = set_route(name, name, 1);
+        if let Some(marigold_config::Declaration::Route(route)) = &mut change.after {
+            route.path = (*path).into();
+        }
+        changes.push(change);
+    }
+    let config = Config::default().with(&changes, Version(1));
+    let instance = InstanceId {
+        address: address(0, 0),
+        incarnation: Incarnation(1),
+    };
+    let endpoints = served.iter().map(|name| {
+        let endpoint = Endpoint {
+            instance,
+            service: service(name),
+            data_centre: "dc0".parse().expect("a name"),
+            region: "region0".parse().expect("a name"),
+            slots: SlotCount(1),
+            state: EndpointState::Ready,
+            since: tokio::time::Instant::now(),
+        };
+        (service(name), Arc::from([endpoint]))
+    });
+    View::new(instance, true, Arc::new(config), endpoints.collect())
+}
+
+macro_rules! leads {
+    ($($name:ident: $path:literal => $route:expr;)*) => {$(
+        #[test]
+        fn $name() {
+            let paths = [("/", "root"), ("/desk", "desk"), ("/desk/orders/", "orders")];
+            let view = view(&paths, &["root", "desk", "undeclared"]);
+            let found = view.route_for($path).map(|(name, _)| name.as_str());
+            assert_eq!(found, $route);
+        }
+    )*};
+}
+
+leads! {
+    whole_path: "/desk" => Some("desk");
+    closing_slash: "/desk/" => Some("desk");
+    below: "/desk/loads/7" => Some("desk");
+    query_is_cut: "/desk?x=/desk/orders" => Some("desk");
+    no_segment_boundary: "/desktop" => Some("root");
+    root: "/" => Some("root");
+    anything_else: "/other/path" => Some("root");
+    longest_is_not_live: "/desk/orders/1" => None;
+}
+
+#[test]
+fn undeclared_service_has_no_endpoints() {
+    let view = view(&[("/", "root")], &["root", "undeclared"]);
+    assert!(view.endpoints_of(&service("undeclared")).is_empty());
+}
--- /dev/null
+++ b/crates/marigold-control/tests/storm.rs
@@ -0,0 +1,91 @@
+//! Hundreds of daemons return at once.
+
+mod common;
+
+use std::time::Duration;
+
+use common::{Fixture, SECOND, address};
+use marigold_control::{Admission, ControlOptions, FetchLimiter, Subject};
+
+#[test]
+fn returning_herd_is_served_within_bounds() {
+    let mut fixture = Fixture::new(ControlOptions::time(), &[100, 100], 1);
+    fixture.publish_route(1);
+    fixture.mesh.advance(10 * SECOND);
+    for number in 1..100 {
+        fixture.mesh.crash(address(0, number));
+    }
+    fixture.mesh.advance(10 * SECOND);
+    let reads = fixture.mesh.log.reads;
+    for number in 1..100 {
+        fixture.restart(address(0, number));
+    }
+    fixture.mesh.advance(30 * SECOND);
+
+    assert!(fixture.all_serve(), "everyone is served");
+    assert_eq!(fixture.versions().len(), 1);
+    let limit = fixture.mesh.options.fetches;
+    for plane in fixture.mesh.planes() {
+        let peak = plane.status(fixture.mesh.now).fetch_peak;
+        assert!(peak <= limit, "{peak} whole states at one time");
+    }
+    // Followers come and go while the members are learnt, but never all daemons.
+    let reads = fixture.mesh.log.reads - reads;
+    assert!(reads < 30 * 20, "{reads} reads of the log in 30 s");
+}
+
+#[test]
+fn limiter_bounds_and_refers() {
+    let now = tokio::time::Instant::now();
+    let mut limiter = FetchLimiter::new(2);
+    let ask = |limiter: &mut FetchLimiter, number, at| {
+        limiter.admit(address(0, number), Subject::Config, at)
+    };
+    assert_eq!(ask(&mut limiter, 1, now), Admission::Granted);
+    assert_eq!(ask(&mut limiter, 2, now), Admission::Granted);
+    assert_eq!(
+        ask(&mut limiter, 3, now),
+        Admission::Deferred { other: None }
+    );
+    // A repeat takes its own place again.
+    assert_eq!(ask(&mut limiter, 2, now), Admission::Granted);
+    limiter.release(address(0, 1), Subject::Config, now);
+    assert_eq!(ask(&mut limiter, 3, now), Admission::Granted);
+    let other = Some(address(0, 1));
+    assert_eq!(ask(&mut limiter, 4, now), Admission::Deferred { other });
+    // Those that never said that they have it give way in time.
+    let later = now + Duration::from_secs(10);
+    assert_eq!(ask(&mut limiter, 4, later), Admission::Granted);
+    assert_eq!(limiter.peak(), 2);
+}
+
+#[test]
+fn whole_mesh_returns_with_the_log_up() {
+    let mut fixture = Fixture::new(ControlOptions::time(), &[40, 40, 40], 2);
+    fixture.publish_route(1);
+    fixture.mesh.advance(10 * SECOND);
+    for at in fixture.mesh.nodes.keys().copied().collect::<Vec<_>>() {
+        fixture.mesh.crash(at);
+        fixture.restart(at);
+    }
+    fixture.mesh.advance(30 * SECOND);
+    assert!(fixture.all_serve());
+    assert_eq!(fixture.versions().len(), 1);
+    for plane in fixture.mesh.planes() {
+        assert_eq!(plane.board().members.len(), 120);
+    }
+}
+
+#[test]
+fn daemon_without_live_seeds_finds_the_mesh_through_the_log() {
+    let mut fixture = Fixture::new(ControlOptions::time(), &[10], 3);
+    let version = fixture.publish_route(1);
+    fixture.mesh.advance(40 * SECOND);
+    fixture.mesh.seeds = vec![address(5, 0), address(5, 1)];
+    fixture.start(0, 20);
+    fixture.mesh.advance(20 * SECOND);
+    let plane = fixture.mesh.plane(address(0, 20));
+    assert_eq!(plane.board().members.len(), 11);
+    assert_eq!(plane.config().version, version);
+    assert!(plane.view().serving);
+}
--- a/crates/marigold-scenarios/src/control/mesh.rs
+++ b/crates/marigold-scenarios/src/control/mesh.rs
@@ -4,7 +4,7 @@
 use std::time::Duration;
 
 use marigold_config::Trust;
-use marigold_control::{Action, ControlOptions, ControlPlane, Event, Local};
+use marigold_control::{Action, ControlOptions, ControlPlane, Event, Local, Traffic};
 use marigold_types::{
     Address, DataCentre, Incarnation, InstanceId, LogOffset, RecordTime, Region, SlotCount,
 };
@@ -59,9 +59,12 @@
     pub deaf: BTreeMap<Address, BTreeSet<&'static str>>,
     /// Whether a daemon that is down refuses connections, in place of staying silent.
     pub refuses: bool,
+    /// What all daemons have sent, by kind, also those that are down now.
+    pub sent: BTreeMap<&'static str, Traffic>,
     /// The present.
     pub now: Instant,
     start: Instant,
+    tick: Instant,
     queue: BTreeMap<(Instant, u64), (Address, Parcel)>,
     count: u64,
     rng: ChaCha8Rng,
@@ -82,8 +85,10 @@
             loss: 0,
             deaf: BTreeMap::new(),
             refuses: true,
+            sent: BTreeMap::new(),
             now,
             start: now,
+            tick: now + TICK,
             queue: BTreeMap::new(),
             count: 0,
             rng: ChaCha8Rng::seed_from_u64(seed),
@@ -190,9 +195,13 @@
     pub fn advance(&mut self, duration: Duration) {
         let end = self.now + duration;
         while self.now < end {
-            let next = (self.now + TICK).min(end);
+            let next = self.tick.min(end);
             self.deliver(next);
             self.now = next;
+            if self.now < self.tick {
+                return;
+            }
+            self.tick += TICK;
             let awake = |node: &Node| node.plane.is_some() && node.paused.is_none();
             let nodes = self.nodes.iter().filter(|(_, node)| awake(node));
             let addresses: Vec<Address> = nodes.map(|(address, _)| *address).collect();
@@ -206,6 +215,9 @@
         let time = self.time();
         match action {
             Action::Send { to, kind, message } => {
+                let traffic = self.sent.entry(kind).or_default();
+                traffic.messages += 1;
+                traffic.bytes += message.len() as u64;
                 let deaf = self.deaf.get(&to);
                 if !deaf.is_some_and(|kinds| kinds.contains(kind)) && !self.is_lost(from, to) {
                     self.post(to, Parcel::Message { from, message });
