--- a/crates/marigold-control/src/controllers/anti_entropy.rs
+++ b/crates/marigold-control/src/controllers/anti_entropy.rs
@@ -12,6 +12,9 @@
 use crate::message::MAX_MEMBERS;
 use crate::{Board, Event, Mark, Member, Message, Outbox};
 
+/// So many comparisons follow one another quickly after a start or a pause.
+const EARLY: u32 = 4;
+
 /// Compares marks with a peer at a low rate, and tables bucket by bucket where they differ.
 ///
 /// The peer is drawn from those that the daemon talks to anyway: their links join the whole data
@@ -20,6 +23,7 @@
 pub struct AntiEntropy {
     rng: ChaCha8Rng,
     next: Option<Instant>,
+    early: u32,
 }
 
 impl Controller for AntiEntropy {
@@ -30,7 +34,10 @@
     fn handle(&mut self, board: &mut Board, input: Input<'_>, now: Instant, out: &mut Outbox) {
         match input {
             Input::Event(Event::Tick) => self.tick(board, now, out),
-            Input::Event(Event::Resumed { .. }) => self.next = Some(now),
+            Input::Event(Event::Resumed { .. }) => {
+                self.next = Some(now);
+                self.early = EARLY;
+            }
             Input::Event(_) => {}
             Input::Message { from, message } => hear(board, from, message, now, out),
         }
@@ -41,17 +48,29 @@
     /// Makes the controller, which draws its numbers from `rng`.
     #[must_use]
     pub fn new(rng: ChaCha8Rng) -> Self {
-        Self { rng, next: None }
+        Self {
+            rng,
+            next: None,
+            early: EARLY,
+        }
     }
 
     fn tick(&mut self, board: &Board, now: Instant, out: &mut Outbox) {
-        let period = board.options.compare;
+        if !board.joined {
+            return;
+        }
+        let period = if self.early > 0 {
+            board.options.probe
+        } else {
+            board.options.compare
+        };
         let spread = period.mul_f64(self.rng.random_range(0.8..1.2));
         let next = *self.next.get_or_insert(now + spread);
         if now < next {
             return;
         }
         self.next = Some(now + spread);
+        self.early = self.early.saturating_sub(1);
         if let Some(peer) = board.topology.peers().choose(&mut self.rng) {
             let mark = board.mark();
             out.send(*peer, &Message::Compare { mark });
--- a/crates/marigold-control/src/controllers/fetch.rs
+++ b/crates/marigold-control/src/controllers/fetch.rs
@@ -90,7 +90,12 @@
         for (place, part) in parts.enumerate() {
             let members = part.to_vec();
             let last = place + 1 == count;
-            out.send(from, &Message::Table { members, last });
+            let table = Message::Table {
+                members,
+                last,
+                joined: board.joined,
+            };
+            out.send(from, &table);
         }
     }
 
--- a/crates/marigold-control/src/controllers/join.rs
+++ b/crates/marigold-control/src/controllers/join.rs
@@ -16,10 +16,14 @@
 const FIRST_SPREAD: Duration = Duration::from_millis(500);
 /// How long an answer is waited for in the first round; later rounds wait longer.
 const PATIENCE: Duration = Duration::from_secs(1);
+/// How long the next candidate waits after one that was not reached.
+const RETRY: Duration = Duration::from_millis(250);
 /// The longest wait between two rounds.
 const MAX_WAIT: Duration = Duration::from_secs(5);
 /// After so many rounds without an answer the log's members stream is read, too.
 const ROUNDS_BEFORE_LOG: u32 = 2;
+/// From this round on the table of a daemon that has just started itself is enough.
+const ROUNDS_PARTIAL: u32 = 3;
 /// After so many rounds without an answer a daemon that could read the log holds itself alone.
 const ROUNDS_ALONE: u32 = 6;
 /// How many records at the end of the members stream are read.
@@ -60,6 +64,10 @@
             Input::Event(Event::LogRead { stream, result }) if *stream == StreamName::Members => {
                 self.take_read(result, out);
             }
+            Input::Event(Event::Unreachable { .. }) if !board.joined => {
+                // The next is asked soon, but not in a row without a pause.
+                self.next = self.next.map(|next| next.min(now + RETRY));
+            }
             Input::Message { from, message } => self.hear(board, from, message, now, out),
             Input::Event(_) => {}
         }
@@ -186,12 +194,18 @@
         out: &mut Outbox,
     ) {
         match message {
-            Message::Table { members, last } => {
+            Message::Table {
+                members,
+                last,
+                joined,
+            } => {
                 for member in members {
                     board.import(member, now);
                 }
                 if *last {
-                    finish(board, from, out);
+                    // Two daemons that start together know only one another.
+                    let enough = *joined || self.rounds >= ROUNDS_PARTIAL;
+                    finish(board, from, enough, out);
                 }
             }
             Message::Busy {
@@ -210,11 +224,11 @@
     }
 }
 
-fn finish(board: &mut Board, from: Address, out: &mut Outbox) {
+fn finish(board: &mut Board, from: Address, enough: bool, out: &mut Outbox) {
     let mark = board.mark();
     let subject = Subject::Members;
     out.send(from, &Message::Holding { subject, mark });
-    if board.joined {
+    if board.joined || !enough {
         return;
     }
     board.joined = true;
--- a/crates/marigold-control/src/message.rs
+++ b/crates/marigold-control/src/message.rs
@@ -76,6 +76,8 @@
         members: Vec<Member>,
         /// Whether it is the last part.
         last: bool,
+        /// Whether the sender has itself found the mesh; otherwise it may know very few.
+        joined: bool,
     },
     /// Carries changes on.
     Gossip {
--- a/crates/marigold-control/tests/messages.rs
+++ b/crates/marigold-control/tests/messages.rs
@@ -60,6 +60,7 @@
         Message::Table {
             members: vec![member(1), member(2)],
             last: true,
+            joined: true,
         },
         Message::Gossip {
             updates: vec![Update::Member(member(1)), update],
@@ -154,7 +155,7 @@
         bytes: MAX_MESSAGE_BYTES + 1,
     };
     huge_count: [4, 255, 255, 255, 255, 255, 255, 255, 255, 127] => MessageError::Malformed;
-    too_many_members: Message::Table { members: vec![member(1); 513], last: true }.encode()
+    too_many_members: Message::Table { members: vec![member(1); 513], last: true, joined: true }.encode()
         => MessageError::TooMany { kind: "table" };
     wrong_bucket_count: Message::Buckets { digests: vec![0; 3] }.encode()
         => MessageError::TooMany { kind: "buckets" };
--- a/crates/marigold-scenarios/src/control/mesh.rs
+++ b/crates/marigold-scenarios/src/control/mesh.rs
@@ -31,6 +31,8 @@
     pub paused: Option<Instant>,
     /// How often it was started.
     pub starts: u64,
+    /// How the backend server beside it last announced itself.
+    pub announced: Option<Event>,
 }
 
 /// Something on its way to a daemon.
@@ -119,6 +121,7 @@
             plane: Some(plane),
             paused: None,
             starts,
+            announced: None,
         };
         self.nodes.insert(address, node);
     }
@@ -137,6 +140,15 @@
         self.start(address, &data_centre, &region);
     }
 
+    /// Starts the daemon at `address` again; its backend server announces itself as before.
+    pub fn restart_announced(&mut self, address: Address) {
+        let announced = self.nodes[&address].announced.clone();
+        self.restart(address);
+        if let Some(announced) = announced {
+            self.handle(address, &announced);
+        }
+    }
+
     /// Stops the clock of the daemon at `address`.
     pub fn pause(&mut self, address: Address) {
         let now = self.now;
@@ -182,8 +194,13 @@
     /// Gives `event` to the daemon at `address` and does what it asks for.
     pub fn handle(&mut self, address: Address, event: &Event) {
         let now = self.now;
-        let node = self.nodes.get_mut(&address);
-        let Some(plane) = node.and_then(|node| node.plane.as_mut()) else {
+        let Some(node) = self.nodes.get_mut(&address) else {
+            return;
+        };
+        if matches!(event, Event::Announced { .. }) {
+            node.announced = Some(event.clone());
+        }
+        let Some(plane) = node.plane.as_mut() else {
             return;
         };
         for action in plane.handle(event, now) {
--- a/crates/marigold-scenarios/src/control/operator.rs
+++ b/crates/marigold-scenarios/src/control/operator.rs
@@ -1,6 +1,6 @@
 //! An operator who publishes configuration in scenarios.
 
-use marigold_auth::{MeshKey, OperatorKey};
+use marigold_auth::{MeshKey, OperatorKey, PublicKey};
 use marigold_config::{
     Change, Config, Confirm, Confirmation, Plan, Record, SignedConfirm, SignedPlan, Trust,
 };
@@ -36,6 +36,12 @@
         Trust::new(self.key.operator().clone(), self.key.public(), &mesh)
     }
 
+    /// Returns the public key.
+    #[must_use]
+    pub fn public(&self) -> PublicKey {
+        self.key.public()
+    }
+
     /// Plans `changes` to `base`.
     #[must_use]
     pub fn plan(&self, base: &Config, changes: Vec<Change>, time: RecordTime) -> SignedPlan {
