--- a/crates/marigold-scenarios/src/control/mesh.rs
+++ b/crates/marigold-scenarios/src/control/mesh.rs
@@ -4,7 +4,7 @@
 use std::time::Duration;
 
 use marigold_config::Trust;
-use marigold_control::{Action, ControlOptions, ControlPlane, Event, Local};
+use marigold_control::{Action, ControlOptions, ControlPlane, Event, Local, Traffic};
 use marigold_types::{
     Address, DataCentre, Incarnation, InstanceId, LogOffset, RecordTime, Region, SlotCount,
 };
@@ -31,6 +31,8 @@
     pub paused: Option<Instant>,
     /// How often it was started.
     pub starts: u64,
+    /// How the backend server beside it last announced itself.
+    pub announced: Option<Event>,
 }
 
 /// Something on its way to a daemon.
@@ -59,9 +61,12 @@
     pub deaf: BTreeMap<Address, BTreeSet<&'static str>>,
     /// Whether a daemon that is down refuses connections, in place of staying silent.
     pub refuses: bool,
+    /// What all daemons have sent, by kind, also those that are down now.
+    pub sent: BTreeMap<&'static str, Traffic>,
     /// The present.
     pub now: Instant,
     start: Instant,
+    tick: Instant,
     queue: BTreeMap<(Instant, u64), (Address, Parcel)>,
     count: u64,
     rng: ChaCha8Rng,
@@ -82,8 +87,10 @@
             loss: 0,
             deaf: BTreeMap::new(),
             refuses: true,
+            sent: BTreeMap::new(),
             now,
             start: now,
+            tick: now + TICK,
             queue: BTreeMap::new(),
             count: 0,
             rng: ChaCha8Rng::seed_from_u64(seed),
@@ -114,6 +121,7 @@
             plane: Some(plane),
             paused: None,
             starts,
+            announced: None,
         };
         self.nodes.insert(address, node);
     }
@@ -132,6 +140,15 @@
         self.start(address, &data_centre, &region);
     }
 
+    /// Starts the daemon at `address` again; its backend server announces itself as before.
+    pub fn restart_announced(&mut self, address: Address) {
+        let announced = self.nodes[&address].announced.clone();
+        self.restart(address);
+        if let Some(announced) = announced {
+            self.handle(address, &announced);
+        }
+    }
+
     /// Stops the clock of the daemon at `address`.
     pub fn pause(&mut self, address: Address) {
         let now = self.now;
@@ -177,8 +194,13 @@
     /// Gives `event` to the daemon at `address` and does what it asks for.
     pub fn handle(&mut self, address: Address, event: &Event) {
         let now = self.now;
-        let node = self.nodes.get_mut(&address);
-        let Some(plane) = node.and_then(|node| node.plane.as_mut()) else {
+        let Some(node) = self.nodes.get_mut(&address) else {
+            return;
+        };
+        if matches!(event, Event::Announced { .. }) {
+            node.announced = Some(event.clone());
+        }
+        let Some(plane) = node.plane.as_mut() else {
             return;
         };
         for action in plane.handle(event, now) {
@@ -190,9 +212,13 @@
     pub fn advance(&mut self, duration: Duration) {
         let end = self.now + duration;
         while self.now < end {
-            let next = (self.now + TICK).min(end);
+            let next = self.tick.min(end);
             self.deliver(next);
             self.now = next;
+            if self.now < self.tick {
+                return;
+            }
+            self.tick += TICK;
             let awake = |node: &Node| node.plane.is_some() && node.paused.is_none();
             let nodes = self.nodes.iter().filter(|(_, node)| awake(node));
             let addresses: Vec<Address> = nodes.map(|(address, _)| *address).collect();
@@ -206,6 +232,9 @@
         let time = self.time();
         match action {
             Action::Send { to, kind, message } => {
+                let traffic = self.sent.entry(kind).or_default();
+                traffic.messages += 1;
+                traffic.bytes += message.len() as u64;
                 let deaf = self.deaf.get(&to);
                 if !deaf.is_some_and(|kinds| kinds.contains(kind)) && !self.is_lost(from, to) {
                     self.post(to, Parcel::Message { from, message });
