Add whole meshes in one process, the demonstration and the measurements

Change: Mesh starts daemons with fresh keys, their backend servers and an operator over HTTP; demo runs both customers' meshes; measure has parts for calls, control at 10 to 200 daemons, recovery, keys, overload and faults. Not run yet: the daemon does not serve its operators' side so far.

--- a/crates/marigold-standin/src/backend/server.rs
+++ b/crates/marigold-standin/src/backend/server.rs
@@ -12,7 +12,7 @@
 
 use super::announcer::Announcer;
 use super::handler::handle;
-use super::{BackendPlan, BackendState};
+use super::{BackendControl, BackendPlan, BackendState};
 use crate::StandinError;
 
 /// Why a stand-in ended by itself.
@@ -76,10 +76,19 @@
     ///
     /// When the daemon does not take it; the announcement then lapses by itself.
     pub async fn leave(&mut self) -> Result<(), StandinError> {
-        self.state.control(&super::BackendControl {
+        self.state.control(&BackendControl {
             draining: Some(true),
-            ..super::BackendControl::default()
+            ..BackendControl::default()
         });
+        self.withdraw().await
+    }
+
+    /// Takes its announcement back, but goes on with whatever work comes.
+    ///
+    /// # Errors
+    ///
+    /// When the daemon does not take it; the announcement then lapses by itself.
+    pub async fn withdraw(&mut self) -> Result<(), StandinError> {
         match self.announcer.take() {
             Some(announcer) => announcer.leave().await,
             None => Ok(()),
--- a/crates/marigold-standin/src/backend/state.rs
+++ b/crates/marigold-standin/src/backend/state.rs
@@ -25,6 +25,8 @@
     egress: Option<Egress>,
     busy: AtomicU32,
     connections: AtomicU64,
+    arrived: Mutex<Option<Instant>>,
+    arrivals: AtomicU64,
     shed: AtomicU64,
     cancelled: AtomicU64,
     crash: watch::Sender<u64>,
@@ -41,6 +43,8 @@
             egress: plan.egress.map(Egress::new),
             busy: AtomicU32::new(0),
             connections: AtomicU64::new(0),
+            arrived: Mutex::default(),
+            arrivals: AtomicU64::new(0),
             shed: AtomicU64::new(0),
             cancelled: AtomicU64::new(0),
             crash: watch::Sender::new(0),
@@ -77,6 +81,24 @@
         self.shed.load(Ordering::Relaxed)
     }
 
+    /// Returns when the last request for work came, whether it was shed or not.
+    #[must_use]
+    pub fn last_arrival(&self) -> Option<Instant> {
+        *lock(&self.arrived)
+    }
+
+    /// Returns how many requests for work came, shed ones included.
+    #[must_use]
+    pub fn arrivals(&self) -> u64 {
+        self.arrivals.load(Ordering::Relaxed)
+    }
+
+    /// Returns how often it crashed.
+    #[must_use]
+    pub fn crash_count(&self) -> u64 {
+        *self.crash.borrow()
+    }
+
     /// Returns the requests that were given up while they ran.
     #[must_use]
     pub fn cancelled(&self) -> u64 {
@@ -127,6 +149,8 @@
 
     /// Takes a slot, or counts the request as shed.
     pub(super) fn take_slot(&self) -> bool {
+        *lock(&self.arrived) = Some(Instant::now());
+        self.arrivals.fetch_add(1, Ordering::Relaxed);
         let (slots, draining) = {
             let faults = lock(&self.faults);
             (faults.slots.0, faults.draining)
--- /dev/null
+++ b/crates/marigold-standin/src/demo/args.rs
@@ -0,0 +1,53 @@
+//! Arguments of `marigold-standin demo`.
+
+use clap::Args;
+use indicatif::{ProgressBar, ProgressStyle};
+
+use super::{DemoReport, Scene};
+use crate::StandinError;
+use crate::fleet::Customer;
+
+const BAR: &str = "{bar:30} {pos}/{len} {elapsed} {msg}";
+
+/// Runs both customers' meshes in this process: publish, plan, confirm, call, change the
+/// configuration under load, stop one daemon, drop another, and account for every call.
+#[derive(Debug, Clone, Args)]
+pub struct DemoArgs {
+    /// Print the result as JSON.
+    #[arg(long)]
+    json: bool,
+}
+
+impl DemoArgs {
+    /// Runs the demonstration and returns whether nothing was lost, doubled or left unconverged.
+    ///
+    /// # Errors
+    ///
+    /// When a step cannot be taken at all.
+    pub async fn run(self) -> Result<bool, StandinError> {
+        let bar = ProgressBar::new(Scene::STEPS * Customer::ALL.len() as u64);
+        if let Ok(style) = ProgressStyle::with_template(BAR) {
+            bar.set_style(style);
+        }
+        let [first, second] = Customer::ALL;
+        let (first, second) = tokio::try_join!(
+            Scene::new(first, bar.clone()).run(),
+            Scene::new(second, bar.clone()).run(),
+        )?;
+        bar.finish_and_clear();
+
+        let reports = [first, second];
+        if self.json {
+            let json = serde_json::to_string_pretty(&reports)
+                .map_err(|error| StandinError::new("print", &"report", &error))?;
+            println!("{json}");
+        } else {
+            DemoReport::print(&reports);
+        }
+        let clean = reports.iter().all(DemoReport::is_clean);
+        if !clean {
+            eprintln!("marigold-standin: something was lost, doubled or left unconverged");
+        }
+        Ok(clean)
+    }
+}
--- /dev/null
+++ b/crates/marigold-standin/src/demo/report.rs
@@ -0,0 +1,120 @@
+//! What the demonstration came to.
+
+use std::time::Duration;
+
+use comfy_table::Table;
+use serde::{Deserialize, Serialize};
+
+use crate::fleet::Convergence;
+use crate::load::{Audit, LoadReport};
+
+/// One confirmed change.
+#[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
+pub struct Step {
+    /// What was confirmed.
+    pub name: String,
+    /// How many declarations changed.
+    pub changes: usize,
+    /// The version that it made.
+    pub version: u64,
+    /// Milliseconds until half of the daemons held it.
+    pub p50_ms: f64,
+    /// Milliseconds until the last daemon held it.
+    pub last_ms: f64,
+    /// Daemons that did not hold it in time.
+    pub missing: usize,
+}
+
+impl Step {
+    /// Describes a confirmed change.
+    #[must_use]
+    pub fn new(name: &str, changes: usize, convergence: &Convergence) -> Self {
+        let millis = |time: Duration| time.as_secs_f64() * 1_000.0;
+        Self {
+            name: name.to_owned(),
+            changes,
+            version: convergence.version.0,
+            p50_ms: millis(convergence.quantile(0.5)),
+            last_ms: millis(convergence.quantile(1.0)),
+            missing: convergence.missing,
+        }
+    }
+}
+
+/// The result of one mesh.
+#[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
+pub struct DemoReport {
+    /// The mesh.
+    pub mesh: String,
+    /// Its daemons at the start.
+    pub daemons: usize,
+    /// The confirmed changes.
+    pub steps: Vec<Step>,
+    /// The calls.
+    pub load: LoadReport,
+    /// What the backend servers counted of them.
+    pub audit: Audit,
+    /// Control bytes sent by a daemon, on average.
+    pub control_bytes: u64,
+    /// Seconds over which they were counted.
+    pub seconds: f64,
+    /// Whether every daemon that is up holds the last version at the end.
+    pub converged: bool,
+}
+
+impl DemoReport {
+    /// Returns whether nothing was lost, doubled or left unconverged.
+    #[must_use]
+    pub fn is_clean(&self) -> bool {
+        let steps = self.steps.iter().all(|step| step.missing == 0);
+        steps && self.converged && self.audit.is_clean() && self.load.answered() > 0
+    }
+
+    /// Prints the results of all meshes beside each other.
+    pub fn print(reports: &[Self]) {
+        let mut table = Table::new();
+        let names = reports.iter().map(|report| report.mesh.clone());
+        table.set_header(std::iter::once(String::new()).chain(names));
+        let mut row = |name: &str, value: &dyn Fn(&Self) -> String| {
+            let values = reports.iter().map(value);
+            table.add_row(std::iter::once(name.to_owned()).chain(values));
+        };
+        row("daemons", &|report| report.daemons.to_string());
+        row("calls sent", &|report| report.load.sent.to_string());
+        row("answered", &|report| report.load.answered().to_string());
+        row("not run", &|report| report.load.not_run().to_string());
+        row("  of these unreached", &|report| {
+            report.load.unreached.to_string()
+        });
+        row("unknown", &|report| report.load.unknown().to_string());
+        row("not sent for want of a key", &|report| {
+            report.load.unsent.to_string()
+        });
+        row("lost", &|report| report.audit.lost().to_string());
+        row("doubled", &|report| report.audit.doubled.to_string());
+        let steps = reports.iter().map(|report| report.steps.len()).max();
+        for at in 0..steps.unwrap_or_default() {
+            let name = &reports[0].steps[at].name;
+            row(&format!("{name}: all hold it after"), &|report| {
+                let step = report.steps.get(at);
+                step.map_or_else(String::new, |step| format!("{:.0} ms", step.last_ms))
+            });
+        }
+        row("control bytes sent per daemon and second", &|report| {
+            #[expect(clippy::cast_precision_loss, reason = "far below 2^52")]
+            let rate = report.control_bytes as f64 / report.seconds;
+            format!("{rate:.0}")
+        });
+        row("converged", &|report| yes(report.converged));
+        println!("{table}");
+        for report in reports {
+            for (reason, count) in &report.load.reasons {
+                println!("{}: not answered for {reason}: {count}", report.mesh);
+            }
+        }
+    }
+}
+
+fn yes(value: bool) -> String {
+    if value { "yes" } else { "NO" }.to_owned()
+}
--- /dev/null
+++ b/crates/marigold-standin/src/demo/scene.rs
@@ -0,0 +1,104 @@
+//! What happens to one mesh in the demonstration.
+
+use std::time::Duration;
+
+use indicatif::ProgressBar;
+use marigold_config::Intent;
+use marigold_types::{Interval, Rate};
+use tokio::time::Instant;
+
+use super::{DemoReport, Step};
+use crate::StandinError;
+use crate::fleet::{Customer, Mesh, Node};
+use crate::load::{LoadPlan, LoadRun};
+use crate::log::{LogLimits, MemoryLog};
+
+const RATE: Rate = Rate(300);
+const LOAD: Interval = Interval::from_millis(12_000);
+const PAUSE: Duration = Duration::from_secs(3);
+const WAIT: Duration = Duration::from_secs(11);
+
+/// The demonstration of one customer's mesh.
+pub struct Scene {
+    customer: Customer,
+    bar: ProgressBar,
+}
+
+impl Scene {
+    /// The steps that the progress bar counts.
+    pub const STEPS: u64 = 6;
+
+    /// Prepares the mesh of `customer`; steps are counted on `bar`.
+    #[must_use]
+    pub fn new(customer: Customer, bar: ProgressBar) -> Self {
+        Self { customer, bar }
+    }
+
+    /// Runs it to its end.
+    ///
+    /// # Errors
+    ///
+    /// When a step cannot be taken at all.
+    pub async fn run(self) -> Result<DemoReport, StandinError> {
+        let plan = self.customer.mesh();
+        let daemons = plan.nodes.len();
+        let started = Instant::now();
+        let mut mesh = Mesh::start(&plan, MemoryLog::new(LogLimits::default())).await?;
+        mesh.wait_until("wait for members", WAIT, |node| node.members() == daemons)
+            .await?;
+        self.step("every daemon knows every other");
+
+        let first = self.customer.intent()?;
+        let mut steps = vec![self.publish(&mesh, "first intent", &first).await?];
+        mesh.wait_until("wait for service", WAIT, Node::is_serving)
+            .await?;
+        self.step("the first intent is in force");
+
+        let load = LoadPlan::new(mesh.callers(), self.customer.load(), RATE, LOAD);
+        let load = tokio::spawn(LoadRun::new(load)?.run());
+        tokio::time::sleep(PAUSE).await;
+        let changed = self.customer.changed_intent()?;
+        steps.push(self.publish(&mesh, "change under load", &changed).await?);
+        self.step("the configuration changed under load");
+
+        mesh.nodes_mut()[1].stop().await?;
+        self.step("a daemon stopped gracefully");
+        tokio::time::sleep(PAUSE).await;
+        mesh.nodes_mut()[daemons - 1].abort();
+        self.step("a daemon dropped without warning");
+
+        let (report, ledger) = load
+            .await
+            .map_err(|error| StandinError::new("run load", &self.customer.name(), &error))?;
+        let report = DemoReport {
+            mesh: self.customer.name().to_owned(),
+            daemons,
+            steps,
+            audit: mesh.audit(&ledger),
+            load: report,
+            control_bytes: mesh.control_bytes() / daemons as u64,
+            seconds: started.elapsed().as_secs_f64(),
+            converged: mesh.is_converged(),
+        };
+        mesh.stop().await?;
+        self.step("stopped");
+        Ok(report)
+    }
+
+    async fn publish(
+        &self,
+        mesh: &Mesh,
+        name: &str,
+        intent: &Intent,
+    ) -> Result<Step, StandinError> {
+        let planned = mesh.plan(intent).await?;
+        let convergence = mesh.confirm(&planned, WAIT).await?;
+        Ok(Step::new(name, planned.changes.len(), &convergence))
+    }
+
+    fn step(&self, what: &'static str) {
+        self.bar.inc(1);
+        self.bar
+            .set_message(format!("{}: {what}", self.customer.name()));
+    }
+}
--- a/crates/marigold-standin/src/fleet/customer.rs
+++ b/crates/marigold-standin/src/fleet/customer.rs
@@ -2,7 +2,7 @@
 
 use marigold_config::Intent;
 use marigold_settings::{ControlSettings, Profile, RequestSettings};
-use marigold_types::{DataCentre, Interval, ServiceName, SlotCount};
+use marigold_types::{Interval, ServiceName, SlotCount};
 
 use super::{MeshPlan, NodePlan};
 use crate::StandinError;
@@ -13,7 +13,6 @@
 const ASPEN_INTENT: &str = include_str!("../../../../examples/aspen-coulee/mesh.ini");
 const SERVICE_TIME: Interval = Interval::from_millis(5);
 const CONNECT_DELAY: Interval = Interval::from_millis(1);
-const POLL: Interval = Interval::from_millis(500);
 
 /// A customer whose mesh the demonstration and the measurements start.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
@@ -56,6 +55,25 @@
             .map_err(|faults| StandinError::new("read intent", &self.name(), &faults))
     }
 
+    /// Reads the sample intent with one route more, one deadline longer and one class changed.
+    ///
+    /// # Errors
+    ///
+    /// When the sample has a mistake.
+    pub fn changed_intent(self) -> Result<Intent, StandinError> {
+        let (service, from, to) = match self {
+            Self::Tregaron => ("dispatch-desk", "deadline = 2s", "deadline = 3s"),
+            Self::AspenCoulee => ("gradeflow", "deadline = 30s", "deadline = 40s"),
+        };
+        let text = self.intent_text().replace(from, to);
+        let text = format!(
+            "{text}\n[route added]\npath = /added\nservice = {service}\nclass = batch\n\
+             idempotent = yes\n"
+        );
+        Intent::parse(self.name(), &text)
+            .map_err(|faults| StandinError::new("read intent", &self.name(), &faults))
+    }
+
     /// Returns the control profile that the customer chose.
     #[must_use]
     pub const fn profile(self) -> Profile {
@@ -87,13 +105,20 @@
     }
 
     /// Returns the mesh of today's size.
+    ///
+    /// # Panics
+    ///
+    /// Never: its names are valid.
     #[must_use]
     pub fn mesh(self) -> MeshPlan {
         let (region, centres, services) = match self {
             Self::Tregaron => (
                 "dyfed",
                 ["carmarthen-depot", "milford-terminal", "aberystwyth-yard"],
-                [("dispatch-desk", 5, 15, 120), ("delivery-ledger", 5, 15, 120)],
+                [
+                    ("dispatch-desk", 5, 15, 120),
+                    ("delivery-ledger", 5, 15, 120),
+                ],
             ),
             Self::AspenCoulee => (
                 "prairie-west",
@@ -114,20 +139,19 @@
                     ..BackendPlan::new(service(name))
                 };
                 nodes.push(NodePlan {
-                    data_centre: data_centre(centre),
+                    data_centre: centre.parse().expect("a valid name"),
+                    region: region.parse().expect("a valid name"),
                     backend: Some(backend),
                 });
             }
         }
         MeshPlan {
-            region: region.parse().expect("a valid name"),
             nodes,
             control: ControlSettings {
                 profile: self.profile(),
                 ..ControlSettings::default()
             },
             request: RequestSettings::default(),
-            poll: POLL,
         }
     }
 }
@@ -135,7 +159,3 @@
 fn service(name: &str) -> ServiceName {
     name.parse().expect("a valid name")
 }
-
-fn data_centre(name: &str) -> DataCentre {
-    name.parse().expect("a valid name")
-}
--- /dev/null
+++ b/crates/marigold-standin/src/fleet/mesh.rs
@@ -0,0 +1,284 @@
+//! A running mesh.
+
+use std::collections::BTreeSet;
+use std::net::SocketAddr;
+use std::sync::Arc;
+use std::time::Duration;
+
+use marigold_auth::{Authority, MeshKey};
+use marigold_config::Intent;
+use marigold_log::PlatformLog;
+use marigold_settings::Settings;
+use marigold_types::Version;
+use tokio::time::Instant;
+
+use super::node::{NodeContext, NodeSockets};
+use super::{Convergence, MeshPlan, Node, Operator, Planned};
+use crate::StandinError;
+use crate::backend::RunReport;
+use crate::load::{Audit, Ledger};
+use crate::log::MemoryLog;
+
+/// How many daemons each daemon is told of at its start.
+const SEEDS: usize = 3;
+const CHECK: Duration = Duration::from_millis(5);
+
+/// Daemons with their backend servers, the platform's log, and an operator.
+pub struct Mesh {
+    nodes: Vec<Node>,
+    log: MemoryLog,
+    operator: Operator,
+}
+
+impl Mesh {
+    /// Starts every daemon with fresh keys on free ports of the loopback.
+    ///
+    /// # Errors
+    ///
+    /// When a daemon does not start.
+    pub async fn start(plan: &MeshPlan, log: MemoryLog) -> Result<Self, StandinError> {
+        let operator = Operator::generate("root")?;
+        let wrap = |error| StandinError::new("make keys", &"mesh", &error);
+        let authority = Authority::generate().map_err(wrap)?;
+        let mesh_key = MeshKey::generate().map_err(wrap)?;
+        let mut bound = Vec::new();
+        for _ in &plan.nodes {
+            bound.push(NodeSockets::bind()?);
+        }
+
+        let mut base = Settings::default();
+        base.peers.seeds = bound.iter().take(SEEDS).map(NodeSockets::peer).collect();
+        base.trust.operator = operator.key().operator().clone();
+        base.trust.key = operator.key().public();
+        base.control = plan.control.clone();
+        base.request = plan.request.clone();
+        let shared: Arc<dyn PlatformLog> = Arc::new(log.clone());
+        let context = NodeContext {
+            base: &base,
+            authority: &authority,
+            mesh_key: &mesh_key,
+            log: &shared,
+        };
+        let mut nodes = Vec::new();
+        for (node, sockets) in plan.nodes.iter().zip(bound) {
+            nodes.push(Node::start(&context, node.clone(), sockets).await?);
+        }
+        Ok(Self {
+            nodes,
+            log,
+            operator,
+        })
+    }
+
+    /// Returns the daemons, also those that are down.
+    #[must_use]
+    pub fn nodes(&self) -> &[Node] {
+        &self.nodes
+    }
+
+    /// Returns the daemons for changes of their state.
+    #[must_use]
+    pub fn nodes_mut(&mut self) -> &mut [Node] {
+        &mut self.nodes
+    }
+
+    /// Returns the platform's log.
+    #[must_use]
+    pub fn log(&self) -> &MemoryLog {
+        &self.log
+    }
+
+    /// Returns the operator.
+    #[must_use]
+    pub fn operator(&self) -> &Operator {
+        &self.operator
+    }
+
+    /// Returns where the daemons that are up listen for callers.
+    #[must_use]
+    pub fn callers(&self) -> Vec<SocketAddr> {
+        let up = self.nodes.iter().filter(|node| node.is_up());
+        up.map(Node::caller).collect()
+    }
+
+    /// Returns where a daemon that is up listens for operators.
+    ///
+    /// # Errors
+    ///
+    /// When none is up.
+    pub fn admin(&self) -> Result<SocketAddr, StandinError> {
+        let up = self.nodes.iter().find(|node| node.is_up());
+        up.map(Node::admin)
+            .ok_or_else(|| StandinError::new("find daemon", &"mesh", &"none is up"))
+    }
+
+    /// Plans what makes `intent` the whole configuration.
+    ///
+    /// # Errors
+    ///
+    /// When the plan is refused.
+    pub async fn plan(&self, intent: &Intent) -> Result<Planned, StandinError> {
+        self.operator.plan(self.admin()?, intent).await
+    }
+
+    /// Confirms a plan and measures until every daemon that is up holds its version, or `wait` is
+    /// over.
+    ///
+    /// # Errors
+    ///
+    /// When the confirmation is refused.
+    pub async fn confirm(
+        &self,
+        planned: &Planned,
+        wait: Duration,
+    ) -> Result<Convergence, StandinError> {
+        let start = Instant::now();
+        let confirming = self.operator.confirm(self.admin()?, planned.plan);
+        let mut confirming = std::pin::pin!(confirming);
+        let mut seen = Sightings::new(start, &self.versions());
+        let version = loop {
+            tokio::select! {
+                version = &mut confirming => break version?,
+                () = tokio::time::sleep(CHECK) => seen.look(&self.versions()),
+            }
+        };
+        while !seen.all_hold(version) && start.elapsed() < wait {
+            tokio::time::sleep(CHECK).await;
+            seen.look(&self.versions());
+        }
+        Ok(seen.convergence(version))
+    }
+
+    /// Waits until `ready` holds of every daemon that is up.
+    ///
+    /// # Errors
+    ///
+    /// When `wait` is over first; `what` says what was waited for.
+    pub async fn wait_until(
+        &self,
+        what: &'static str,
+        wait: Duration,
+        ready: impl Fn(&Node) -> bool,
+    ) -> Result<Duration, StandinError> {
+        let start = Instant::now();
+        loop {
+            let late = self.nodes.iter().find(|node| node.is_up() && !ready(node));
+            let Some(late) = late else {
+                return Ok(start.elapsed());
+            };
+            if start.elapsed() > wait {
+                let reason = format!("not after {} s", wait.as_secs());
+                return Err(StandinError::new(what, &late.address(), &reason));
+            }
+            tokio::time::sleep(CHECK).await;
+        }
+    }
+
+    /// Waits until every daemon that is up knows every backend server beside one that is up.
+    ///
+    /// # Errors
+    ///
+    /// When `wait` is over first.
+    pub async fn wait_for_backends(&self, wait: Duration) -> Result<Duration, StandinError> {
+        let up = self.nodes.iter().filter(|node| node.is_up());
+        let backends = up.filter(|node| node.backend().is_some()).count();
+        self.wait_until("wait for backend servers", wait, |node| {
+            node.ready_backends() == backends
+        })
+        .await
+    }
+
+    /// Returns whether every daemon that is up holds one and the same version.
+    #[must_use]
+    pub fn is_converged(&self) -> bool {
+        let held: BTreeSet<_> = self.nodes.iter().filter_map(Node::version).collect();
+        held.len() <= 1
+    }
+
+    /// Returns the control bytes that the daemons that are up have sent since their start.
+    #[must_use]
+    pub fn control_bytes(&self) -> u64 {
+        self.nodes.iter().map(Node::control_bytes).sum()
+    }
+
+    /// Compares what callers heard with what every backend server ran, also those that are down.
+    #[must_use]
+    pub fn audit(&self, ledger: &Ledger) -> Audit {
+        let backends = self.nodes.iter().filter_map(Node::backend);
+        let reports: Vec<RunReport> = backends
+            .map(|backend| backend.state().report(ledger.prefix()))
+            .collect();
+        ledger.audit(&reports)
+    }
+
+    /// Stops every daemon gracefully.
+    ///
+    /// # Errors
+    ///
+    /// When a daemon does not take its backend server's leave.
+    pub async fn stop(mut self) -> Result<(), StandinError> {
+        for node in &mut self.nodes {
+            node.stop().await?;
+        }
+        Ok(())
+    }
+
+    fn versions(&self) -> Vec<Option<Version>> {
+        self.nodes.iter().map(Node::version).collect()
+    }
+}
+
+/// Each daemon's versions with the time at which each was first seen.
+struct Sightings {
+    start: Instant,
+    seen: Vec<Vec<(Version, Duration)>>,
+    up: Vec<bool>,
+}
+
+impl Sightings {
+    fn new(start: Instant, versions: &[Option<Version>]) -> Self {
+        let mut sightings = Self {
+            start,
+            up: versions.iter().map(Option::is_some).collect(),
+            seen: vec![Vec::new(); versions.len()],
+        };
+        sightings.look(versions);
+        sightings
+    }
+
+    fn look(&mut self, versions: &[Option<Version>]) {
+        let now = self.start.elapsed();
+        for (at, version) in versions.iter().enumerate() {
+            self.up[at] = version.is_some();
+            if let Some(version) = version
+                && self.seen[at].last().is_none_or(|(last, _)| last < version)
+            {
+                self.seen[at].push((*version, now));
+            }
+        }
+    }
+
+    fn first(&self, at: usize, version: Version) -> Option<Duration> {
+        let found = self.seen[at].iter().find(|(held, _)| *held >= version);
+        found.map(|(_, time)| *time)
+    }
+
+    fn all_hold(&self, version: Version) -> bool {
+        let mut up = (0..self.seen.len()).filter(|at| self.up[*at]);
+        up.all(|at| self.first(at, version).is_some())
+    }
+
+    fn convergence(&self, version: Version) -> Convergence {
+        let up: Vec<usize> = (0..self.seen.len()).filter(|at| self.up[*at]).collect();
+        let mut times: Vec<_> = up
+            .iter()
+            .filter_map(|at| self.first(*at, version))
+            .collect();
+        times.sort_unstable();
+        Convergence {
+            version,
+            missing: up.len() - times.len(),
+            times,
+        }
+    }
+}
--- a/crates/marigold-standin/src/fleet/mesh_plan.rs
+++ b/crates/marigold-standin/src/fleet/mesh_plan.rs
@@ -1,21 +1,16 @@
 //! A whole mesh before it is started.
 
 use marigold_settings::{ControlSettings, RequestSettings};
-use marigold_types::{Interval, Region};
 
 use super::NodePlan;
 
 /// The daemons of a mesh and the settings that they share.
 #[derive(Debug, Clone)]
 pub struct MeshPlan {
-    /// The region of every data centre.
-    pub region: Region,
     /// The daemons.
     pub nodes: Vec<NodePlan>,
     /// The control side.
     pub control: ControlSettings,
     /// The request side.
     pub request: RequestSettings,
-    /// How often the followers read the log.
-    pub poll: Interval,
 }
--- a/crates/marigold-standin/src/fleet/node.rs
+++ b/crates/marigold-standin/src/fleet/node.rs
@@ -4,12 +4,13 @@
 use std::sync::Arc;
 
 use marigold_auth::{Authority, MeshKey};
+use marigold_control::Counters;
 use marigold_log::PlatformLog;
 use marigold_settings::Settings;
 use marigold_types::{Address, Version};
 use marigoldd::{Daemon, DaemonParts, Secrets, Sockets};
 
-use super::{MeshPlan, NodePlan};
+use super::NodePlan;
 use crate::StandinError;
 use crate::backend::{BackendPlan, BackendStandin};
 
@@ -57,7 +58,6 @@
 
 /// What every node of a mesh is given.
 pub(super) struct NodeContext<'a> {
-    pub(super) plan: &'a MeshPlan,
     pub(super) base: &'a Settings,
     pub(super) authority: &'a Authority,
     pub(super) mesh_key: &'a MeshKey,
@@ -73,7 +73,7 @@
         let mut settings = context.base.clone();
         settings.daemon.address = bound.peer;
         settings.daemon.data_centre = plan.data_centre.clone();
-        settings.daemon.region = context.plan.region.clone();
+        settings.daemon.region = plan.region.clone();
         settings.caller.listen = bound.caller;
         settings.admin.listen = bound.admin;
         let issued = context.authority.issue(bound.peer);
@@ -92,19 +92,19 @@
             daemon: None,
             backend: None,
         };
-        node.run_daemon(bound.sockets).await?;
+        node.run_daemon(bound.sockets)?;
         node.start_backend().await?;
         Ok(node)
     }
 
-    async fn run_daemon(&mut self, sockets: Sockets) -> Result<(), StandinError> {
+    fn run_daemon(&mut self, sockets: Sockets) -> Result<(), StandinError> {
         let parts = DaemonParts {
             settings: self.settings.clone(),
             sockets,
             secrets: self.secrets.clone(),
             log: self.log.clone(),
         };
-        let daemon = Daemon::start(parts).await;
+        let daemon = Daemon::start(parts);
         let wrap = |error| StandinError::new("start daemon", &self.settings.daemon.address, &error);
         self.daemon = Some(daemon.map_err(wrap)?);
         Ok(())
@@ -124,15 +124,21 @@
         Ok(())
     }
 
-    /// Starts the daemon again at its addresses, as another incarnation.
+    /// Starts the daemon again at its addresses, as another incarnation; the backend server finds
+    /// it again.
     ///
     /// # Errors
     ///
     /// When an address is in use or the daemon does not start.
-    pub async fn restart(&mut self) -> Result<(), StandinError> {
+    pub fn restart(&mut self) -> Result<(), StandinError> {
         let sockets = Sockets::bind(&self.settings);
         let wrap = |error| StandinError::new("listen", &self.settings.daemon.address, &error);
-        self.run_daemon(sockets.map_err(wrap)?).await
+        self.run_daemon(sockets.map_err(wrap)?)?;
+        let admin = self.admin();
+        if let Some(backend) = &mut self.backend {
+            backend.announce_to(admin);
+        }
+        Ok(())
     }
 
     /// Stops the backend server and the daemon as an operator would.
@@ -205,6 +211,56 @@
     /// Returns the version that the daemon holds; nothing when it is down.
     #[must_use]
     pub fn version(&self) -> Option<Version> {
-        self.daemon.as_ref().map(|daemon| daemon.status().version)
+        self.daemon
+            .as_ref()
+            .map(|daemon| daemon.view().config.version)
+    }
+
+    /// Returns whether the daemon is up and serves callers.
+    #[must_use]
+    pub fn is_serving(&self) -> bool {
+        let daemon = self.daemon.as_ref();
+        daemon.is_some_and(|daemon| daemon.view().serving)
+    }
+
+    /// Returns how many daemons the daemon knows, itself included.
+    #[must_use]
+    pub fn members(&self) -> usize {
+        let daemon = self.daemon.as_ref();
+        daemon.map_or(0, |daemon| daemon.status().members.len())
+    }
+
+    /// Returns the control bytes that the daemon has sent since its start.
+    #[must_use]
+    pub fn control_bytes(&self) -> u64 {
+        let counters = self.counters();
+        counters.sent.values().map(|kind| kind.bytes).sum()
+    }
+
+    /// Returns how many backend servers the daemon knows to take work.
+    #[must_use]
+    pub fn ready_backends(&self) -> usize {
+        let Some(daemon) = &self.daemon else {
+            return 0;
+        };
+        let members = daemon.status().members;
+        let ready = members
+            .iter()
+            .filter(|member| member.service.is_some() && member.healthy && !member.draining);
+        ready.count()
+    }
+
+    /// Returns what the control side of the daemon has sent and received.
+    #[must_use]
+    pub fn counters(&self) -> Counters {
+        let daemon = self.daemon.as_ref();
+        daemon.map_or_else(Counters::default, |daemon| daemon.status().counters)
+    }
+
+    /// Returns the bytes of the control connections, sent and received, since the daemon's start.
+    #[must_use]
+    pub fn link_bytes(&self) -> u64 {
+        let daemon = self.daemon.as_ref();
+        daemon.map_or(0, |daemon| daemon.traffic().control())
     }
 }
--- a/crates/marigold-standin/src/fleet/node_plan.rs
+++ b/crates/marigold-standin/src/fleet/node_plan.rs
@@ -1,6 +1,6 @@
 //! One daemon with the backend server beside it.
 
-use marigold_types::DataCentre;
+use marigold_types::{DataCentre, Region};
 
 use crate::backend::BackendPlan;
 
@@ -9,6 +9,8 @@
 pub struct NodePlan {
     /// The data centre.
     pub data_centre: DataCentre,
+    /// The region of the data centre.
+    pub region: Region,
     /// The backend server beside it; a daemon may stand alone.
     pub backend: Option<BackendPlan>,
 }
--- a/crates/marigold-standin/src/lib.rs
+++ b/crates/marigold-standin/src/lib.rs
@@ -3,6 +3,8 @@
 //! They are for tests and measurements only; nothing here is part of a running mesh.
 
 pub mod backend;
+pub mod demo;
+pub mod fleet;
 pub mod load;
 pub mod log;
 pub mod measure;
--- a/crates/marigold-standin/src/main.rs
+++ b/crates/marigold-standin/src/main.rs
@@ -5,8 +5,10 @@
 use clap::{Parser, Subcommand};
 use marigold_standin::StandinError;
 use marigold_standin::backend::BackendArgs;
+use marigold_standin::demo::DemoArgs;
 use marigold_standin::load::LoadArgs;
 use marigold_standin::log::LogArgs;
+use marigold_standin::measure::MeasureArgs;
 
 /// Stand-ins and measurements of marigoldproxy; nothing here is part of a running mesh.
 #[derive(Debug, Parser)]
@@ -21,6 +23,8 @@
     Log(LogArgs),
     Backend(BackendArgs),
     Load(LoadArgs),
+    Demo(DemoArgs),
+    Measure(MeasureArgs),
 }
 
 fn main() -> ExitCode {
@@ -38,6 +42,8 @@
     match command {
         Command::Log(args) => args.run().map(|()| ExitCode::SUCCESS),
         Command::Backend(args) => on_runtime(args.run()).map(|()| ExitCode::SUCCESS),
+        Command::Demo(args) => on_runtime(args.run()).map(verdict),
+        Command::Measure(args) => on_runtime(args.run()).map(|()| ExitCode::SUCCESS),
         Command::Load(args) => on_runtime(args.run()).map(verdict),
     }
 }
--- a/crates/marigold-standin/src/measure.rs
+++ b/crates/marigold-standin/src/measure.rs
@@ -1,15 +1,31 @@
 //! Measurements of the mesh on one machine, each beside a baseline of the same run.
 
+mod args;
+mod bench;
+mod calls;
+mod control;
+mod faults;
 mod figure;
+mod findings;
+mod keys;
 mod machine;
+mod meter;
+mod naive;
+mod overload;
 mod page;
+mod part;
 mod plot;
+mod recovery;
 mod slope;
 mod usage;
 
+pub use args::MeasureArgs;
+pub use bench::{Bench, Sample};
 pub use figure::Figure;
+pub use findings::Findings;
 pub use machine::Machine;
 pub use page::Page;
+pub use part::Part;
 pub use plot::{Plot, Series};
 pub use slope::slope;
 pub use usage::Usage;
--- /dev/null
+++ b/crates/marigold-standin/src/measure/bench.rs
@@ -0,0 +1,173 @@
+//! What the parts of a measurement share.
+
+use std::time::Duration;
+
+use indicatif::ProgressBar;
+use marigold_config::Intent;
+use marigold_settings::{ControlSettings, Profile, RequestSettings};
+use marigold_types::{DataCentre, Interval, Rate, Region, ServiceName};
+
+use super::Usage;
+use crate::StandinError;
+use crate::backend::{BackendPlan, BackendStandin};
+use crate::fleet::{Mesh, MeshPlan, Node, NodePlan};
+use crate::load::{Ledger, LoadPlan, LoadReport, LoadRoute, LoadRun};
+use crate::log::{LogLimits, MemoryLog};
+
+const REGIONS: [&str; 3] = ["north", "middle", "south"];
+const CENTRES_EACH: usize = 3;
+const WAIT: Duration = Duration::from_secs(30);
+
+/// A load run with what this process used for it.
+#[derive(Debug, Clone)]
+pub struct Sample {
+    /// The calls.
+    pub load: LoadReport,
+    /// What was said of each.
+    pub ledger: Ledger,
+    /// Processor time of the whole process in microseconds, for each call sent.
+    pub processor_us: f64,
+}
+
+/// Builds meshes and runs loads for the parts.
+#[derive(Debug, Clone)]
+pub struct Bench {
+    bar: ProgressBar,
+}
+
+impl Bench {
+    /// Shows progress on `bar`.
+    #[must_use]
+    pub fn new(bar: ProgressBar) -> Self {
+        Self { bar }
+    }
+
+    /// Says what is being done.
+    pub fn step(&self, what: &str) {
+        self.bar.inc(1);
+        self.bar.set_message(what.to_owned());
+    }
+
+    /// Starts a mesh under `intent` and waits until every daemon serves it.
+    ///
+    /// # Errors
+    ///
+    /// When a daemon does not start, or the mesh does not come together.
+    pub async fn mesh(&self, plan: &MeshPlan, intent: &Intent) -> Result<Mesh, StandinError> {
+        let daemons = plan.nodes.len();
+        let mesh = Mesh::start(plan, MemoryLog::new(LogLimits::default())).await?;
+        mesh.wait_until("wait for members", WAIT, |node| node.members() == daemons)
+            .await?;
+        let planned = mesh.plan(intent).await?;
+        mesh.confirm(&planned, WAIT).await?;
+        mesh.wait_until("wait for service", WAIT, Node::is_serving)
+            .await?;
+        mesh.wait_for_backends(WAIT).await?;
+        Ok(mesh)
+    }
+
+    /// Makes calls and waits for the last to end.
+    ///
+    /// # Errors
+    ///
+    /// When the plan is empty or the process's usage cannot be read.
+    pub async fn load(&self, plan: LoadPlan) -> Result<Sample, StandinError> {
+        let before = Usage::read()?;
+        let (load, ledger) = LoadRun::new(plan)?.run().await;
+        let used = Usage::read()?.since(&before);
+        #[expect(clippy::cast_precision_loss, reason = "far below 2^52")]
+        let processor_us = used.as_secs_f64() * 1e6 / load.sent.max(1) as f64;
+        Ok(Sample {
+            load,
+            ledger,
+            processor_us,
+        })
+    }
+
+    /// Warms connections and code up.
+    ///
+    /// # Errors
+    ///
+    /// When the plan is empty.
+    pub async fn warm(&self, plan: &LoadPlan) -> Result<(), StandinError> {
+        let plan = LoadPlan {
+            rate: Rate(200),
+            duration: Interval::from_millis(1_000),
+            ..plan.clone()
+        };
+        LoadRun::new(plan)?.run().await;
+        Ok(())
+    }
+}
+
+/// Returns the plan of a mesh in which `backends` stand in turn over nine data centres of three
+/// regions, one for each daemon; a daemon without one only takes calls.
+#[must_use]
+pub fn mesh_plan(backends: Vec<Option<BackendPlan>>, profile: Profile) -> MeshPlan {
+    let nodes = backends.into_iter().enumerate().map(|(at, backend)| {
+        let (region, data_centre) = place(at);
+        NodePlan {
+            data_centre,
+            region,
+            backend,
+        }
+    });
+    MeshPlan {
+        nodes: nodes.collect(),
+        control: ControlSettings {
+            profile,
+            ..ControlSettings::default()
+        },
+        request: RequestSettings::default(),
+    }
+}
+
+fn place(at: usize) -> (Region, DataCentre) {
+    let region = REGIONS[at % REGIONS.len()];
+    let centre = at / REGIONS.len() % CENTRES_EACH;
+    let name = format!("{region}-{centre}");
+    let valid = "a valid name";
+    (region.parse().expect(valid), name.parse().expect(valid))
+}
+
+/// Returns a service's name.
+///
+/// # Panics
+///
+/// When `name` is not a valid one.
+#[must_use]
+pub fn service(name: &str) -> ServiceName {
+    name.parse().expect("a valid name")
+}
+
+/// Returns the plan of calls of `path` at `rate` for `seconds`.
+#[must_use]
+pub fn load_plan(
+    targets: Vec<std::net::SocketAddr>,
+    routes: Vec<LoadRoute>,
+    rate: u64,
+    seconds: u64,
+) -> LoadPlan {
+    let duration = Interval::from_millis(seconds * 1_000);
+    LoadPlan::new(targets, routes, Rate(rate), duration)
+}
+
+/// Starts stand-ins that call one another instead of a daemon, for baselines.
+///
+/// # Errors
+///
+/// When an address cannot be listened on.
+pub async fn direct_chain(
+    plan: &BackendPlan,
+    count: usize,
+) -> Result<Vec<BackendStandin>, StandinError> {
+    let mut chain: Vec<BackendStandin> = Vec::new();
+    for _ in 0..count {
+        let plan = BackendPlan {
+            egress: chain.last().map(BackendStandin::address),
+            ..plan.clone()
+        };
+        chain.push(BackendStandin::start(plan).await?);
+    }
+    Ok(chain)
+}
--- /dev/null
+++ b/crates/marigold-standin/src/measure/keys.rs
@@ -0,0 +1,111 @@
+//! What a key costs.
+
+use std::time::{Duration, Instant};
+
+use marigold_config::Intent;
+use marigold_settings::Profile;
+use marigold_types::{Interval, SlotCount};
+
+use super::bench::{Bench, load_plan, mesh_plan, service};
+use super::calls::micros_to_millis;
+use super::{Figure, Findings};
+use crate::StandinError;
+use crate::backend::{BackendPlan, ServiceTime};
+use crate::fleet::Node;
+use crate::load::{Caller, KeyRing, LoadRoute, Summary};
+
+const INTENT: &str = "[service echo]\nslots = 1000\nconnections = 1000\nwarmup = 0ms\n\
+    [route once]\npath = /once\nservice = echo\nidempotent = no\n\
+    [route echo]\npath = /echo\nservice = echo\nidempotent = yes\n";
+const DAEMONS: usize = 6;
+const FETCHES: usize = 2_000;
+const BATCHES: [u32; 2] = [1, 64];
+const RATE: u64 = 500;
+const SECONDS: u64 = 5;
+const TIMEOUT: Duration = Duration::from_secs(5);
+
+/// Measures fetching keys one by one and in batches, and a call with a key beside one without.
+///
+/// # Errors
+///
+/// When a mesh does not start or a daemon gives no keys.
+pub async fn measure(bench: &Bench) -> Result<Findings, StandinError> {
+    bench.step("start a mesh");
+    let backend = BackendPlan {
+        slots: SlotCount(1_000),
+        connections: 1_000,
+        time: ServiceTime::Fixed(Interval::from_millis(0)),
+        ..BackendPlan::new(service("echo"))
+    };
+    let backends = vec![Some(backend); DAEMONS];
+    let intent = Intent::parse("measure", INTENT)
+        .map_err(|faults| StandinError::new("read intent", &"measure", &faults))?;
+    let mesh = bench
+        .mesh(&mesh_plan(backends, Profile::Time), &intent)
+        .await?;
+    let targets: Vec<_> = mesh.nodes().iter().map(Node::caller).collect();
+
+    let mut findings = Findings::default();
+    findings
+        .note("Keys are fetched one request after the other by one caller over one connection.");
+    let caller = Caller::new(true, false, TIMEOUT);
+    for batch in BATCHES {
+        bench.step(&format!("fetch keys, {batch} at once"));
+        let case = format!("{batch} at once");
+        let mut times = Summary::histogram();
+        for _ in 0..(FETCHES / batch as usize).max(1) {
+            let start = Instant::now();
+            let keys = KeyRing::fetch(&caller, targets[0], &service("echo"), batch).await?;
+            Summary::record(
+                &mut times,
+                start.elapsed() / u32::try_from(keys.len().max(1)).unwrap_or(1),
+            );
+        }
+        let times = Summary::of(&times);
+        let mut add = |name: &str, micros: u64| {
+            findings.add(Figure::new(&case, name, micros_to_millis(micros), "ms/key"));
+        };
+        add("p50", times.p50_us);
+        add("p99", times.p99_us);
+    }
+
+    bench.step("calls with and without a key");
+    let plain = load_plan(
+        targets.clone(),
+        vec![LoadRoute::repeatable("/echo/x")],
+        RATE,
+        SECONDS,
+    );
+    bench.warm(&plain).await?;
+    let plain = bench.load(plain).await?;
+    let keyed = vec![LoadRoute::once("/once/x", service("echo"))];
+    let keyed = bench.load(load_plan(targets, keyed, RATE, SECONDS)).await?;
+    let audit = mesh.audit(&keyed.ledger);
+    let (with, without) = (
+        keyed.load.routes[0].answered_time,
+        plain.load.routes[0].answered_time,
+    );
+    let case = format!("{RATE}/s, keys fetched 16 at once");
+    let mut add = |name: &str, with: u64, without: u64| {
+        let figure = Figure::new(&case, name, micros_to_millis(with), "ms");
+        findings.add(figure.against(micros_to_millis(without)));
+    };
+    add(
+        "p50 of a call with a key, against one without",
+        with.p50_us,
+        without.p50_us,
+    );
+    add(
+        "p99 of a call with a key, against one without",
+        with.p99_us,
+        without.p99_us,
+    );
+    let figure = Figure::new(&case, "processor time of a call", keyed.processor_us, "us");
+    findings.add(figure.against(plain.processor_us));
+    #[expect(clippy::cast_precision_loss, reason = "far below 2^52")]
+    findings.add(Figure::new(&case, "doubled", audit.doubled as f64, "calls").target("0"));
+    #[expect(clippy::cast_precision_loss, reason = "far below 2^52")]
+    findings.add(Figure::new(&case, "lost", audit.lost() as f64, "calls").target("0"));
+    mesh.stop().await?;
+    Ok(findings)
+}
--- /dev/null
+++ b/crates/marigold-standin/src/measure/meter.rs
@@ -0,0 +1,81 @@
+//! Control traffic of a whole mesh over a while.
+
+use std::collections::BTreeMap;
+
+use tokio::time::Instant;
+
+use super::Usage;
+use crate::StandinError;
+use crate::fleet::{Mesh, Node};
+
+/// Counters of a mesh at one moment.
+pub struct Meter {
+    at: Instant,
+    bytes: u64,
+    kinds: BTreeMap<&'static str, u64>,
+    usage: Usage,
+    appends: u64,
+    reads: u64,
+}
+
+/// What a daemon did in the mean between two moments.
+#[derive(Debug, Clone, Default)]
+pub struct Rates {
+    /// Seconds between the moments.
+    pub seconds: f64,
+    /// Control bytes sent and received a second, with encryption and framing.
+    pub bytes: f64,
+    /// Bytes of messages sent a second, by kind.
+    pub kinds: BTreeMap<&'static str, f64>,
+    /// Percent of a core.
+    pub core: f64,
+    /// Appends to the log a second, by the whole mesh.
+    pub appends: f64,
+    /// Reads of the log a second, by the whole mesh.
+    pub reads: f64,
+}
+
+impl Meter {
+    /// Reads the counters.
+    ///
+    /// # Errors
+    ///
+    /// When the process's usage cannot be read.
+    pub fn read(mesh: &Mesh) -> Result<Self, StandinError> {
+        let mut kinds = BTreeMap::new();
+        for node in mesh.nodes() {
+            for (kind, traffic) in node.counters().sent {
+                *kinds.entry(kind).or_default() += traffic.bytes;
+            }
+        }
+        let totals = mesh.log().totals();
+        Ok(Self {
+            at: Instant::now(),
+            bytes: mesh.nodes().iter().map(Node::link_bytes).sum(),
+            kinds,
+            usage: Usage::read()?,
+            appends: totals.appends,
+            reads: totals.reads,
+        })
+    }
+
+    /// Returns the rates since `earlier`, for each of `daemons`.
+    #[must_use]
+    #[expect(clippy::cast_precision_loss, reason = "far below 2^52")]
+    pub fn since(&self, earlier: &Self, daemons: usize) -> Rates {
+        let seconds = (self.at - earlier.at).as_secs_f64();
+        let each = daemons as f64 * seconds;
+        let kinds = self.kinds.iter().map(|(kind, bytes)| {
+            let before = earlier.kinds.get(kind).copied().unwrap_or_default();
+            (*kind, bytes.saturating_sub(before) as f64 / each)
+        });
+        Rates {
+            seconds,
+            bytes: self.bytes.saturating_sub(earlier.bytes) as f64 / each,
+            kinds: kinds.collect(),
+            core: self.usage.since(&earlier.usage).as_secs_f64() * 100.0 / each,
+            appends: (self.appends - earlier.appends) as f64 / seconds,
+            reads: (self.reads - earlier.reads) as f64 / seconds,
+        }
+    }
+}
--- /dev/null
+++ b/crates/marigold-standin/src/measure/naive.rs
@@ -0,0 +1,131 @@
+//! The baseline of the control side: every daemon tails the log, and each change carries whole
+//! states.
+
+use std::sync::Arc;
+use std::sync::atomic::{AtomicU64, Ordering};
+use std::time::Duration;
+
+use marigold_log::{PlatformLog, StreamName};
+use marigold_types::LogOffset;
+use rand::{RngExt, SeedableRng};
+use rand_chacha::ChaCha8Rng;
+use tokio::task::JoinSet;
+use tokio::time::Instant;
+
+use crate::StandinError;
+use crate::log::{LogLimits, MemoryLog};
+
+const READ_LIMIT: usize = 100;
+const DEADLINE: Duration = Duration::from_secs(5);
+const CHECK: Duration = Duration::from_millis(5);
+const WAIT: Duration = Duration::from_secs(30);
+
+/// What the baseline cost.
+#[derive(Debug, Clone, Default)]
+pub struct NaiveResult {
+    /// The time until half of the readers held a change, in the mean over the changes.
+    pub p50: Duration,
+    /// The time until the last held it, the longest over the changes.
+    pub last: Duration,
+    /// Record bytes that one change cost each reader.
+    pub change_bytes: f64,
+    /// Reads of the log each second.
+    pub reads: f64,
+}
+
+/// Readers that each tail the whole log.
+pub struct Naive {
+    log: MemoryLog,
+    held: Vec<Arc<AtomicU64>>,
+    tasks: JoinSet<()>,
+}
+
+impl Naive {
+    /// Starts `count` readers that read each `poll`.
+    #[must_use]
+    pub fn start(count: usize, poll: Duration) -> Self {
+        let log = MemoryLog::new(LogLimits::default());
+        let mut rng = ChaCha8Rng::seed_from_u64(1);
+        let mut tasks = JoinSet::new();
+        let mut held = Vec::new();
+        for _ in 0..count {
+            let mine = Arc::new(AtomicU64::new(0));
+            held.push(mine.clone());
+            let phase = poll.mul_f64(rng.random_range(0.0..1.0));
+            tasks.spawn(tail(log.clone(), mine, poll, phase));
+        }
+        Self { log, held, tasks }
+    }
+
+    /// Makes `changes` changes, each of which carries the whole `state`.
+    ///
+    /// # Errors
+    ///
+    /// When the log refuses one, or a reader does not get it.
+    pub async fn run(mut self, state: &str, changes: u32) -> Result<NaiveResult, StandinError> {
+        let before = self.log.totals();
+        let started = Instant::now();
+        let mut result = NaiveResult::default();
+        for _ in 0..changes {
+            let times = self.change(state).await?;
+            result.p50 += times[times.len() / 2] / changes;
+            result.last = result.last.max(times[times.len() - 1]);
+        }
+        let after = self.log.totals();
+        #[expect(clippy::cast_precision_loss, reason = "far below 2^52")]
+        let readers = self.held.len() as f64;
+        #[expect(clippy::cast_precision_loss, reason = "far below 2^52")]
+        let (bytes, reads) = (
+            (after.bytes_out - before.bytes_out) as f64,
+            (after.reads - before.reads) as f64,
+        );
+        result.change_bytes = bytes / readers / f64::from(changes);
+        result.reads = reads / started.elapsed().as_secs_f64();
+        self.tasks.shutdown().await;
+        Ok(result)
+    }
+
+    async fn change(&self, state: &str) -> Result<Vec<Duration>, StandinError> {
+        let start = Instant::now();
+        let appended = self
+            .log
+            .append(StreamName::Config, state.to_owned(), start + DEADLINE)
+            .await
+            .map_err(|error| StandinError::new("append", &"baseline", &error))?;
+        let wanted = appended.offset.next().0;
+        let mut times = vec![None; self.held.len()];
+        while times.iter().any(Option::is_none) {
+            if start.elapsed() > WAIT {
+                return Err(StandinError::new("converge", &"baseline", &"not in 30 s"));
+            }
+            for (time, held) in times.iter_mut().zip(&self.held) {
+                if time.is_none() && held.load(Ordering::Relaxed) >= wanted {
+                    *time = Some(start.elapsed());
+                }
+            }
+            tokio::time::sleep(CHECK).await;
+        }
+        let mut times: Vec<Duration> = times.into_iter().flatten().collect();
+        times.sort_unstable();
+        Ok(times)
+    }
+}
+
+async fn tail(log: MemoryLog, held: Arc<AtomicU64>, poll: Duration, phase: Duration) {
+    tokio::time::sleep(phase).await;
+    loop {
+        let from = LogOffset(held.load(Ordering::Relaxed));
+        let until = Instant::now() + DEADLINE;
+        if let Ok(batch) = log.read(StreamName::Config, from, READ_LIMIT, until).await {
+            // Reading a state means taking it in, not only fetching it.
+            let whole = batch
+                .records
+                .iter()
+                .all(|record| serde_json::from_str::<serde_json::Value>(&record.data).is_ok());
+            if whole {
+                held.store(from.0 + batch.records.len() as u64, Ordering::Relaxed);
+            }
+        }
+        tokio::time::sleep(poll).await;
+    }
+}
