--- a/crates/marigoldd/src/announcer.rs
+++ b/crates/marigoldd/src/announcer.rs
@@ -5,7 +5,6 @@
 use marigold_control::Event;
 use marigold_types::{ServiceName, SlotCount};
 use tokio::sync::watch;
-use tokio::time::{Instant, sleep_until};
 use tokio_util::sync::CancellationToken;
 
 use crate::{BackendServer, Shared};
@@ -18,14 +17,15 @@
     healthy: bool,
 }
 
-/// Turns announcements, their expiry, health probes and a shutdown into events, one for each
-/// change.
+/// Turns announcements, health probes and a shutdown into events, one for each change.
+///
+/// An announcement whose heartbeats stop is dropped by [`Announcements`](crate::admin::Announcements),
+/// the only one that sees them.
 pub struct Announcer {
     shared: Arc<Shared>,
     server: watch::Receiver<Option<BackendServer>>,
     healthy: watch::Receiver<bool>,
     draining: watch::Receiver<bool>,
-    expiry: Option<Instant>,
     told: Option<Told>,
 }
 
@@ -41,7 +41,6 @@
             server,
             healthy,
             draining,
-            expiry: None,
             told: None,
         }
     }
@@ -49,35 +48,16 @@
     /// Runs until `stop` is cancelled.
     pub async fn run(mut self, stop: CancellationToken) {
         loop {
-            let expiry = self.expiry;
             tokio::select! {
                 () = stop.cancelled() => return,
-                Ok(()) = self.server.changed() => self.renew(),
+                Ok(()) = self.server.changed() => {}
                 Ok(()) = self.healthy.changed() => {}
                 Ok(()) = self.draining.changed() => self.leave().await,
-                () = sleep_until(expiry.unwrap_or_else(Instant::now)), if expiry.is_some() => {
-                    self.expire();
-                }
             }
             self.tell().await;
         }
     }
 
-    fn renew(&mut self) {
-        let ttl = self.shared.settings.admin.announce_ttl.duration();
-        let present = self.server.borrow_and_update().is_some();
-        self.expiry = present.then(|| Instant::now() + ttl);
-    }
-
-    fn expire(&mut self) {
-        self.expiry = None;
-        self.shared.server.send_replace(None);
-        spdlog::warn!(
-            "backend server at {}: announcement expired",
-            self.shared.local
-        );
-    }
-
     async fn leave(&mut self) {
         if *self.draining.borrow_and_update() {
             spdlog::info!("{} is leaving", self.shared.local);
@@ -86,7 +66,7 @@
     }
 
     async fn tell(&mut self) {
-        let server = self.server.borrow().clone();
+        let server = self.server.borrow_and_update().clone();
         let healthy = *self.healthy.borrow_and_update();
         let next = match (server, &self.told) {
             (Some(server), _) => {
