--- a/crates/marigold-standin/src/lib.rs
+++ b/crates/marigold-standin/src/lib.rs
@@ -11,5 +11,7 @@
 pub mod range;
 
 mod error;
+mod quiet;
 
 pub use error::StandinError;
+pub use quiet::quieten;
--- a/crates/marigold-standin/src/measure/args.rs
+++ b/crates/marigold-standin/src/measure/args.rs
@@ -36,6 +36,7 @@
     ///
     /// When a mesh does not start or a page cannot be written; pages written before stay.
     pub async fn run(self) -> Result<(), StandinError> {
+        crate::quieten()?;
         let machine = Machine::read()?;
         let parts = if self.parts.is_empty() {
             Part::value_variants().to_vec()
