--- a/crates/marigold-standin/src/lib.rs
+++ b/crates/marigold-standin/src/lib.rs
@@ -3,11 +3,15 @@
 //! They are for tests and measurements only; nothing here is part of a running mesh.
 
 pub mod backend;
+pub mod demo;
+pub mod fleet;
 pub mod load;
 pub mod log;
 pub mod measure;
 pub mod range;
 
 mod error;
+mod quiet;
 
 pub use error::StandinError;
+pub use quiet::quieten;
