Write a log back also where nothing is held, and where it leads to an older version

A mesh that was down for longer than the log keeps records found no base in it and waited for one for good, so that operators could not publish. Followers now write the empty configuration after a minute. A follower that holds a later version than the log's records lead to writes that back, too. This touches the follower of marigold-control.

--- a/crates/marigold-config/src/log_reader.rs
+++ b/crates/marigold-config/src/log_reader.rs
@@ -6,10 +6,10 @@
 //! reader of each configuration that the daemon holds with [`LogReader::hold`], and publishes
 //! [`LogReader::config`] when [`LogReader::is_caught_up`]. When [`LogReader::checkpoint_due`]
 //! gives a cause, it waits for a random part of a few seconds, asks again, and appends
-//! [`LogReader::to_checkpoint`]. When [`LogReader::to_restoration`] has given a record for longer
-//! than a daemon takes to hear from its peers, it appends that in the same way; the record counts
-//! once it has been read back, so that the order of the log decides here, too. See
-//! docs/design/configuration.md.
+//! [`LogReader::to_checkpoint`]. When [`LogReader::restoration_due`] has held for longer than a
+//! daemon takes to hear from its peers, it appends [`LogReader::to_restoration`] in the same way;
+//! the record counts once it has been read back, so that the order of the log decides here, too.
+//! See docs/design/configuration.md.
 
 use std::sync::Arc;
 
@@ -238,6 +238,12 @@
         Some(Record::Checkpoint(sealed))
     }
 
+    /// Returns whether [`LogReader::to_restoration`] would give a record.
+    #[must_use]
+    pub fn restoration_due(&self) -> bool {
+        self.is_lost() || self.is_behind()
+    }
+
     /// Returns whether the daemon holds a version that the log's records do not lead to, although
     /// they were read past its confirmation.
     fn is_behind(&self) -> bool {
--- a/crates/marigold-control/src/controllers/follower.rs
+++ b/crates/marigold-control/src/controllers/follower.rs
@@ -23,6 +23,9 @@
 /// How long a log without a base for its records is watched before the configuration held is
 /// written back to it: longer than a daemon takes to hear from its peers.
 const RESTORE_AFTER: Duration = Duration::from_secs(15);
+/// The same where no configuration is held either: a mesh that was down for longer than the log
+/// keeps records starts anew, and another daemon's copy has every chance to come first.
+const RESTORE_EMPTY_AFTER: Duration = Duration::from_mins(1);
 /// How often the members stream is added to at most.
 const ROSTER_PERIOD: Duration = Duration::from_secs(30);
 /// How often it is added to although nobody joined, so that retention never empties it.
@@ -165,18 +168,24 @@
         }
     }
 
-    /// Writes the configuration held back to a log that has lost everything before it.
+    /// Writes the configuration held back to a log that has lost everything before it, or that
+    /// leads to an older version.
     fn restore(&mut self, board: &Board, now: Instant, out: &mut Outbox) {
-        if !self.reader.is_lost() || board.config.version.0 == 0 {
+        if !self.reader.restoration_due() {
             self.lost = None;
             return;
         }
+        let patience = if board.config.version.0 == 0 {
+            RESTORE_EMPTY_AFTER
+        } else {
+            RESTORE_AFTER
+        };
         let spread = CHECKPOINT_SPREAD.mul_f64(self.rng.random_range(0.0..1.0));
-        let at = *self.lost.get_or_insert(now + RESTORE_AFTER + spread);
+        let at = *self.lost.get_or_insert(now + patience + spread);
         if now < at {
             return;
         }
-        self.lost = Some(now + RESTORE_AFTER * 2);
+        self.lost = Some(now + patience * 2);
         if let Some(record) = self.reader.to_restoration() {
             out.append(StreamName::Config, record.to_string());
         }
--- /dev/null
+++ b/crates/marigold-control/tests/restoration.rs
@@ -0,0 +1,32 @@
+//! A log whose records no longer lead to what the mesh holds.
+
+mod common;
+
+use std::collections::BTreeSet;
+
+use common::{Fixture, SECOND};
+use marigold_control::ControlOptions;
+use marigold_log::StreamName;
+
+/// The whole mesh was down for longer than the log keeps records: it starts anew, and operators
+/// can publish.
+#[test]
+fn new_mesh_on_an_emptied_log_takes_plans() {
+    let mut fixture = Fixture::unstarted(ControlOptions::time(), 21);
+    let time = fixture.mesh.time();
+    for _ in 0..3 {
+        let noise = "noise".to_owned();
+        let appended = fixture.mesh.log.append(StreamName::Config, noise, time);
+        appended.expect("the log takes it");
+    }
+    let end = fixture.mesh.log_end();
+    fixture.mesh.log.trim(StreamName::Config, end);
+    for number in 0..5 {
+        fixture.start(0, number);
+    }
+    fixture.mesh.advance(120 * SECOND);
+    let version = fixture.publish_route(1);
+    fixture.mesh.advance(11 * SECOND);
+    assert_eq!(fixture.versions(), BTreeSet::from([version]));
+    assert!(fixture.all_serve());
+}
