--- a/crates/marigoldctl/src/changes.rs
+++ b/crates/marigoldctl/src/changes.rs
@@ -2,7 +2,8 @@
 
 use std::collections::BTreeMap;
 
-use marigold_config::{Change, Config, Declaration, Resource};
+use marigold_config::{Change, Config, Declaration, Resource, Share};
+use marigold_types::Interval;
 use serde::Serialize;
 use serde_json::Value;
 
@@ -111,18 +112,31 @@
         _ => serde_json::Map::new(),
     });
     let fields = fields.filter(|(_, value)| !value.is_null());
-    fields.map(|(key, value)| (key, display(&value))).collect()
+    let fields = fields.map(|(key, value)| {
+        let text = display(&key, &value);
+        (key, text)
+    });
+    fields.collect()
 }
 
-fn display(value: &Value) -> String {
-    match value {
-        Value::String(text) => text.clone(),
-        Value::Array(list) => list.iter().map(display).collect::<Vec<_>>().join(", "),
+/// Returns a field as an intent writes it.
+fn display(key: &str, value: &Value) -> String {
+    let number = value.as_u64().and_then(|number| u32::try_from(number).ok());
+    match (key, value, number) {
+        ("availability" | "fast", _, Some(share)) => Share(share).to_string(),
+        ("rate", Value::Number(rate), _) => format!("{rate}/s"),
+        (_, Value::Bool(true), _) => "yes".to_owned(),
+        (_, Value::Bool(false), _) => "no".to_owned(),
+        (_, Value::String(text), _) => text.clone(),
+        (_, Value::Array(list), _) => {
+            let list: Vec<String> = list.iter().map(|item| display("", item)).collect();
+            list.join(", ")
+        }
         // An interval has one field, its milliseconds.
-        Value::Object(fields) => match fields.get("millis").and_then(Value::as_u64) {
-            Some(millis) => marigold_types::Interval::from_millis(millis).to_string(),
+        (_, Value::Object(fields), _) => match fields.get("millis").and_then(Value::as_u64) {
+            Some(millis) => Interval::from_millis(millis).to_string(),
             None => value.to_string(),
         },
-        other => other.to_string(),
+        _ => value.to_string(),
     }
 }
--- a/crates/marigoldd/src/admin/access.rs
+++ b/crates/marigoldd/src/admin/access.rs
@@ -69,14 +69,45 @@
 
 /// Makes sure that a request comes from the daemon's own host.
 pub fn check_host(parts: &AdminParts, peer: SocketAddr) -> Result<(), Problem> {
-    let peer = peer.ip().to_canonical();
     let settings = &parts.shared.settings;
-    let own: [IpAddr; 2] = [settings.daemon.address.0.ip(), settings.admin.listen.ip()];
-    if peer.is_loopback() || own.contains(&peer) {
+    let own = [settings.daemon.address.0.ip(), settings.admin.listen.ip()];
+    if is_own(&own, peer.ip()) {
         return Ok(());
     }
     let text = format!(
-        "{peer} is another host; a backend server announces itself to the daemon beside it"
+        "{} is another host; a backend server announces itself to the daemon beside it",
+        peer.ip()
     );
     Err(Problem::new(ProblemKind::Refused, text))
 }
+
+/// Returns whether `peer` is this host, whose addresses in the settings are `own`.
+fn is_own(own: &[IpAddr], peer: IpAddr) -> bool {
+    let peer = peer.to_canonical();
+    peer.is_loopback() || own.contains(&peer)
+}
+
+#[cfg(test)]
+mod tests {
+    use super::*;
+
+    macro_rules! own_host {
+        ($($name:ident: $peer:literal => $want:literal;)*) => {$(
+            #[test]
+            fn $name() {
+                let own = ["10.0.0.1".parse().unwrap(), "0.0.0.0".parse().unwrap()];
+                assert_eq!(is_own(&own, $peer.parse().unwrap()), $want);
+            }
+        )*};
+    }
+
+    own_host! {
+        loopback: "127.0.0.1" => true;
+        loopback_six: "::1" => true;
+        mapped_loopback: "::ffff:127.0.0.1" => true;
+        own_address: "10.0.0.1" => true;
+        mapped_own_address: "::ffff:10.0.0.1" => true;
+        neighbour: "10.0.0.2" => false;
+        other_network: "192.0.2.7" => false;
+    }
+}
