Serve operators from every daemon

Cause: the operators' side stood alone; a daemon did not start it. Change: the daemon gives it the status of the control side, its burn report, its metrics and its shutdown; an operator's second drain changes nothing, where a second signal would end at once.

--- a/crates/marigoldd/src/daemon.rs
+++ b/crates/marigoldd/src/daemon.rs
@@ -2,7 +2,6 @@
 
 use std::collections::BTreeMap;
 use std::net::SocketAddr;
-use std::sync::atomic::{AtomicBool, Ordering};
 use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
 use std::time::{SystemTime, UNIX_EPOCH};
 
@@ -21,10 +20,12 @@
 use tokio_util::sync::CancellationToken;
 use tokio_util::task::TaskTracker;
 
+use crate::admin::{AdminError, AdminServer};
 use crate::announcer::Announcer;
 use crate::control_loop::ControlLoop;
 use crate::control_options::options_of;
 use crate::peer::{QuicPeers, Traffic};
+use crate::sources::Sources;
 use crate::{BackendServer, RequestSide, Secrets, Shared, Sockets};
 
 /// Events that may wait for the control loop; senders wait beyond it.
@@ -51,6 +52,9 @@
     /// A socket is not usable.
     #[error("take over socket: {0}")]
     Socket(#[from] std::io::Error),
+    /// The operators' side could not start.
+    #[error(transparent)]
+    Admin(#[from] AdminError),
     /// The metrics of the process could not be set up.
     #[error("install metrics: {0}")]
     Metrics(#[from] metrics_exporter_prometheus::BuildError),
@@ -62,9 +66,8 @@
     plane: Arc<Mutex<ControlPlane>>,
     peers: Arc<QuicPeers>,
     requests: Arc<RequestSide>,
+    admin: AdminServer,
     caller: SocketAddr,
-    admin: SocketAddr,
-    signalled: AtomicBool,
     stop: CancellationToken,
     tasks: TaskTracker,
 }
@@ -87,12 +90,11 @@
             caller,
             admin,
         } = sockets;
-        crate::Metrics::install()?;
+        let metrics = crate::Metrics::install()?;
 
         // The port that the system chose goes for the one in the settings.
         let address = Address(peer.local_addr()?);
         let caller_address = caller.local_addr()?;
-        let admin_address = admin.local_addr()?;
         let tls = secrets.to_tls()?;
         let mesh_key = MeshKey::from_file_text(&secrets.mesh_key)?;
         let trust = Trust::new(
@@ -105,7 +107,7 @@
         let (events, inbox) = mpsc::channel(EVENT_QUEUE);
         let silence = settings.request.silence;
         let peers = QuicPeers::start(peer, address, &tls, silence, events.clone())?;
-        let plane = start_plane(&settings, local.clone(), trust);
+        let plane = start_plane(&settings, local.clone(), trust.clone());
         let shared = Arc::new(Shared {
             local: local.instance,
             view: ArcSwap::from_pointee(empty_view(local.instance)),
@@ -119,14 +121,20 @@
         });
         let requests = RequestSide::new(Arc::clone(&shared), Arc::clone(&peers));
 
+        let sources = Sources {
+            shared: Arc::clone(&shared),
+            plane: Arc::clone(&plane),
+            peers: Arc::clone(&peers),
+            requests: Arc::clone(&requests),
+        };
+        let admin = AdminServer::start(sources.to_parts(trust, metrics), admin)?;
         let daemon = Self {
             shared,
             plane,
             peers,
             requests,
+            admin,
             caller: caller_address,
-            admin: admin_address,
-            signalled: AtomicBool::new(false),
             stop: CancellationToken::new(),
             tasks: TaskTracker::new(),
         };
@@ -153,10 +161,10 @@
     /// Returns where it listens for operators.
     #[must_use]
     pub fn admin_address(&self) -> SocketAddr {
-        self.admin
+        self.admin.address()
     }
 
-    /// Takes the backend server's announcement, which holds for the setting `announce_ttl`.
+    /// Takes a backend server in, as if it had announced itself and never fell silent.
     pub fn announce(&self, server: BackendServer) {
         self.shared.server.send_replace(Some(server));
     }
@@ -187,7 +195,6 @@
 
     /// Takes a signal to end: new work stops, and a second signal ends the wait for the rest.
     pub fn signal(&self) {
-        self.signalled.store(true, Ordering::Relaxed);
         self.requests.signal();
     }
 
@@ -200,7 +207,7 @@
 
     /// Shuts down gracefully: what is in flight ends first, within the setting `drain`.
     pub async fn stop(&self) -> ExitCode {
-        if !self.signalled.load(Ordering::Relaxed) {
+        if !*self.shared.draining.borrow() {
             self.signal();
         }
         let code = self.requests.drain().await;
--- a/crates/marigoldd/src/lib.rs
+++ b/crates/marigoldd/src/lib.rs
@@ -19,6 +19,7 @@
 mod secrets;
 mod shared;
 mod sockets;
+mod sources;
 
 pub use backend_server::BackendServer;
 pub use daemon::{Daemon, DaemonParts, StartError};
--- a/crates/marigoldd/src/request_side.rs
+++ b/crates/marigoldd/src/request_side.rs
@@ -80,6 +80,12 @@
         self.shared.draining.send_replace(true);
     }
 
+    /// Returns whether a shutdown has begun.
+    #[must_use]
+    pub fn is_draining(&self) -> bool {
+        *self.shared.draining.borrow()
+    }
+
     /// Leads a shutdown after the first signal: what is in flight ends, nothing new begins.
     ///
     /// It returns within the setting `drain`, counted from the first signal.
--- /dev/null
+++ b/crates/marigoldd/src/sources.rs
@@ -0,0 +1,150 @@
+//! What the operators' side is told by the rest of the daemon.
+
+use std::collections::BTreeMap;
+use std::sync::{Arc, Mutex, PoisonError};
+
+use marigold_api::{DaemonRow, DaemonState, KindBytes, Status};
+use marigold_config::Trust;
+use marigold_control::{ControlPlane, MemberStatus, Standing, Traffic};
+use marigold_request::burn::BurnReport;
+use marigold_types::{ByteSize, Version};
+use tokio::runtime::Handle;
+use tokio::time::Instant;
+
+use crate::admin::{AdminParts, BurnSource, DrainSink, LogSession, MetricsSource, StatusSource};
+use crate::peer::QuicPeers;
+use crate::{Metrics, RequestSide, Shared};
+
+/// The parts of a daemon that the operators' side asks.
+pub struct Sources {
+    /// The blackboard.
+    pub shared: Arc<Shared>,
+    /// The control side.
+    pub plane: Arc<Mutex<ControlPlane>>,
+    /// The connections to other daemons.
+    pub peers: Arc<QuicPeers>,
+    /// The request side.
+    pub requests: Arc<RequestSide>,
+}
+
+impl Sources {
+    /// Returns what the operators' side is started with.
+    ///
+    /// It must be called within a tokio runtime.
+    #[must_use]
+    pub fn to_parts(&self, trust: Trust, metrics: Metrics) -> AdminParts {
+        let log = Arc::clone(&self.shared.log);
+        let attempt = self.shared.settings.log.timeout.duration();
+        let metrics = ProcessMetrics {
+            metrics,
+            peers: Arc::clone(&self.peers),
+        };
+        AdminParts {
+            shared: Arc::clone(&self.shared),
+            session: Arc::new(LogSession::new(log, trust.clone(), attempt)),
+            trust,
+            runtime: Handle::current(),
+            status: Arc::new(PlaneStatus(Arc::clone(&self.plane))),
+            burn: Arc::clone(&self.requests) as Arc<dyn BurnSource>,
+            metrics: Arc::new(metrics),
+            drain: Arc::clone(&self.requests) as Arc<dyn DrainSink>,
+        }
+    }
+}
+
+/// Tells the status of the mesh from the control side.
+struct PlaneStatus(Arc<Mutex<ControlPlane>>);
+
+impl StatusSource for PlaneStatus {
+    fn status(&self) -> Status {
+        let plane = self.0.lock().unwrap_or_else(PoisonError::into_inner);
+        let status = plane.status(Instant::now());
+        let local = &plane.board().local;
+        let alive = |member: &&MemberStatus| member.standing != Standing::Dead;
+        let mut daemons: Vec<DaemonRow> = status
+            .members
+            .iter()
+            .filter(alive)
+            .map(|member| row_of(member, status.newest))
+            .collect();
+        let own = daemons.iter_mut().find(|row| row.instance == status.local);
+        if let Some(own) = own {
+            own.bytes = kinds_of(&plane);
+        }
+        Status {
+            instance: status.local,
+            data_centre: local.data_centre.clone(),
+            region: local.region.clone(),
+            serving: status.serving,
+            draining: local.draining,
+            latest: status.newest,
+            daemons,
+        }
+    }
+}
+
+fn row_of(member: &MemberStatus, newest: Version) -> DaemonRow {
+    let version = member.held.unwrap_or_default();
+    let state = match (member.draining, member.standing) {
+        (true, _) => DaemonState::Draining,
+        (false, Standing::Alive) => DaemonState::Ready,
+        (false, Standing::Suspect | Standing::Dead) => DaemonState::Suspect,
+    };
+    DaemonRow {
+        instance: member.instance,
+        data_centre: member.data_centre.clone(),
+        service: member.service.clone(),
+        state,
+        version,
+        lag: newest.0.saturating_sub(version.0),
+        since: member.lag.unwrap_or(member.since),
+        bytes: Vec::new(),
+    }
+}
+
+fn kinds_of(plane: &ControlPlane) -> Vec<KindBytes> {
+    let counters = plane.counters();
+    let mut kinds: Vec<&&'static str> = counters.sent.keys().collect();
+    kinds.extend(counters.received.keys());
+    kinds.sort_unstable();
+    kinds.dedup();
+    let bytes = |side: &BTreeMap<&'static str, Traffic>, kind| {
+        ByteSize(side.get(kind).map_or(0, |traffic| traffic.bytes))
+    };
+    kinds
+        .into_iter()
+        .map(|kind| KindBytes {
+            kind: Arc::from(*kind),
+            sent: bytes(&counters.sent, *kind),
+            received: bytes(&counters.received, *kind),
+        })
+        .collect()
+}
+
+impl BurnSource for RequestSide {
+    fn burn(&self) -> BurnReport {
+        Self::burn(self)
+    }
+}
+
+impl DrainSink for RequestSide {
+    fn drain(&self) {
+        // A second signal would end at once; an operator's repeat must change nothing.
+        if !self.is_draining() {
+            self.signal();
+        }
+    }
+}
+
+/// Renders the metrics of the process after taking in those of the connections.
+struct ProcessMetrics {
+    metrics: Metrics,
+    peers: Arc<QuicPeers>,
+}
+
+impl MetricsSource for ProcessMetrics {
+    fn render(&self) -> String {
+        self.peers.publish_metrics();
+        self.metrics.render()
+    }
+}
--- a/crates/marigoldd/tests/daemon.rs
+++ b/crates/marigoldd/tests/daemon.rs
@@ -109,7 +109,7 @@
 struct Mesh {
     authority: Authority,
     operator: OperatorKey,
-    mesh_key: String,
+    secret: String,
     log: Arc<ListLog>,
 }
 
@@ -118,7 +118,7 @@
         Self {
             authority: Authority::generate().unwrap(),
             operator: OperatorKey::generate("root".parse().unwrap()).unwrap(),
-            mesh_key: MeshKey::generate().unwrap().to_file_text(),
+            secret: MeshKey::generate().unwrap().to_file_text(),
             log: Arc::new(ListLog::default()),
         }
     }
@@ -146,7 +146,7 @@
             authority: self.authority.to_credentials().certificate.into(),
             certificate: issued.certificate.into(),
             key: issued.key.into(),
-            mesh_key: self.mesh_key.as_str().into(),
+            mesh_key: self.secret.as_str().into(),
         };
         let log = Arc::clone(&self.log) as Arc<dyn PlatformLog>;
         Daemon::start(DaemonParts {
