--- a/crates/marigold-control/src/controllers/announcement.rs
+++ b/crates/marigold-control/src/controllers/announcement.rs
@@ -1,15 +1,21 @@
 //! What the daemon says of itself.
 
+use std::time::Duration;
+
 use marigold_types::Incarnation;
 use tokio::time::Instant;
 
 use crate::controller::{Controller, Input};
 use crate::{Board, Event, Member, News, Outbox, Update};
 
+/// How soon one change of health may follow another.
+const HEALTH_PERIOD: Duration = Duration::from_secs(3);
+
 /// Announces the daemon and its backend server, and refutes what others wrongly hold of it.
 #[derive(Debug, Default)]
 pub struct Announcement {
     revision: u32,
+    judged: Option<Instant>,
 }
 
 impl Controller for Announcement {
@@ -42,12 +48,26 @@
         }
     }
 
+    /// Holds a change of health back that follows too soon on the last, so that a health endpoint
+    /// that wavers does not flood the mesh.
+    fn damp(&mut self, told: bool, healthy: bool, now: Instant) -> bool {
+        let soon = |at: Instant| now.duration_since(at) < HEALTH_PERIOD;
+        if self.judged.is_some_and(soon) {
+            return told;
+        }
+        self.judged = Some(now);
+        healthy
+    }
+
     fn announce(&mut self, board: &mut Board, now: Instant) {
         let mut member = Member::announce(&board.local, self.revision);
         member.cut = board.unreached.iter().cloned().collect();
         let Some(entry) = board.members.get(member.address()) else {
             return;
         };
+        if entry.member.healthy != member.healthy {
+            member.healthy = self.damp(entry.member.healthy, member.healthy, now);
+        }
         if entry.member == member {
             return;
         }
--- a/crates/marigold-control/src/endpoints.rs
+++ b/crates/marigold-control/src/endpoints.rs
@@ -4,7 +4,6 @@
 use std::sync::Arc;
 
 use marigold_types::ServiceName;
-use tokio::time::Instant;
 
 use crate::{Board, Endpoint, EndpointState, Entry, Gate, Standing};
 
@@ -26,9 +25,10 @@
 /// Returns the backend servers of each service, ordered by address.
 ///
 /// Mass loss of signals never empties a service: when none of its backend servers is left that
-/// takes work, those that fell silent or fail their health probes are kept as suspects.
+/// takes work, those that fell silent or fail their health probes come back in as suspects, until
+/// they are forgotten.
 #[must_use]
-pub fn endpoints(board: &Board, now: Instant) -> BTreeMap<ServiceName, Arc<[Endpoint]>> {
+pub fn endpoints(board: &Board) -> BTreeMap<ServiceName, Arc<[Endpoint]>> {
     let cut = board.cut();
     let mut groups: BTreeMap<ServiceName, Group> = BTreeMap::new();
     for entry in board.members.iter() {
@@ -37,7 +37,7 @@
         };
         let is_cut = cut.contains(&entry.member.data_centre);
         let group = groups.entry(service.clone()).or_default();
-        match judge(board, entry, is_cut, now) {
+        match judge(board, entry, is_cut) {
             Use::Usable(state) => group.usable.push(endpoint(entry, service, state)),
             Use::Spare => {
                 let suspect = EndpointState::Suspect;
@@ -63,15 +63,14 @@
     }
 }
 
-fn judge(board: &Board, entry: &Entry, is_cut: bool, now: Instant) -> Use {
+fn judge(board: &Board, entry: &Entry, is_cut: bool) -> Use {
     let member = &entry.member;
     if member.address() == board.address() {
         return judge_own(board);
     }
     match member.standing {
         Standing::Dead if member.draining => Use::No,
-        Standing::Dead if now.duration_since(entry.changed) < board.options.hold => Use::Spare,
-        Standing::Dead => Use::No,
+        Standing::Dead => Use::Spare,
         _ if member.draining => Use::Usable(EndpointState::Draining),
         _ if !member.healthy => Use::Spare,
         Standing::Suspect => Use::Usable(EndpointState::Suspect),
--- a/crates/marigold-control/src/plane.rs
+++ b/crates/marigold-control/src/plane.rs
@@ -35,6 +35,7 @@
     out: Outbox,
     view: Arc<View>,
     basis: Option<Basis>,
+    last: Instant,
     topology: Option<u64>,
 }
 
@@ -73,7 +74,7 @@
             board.local.instance,
             false,
             Arc::clone(&board.config),
-            endpoints(&board, now),
+            endpoints(&board),
         );
         let mut plane = Self {
             board,
@@ -81,14 +82,16 @@
             out: Outbox::default(),
             view: Arc::new(view),
             basis: None,
+            last: now,
             topology: None,
         };
-        plane.refresh(now);
+        plane.refresh();
         plane
     }
 
     /// Takes in `event` at `now` and returns what is to be done.
     pub fn handle(&mut self, event: &Event, now: Instant) -> Vec<Action> {
+        self.notice_pause(event, now);
         if let Event::Received { from, message } = event {
             self.receive(*from, message, now);
         } else {
@@ -127,6 +130,16 @@
         &self.board
     }
 
+    /// Takes a long silence, in which not even a tick came, for a pause of the process.
+    fn notice_pause(&mut self, event: &Event, now: Instant) {
+        let gap = now.duration_since(self.last);
+        self.last = now;
+        let told = matches!(event, Event::Resumed { .. });
+        if !told && gap >= self.board.options.suspicion / 2 {
+            self.dispatch(Input::Event(&Event::Resumed { gap }), now);
+        }
+    }
+
     fn receive(&mut self, from: Address, bytes: &[u8], now: Instant) {
         // A daemon's own address comes back only from an error in some seed list.
         if from == self.board.address() {
@@ -151,7 +164,7 @@
         let waits = matches!(input, Input::Message { .. }) && !self.board.members.is_urgent();
         if !waits || self.is_overtaken() {
             self.board.members.calm();
-            self.refresh(now);
+            self.refresh();
         }
     }
 
@@ -174,7 +187,7 @@
     }
 
     /// Works out the topology and the view anew when what they rest on has changed.
-    fn refresh(&mut self, now: Instant) {
+    fn refresh(&mut self) {
         let members = self.board.members.generation();
         if self.topology != Some(members) {
             self.topology = Some(members);
@@ -188,17 +201,17 @@
         let basis = self.take_basis(members);
         if self.basis.as_ref() != Some(&basis) {
             self.basis = Some(basis);
-            self.publish(now);
+            self.publish();
         }
     }
 
-    fn publish(&mut self, now: Instant) {
+    fn publish(&mut self) {
         let board = &self.board;
         let mut view = View::new(
             board.local.instance,
             board.is_serving(),
             Arc::clone(&board.config),
-            endpoints(board, now),
+            endpoints(board),
         );
         view.generation = self.view.generation;
         if view != *self.view {
