--- a/crates/marigold-control/examples/spread.rs
+++ b/crates/marigold-control/examples/spread.rs
@@ -44,6 +44,19 @@
             measure(name, &options, *size);
         }
     }
+    let table = common::table(3_200, 9);
+    for (name, options) in [
+        ("time", ControlOptions::time()),
+        ("bytes", ControlOptions::bytes()),
+    ] {
+        let mut links = common::count_links(&table, &options);
+        links.sort_unstable();
+        println!(
+            "links at 3,200 daemons in 9 data centres, profile {name}: half of the daemons have {} or fewer, the most is {}",
+            links[links.len() / 2],
+            links[links.len() - 1]
+        );
+    }
 }
 
 /// The counters at one moment.
--- a/crates/marigold-control/tests/common/mod.rs
+++ b/crates/marigold-control/tests/common/mod.rs
@@ -1,14 +1,19 @@
 //! Meshes of a few control planes for the tests.
 #![allow(dead_code, reason = "each test file uses a part of it")]
 
-use std::collections::BTreeSet;
+use std::collections::{BTreeMap, BTreeSet};
 use std::time::Duration;
 
 use marigold_config::{Change, Config, Declaration, Resource, Route, Service};
-use marigold_control::{ControlOptions, ControlPlane, EndpointState, Event};
+use marigold_control::{
+    ControlOptions, ControlPlane, EndpointState, Event, Member, MemberTable, Standing, Topology,
+};
 use marigold_log::StreamName;
 use marigold_scenarios::control::{Mesh, Operator};
-use marigold_types::{Address, Class, Interval, ServiceName, SlotCount, Version};
+use marigold_types::{
+    Address, Class, DataCentre, Incarnation, InstanceId, Interval, ServiceName, SlotCount, Version,
+};
+use tokio::time::Instant;
 
 pub const SECOND: Duration = Duration::from_secs(1);
 
@@ -137,3 +142,61 @@
         })),
     }
 }
+
+pub fn centre(number: usize) -> DataCentre {
+    format!("dc{number}").parse().expect("a name")
+}
+
+/// Builds a table of live daemons, spread evenly over data centres.
+pub fn table(daemons: usize, centres: usize) -> MemberTable {
+    let mut table = MemberTable::new();
+    let now = Instant::now();
+    for number in 0..daemons {
+        let at = number % centres;
+        let member = Member {
+            instance: InstanceId {
+                address: address(at, number / centres),
+                incarnation: Incarnation(1),
+            },
+            revision: 0,
+            standing: Standing::Alive,
+            data_centre: centre(at),
+            region: "region0".parse().expect("a name"),
+            service: None,
+            slots: SlotCount(4),
+            healthy: true,
+            draining: false,
+            cut: Vec::new(),
+        };
+        table.merge(&member, now);
+    }
+    table
+}
+
+/// Returns the topology of every daemon of the first data centre.
+pub fn topologies(table: &MemberTable, options: &ControlOptions) -> BTreeMap<Address, Topology> {
+    let home = centre(0);
+    let daemons = table.local(&home).map(|entry| entry.member.address());
+    daemons
+        .map(|at| (at, Topology::new(table, at, &home, options)))
+        .collect()
+}
+
+/// Counts, for each daemon of the first data centre, those that it keeps a connection to or that
+/// keep one to it.
+pub fn count_links(table: &MemberTable, options: &ControlOptions) -> Vec<usize> {
+    let mut links: BTreeMap<Address, BTreeSet<Address>> = BTreeMap::new();
+    for (at, topology) in topologies(table, options) {
+        let mut out = topology.peers();
+        out.extend(&topology.children);
+        if topology.is_follower {
+            // One link to each other data centre, and one from each.
+            out.extend(topology.remote.values().filter_map(|list| list.first()));
+        }
+        for peer in out {
+            links.entry(at).or_default().insert(peer);
+            links.entry(peer).or_default().insert(at);
+        }
+    }
+    links.values().map(BTreeSet::len).collect()
+}
--- a/crates/marigold-control/tests/topology.rs
+++ b/crates/marigold-control/tests/topology.rs
@@ -2,12 +2,11 @@
 
 mod common;
 
-use std::collections::{BTreeMap, BTreeSet};
+use std::collections::BTreeSet;
 
-use common::address;
-use marigold_control::{ControlOptions, Member, MemberTable, Standing, Topology};
-use marigold_types::{Address, DataCentre, Incarnation, InstanceId, SlotCount};
-use tokio::time::Instant;
+use common::{address, centre, count_links, table, topologies};
+use marigold_control::{ControlOptions, Topology};
+use marigold_types::Address;
 
 /// The size in two years.
 const DAEMONS: usize = 3_200;
@@ -15,62 +14,12 @@
 /// Sixty-four connections of some 50 KB are a fortieth of a daemon's 128 MB.
 const MAX_LINKS: usize = 64;
 
-fn centre(number: usize) -> DataCentre {
-    format!("dc{number}").parse().expect("a name")
-}
-
-fn table(daemons: usize, centres: usize) -> MemberTable {
-    let mut table = MemberTable::new();
-    let now = Instant::now();
-    for number in 0..daemons {
-        let at = number % centres;
-        let member = Member {
-            instance: InstanceId {
-                address: address(at, number / centres),
-                incarnation: Incarnation(1),
-            },
-            revision: 0,
-            standing: Standing::Alive,
-            data_centre: centre(at),
-            region: "region0".parse().expect("a name"),
-            service: None,
-            slots: SlotCount(4),
-            healthy: true,
-            draining: false,
-            cut: Vec::new(),
-        };
-        table.merge(&member, now);
-    }
-    table
-}
-
-/// Returns the topology of every daemon of the first data centre.
-fn topologies(table: &MemberTable, options: &ControlOptions) -> BTreeMap<Address, Topology> {
-    let home = centre(0);
-    let daemons = table.local(&home).map(|entry| entry.member.address());
-    daemons
-        .map(|at| (at, Topology::new(table, at, &home, options)))
-        .collect()
-}
-
 #[test]
 fn connections_stay_few_at_full_size() {
     let table = table(DAEMONS, CENTRES);
     let options = ControlOptions::time();
-    let mut links: BTreeMap<Address, BTreeSet<Address>> = BTreeMap::new();
-    for (at, topology) in topologies(&table, &options) {
-        let mut out = topology.peers();
-        out.extend(&topology.children);
-        if topology.is_follower {
-            // One link to each other data centre, and one from each.
-            out.extend(topology.remote.values().filter_map(|list| list.first()));
-        }
-        for peer in out {
-            links.entry(at).or_default().insert(peer);
-            links.entry(peer).or_default().insert(at);
-        }
-    }
-    let most = links.values().map(BTreeSet::len).max();
+    let links = count_links(&table, &options);
+    let most = links.into_iter().max();
     assert!(most <= Some(MAX_LINKS), "{most:?} links");
 }
 
