Test calls, bodies, keys, connections and shutdown over real sockets

Found by the tests and mended: a caller's body that failed could look ended when it was read once more; a mesh of one backend server had no witness; a connection closed right after a message gave no event; the endpoint's port stayed bound after close, because the server of streams and the links held it; an executor whose backend server is unhealthy now refuses with not-serving, which another executor may not share.

--- a/crates/marigoldd/src/caller/key_desk.rs
+++ b/crates/marigoldd/src/caller/key_desk.rs
@@ -9,13 +9,15 @@
 use marigold_control::{Endpoint, EndpointState, View};
 use marigold_request::once::KeyMint;
 use marigold_request::{Refusal, RefusalReason, WitnessAnswer, WitnessRequest};
-use marigold_types::{Interval, ServiceName};
+use marigold_types::{InstanceId, Interval, ServiceName};
 use serde::Serialize;
 use tokio::time::Instant;
 
+use super::decisions::Decisions;
 use super::ingress::Ingress;
 use super::response::{self, CallerBody};
 use super::route;
+use crate::executor::Witnesses;
 
 /// Where callers get keys.
 pub const KEYS_PATH: &str = "/.marigold/keys";
@@ -119,22 +121,17 @@
 /// Makes one key, asking a witness first when no reservation is left.
 async fn make(ingress: &Ingress, view: &View, service: &ServiceName) -> Result<Arc<str>, Refusal> {
     let executor = ingress.decisions.place(view, service)?;
-    for witness in witnesses(ingress, view, &executor)
-        .into_iter()
-        .take(MAX_WITNESSES)
-    {
-        let id = witness.instance;
-        let now = Instant::now();
-        let wanted = ingress.decisions.mint().needs(&id, now);
-        let made = mint(ingress, &executor, &witness, service);
-        if let Some(key) = made {
+    let candidates = witnesses(ingress, view, &executor);
+    for witness in candidates.into_iter().take(MAX_WITNESSES) {
+        let wanted = ingress.decisions.mint().needs(&witness, Instant::now());
+        if let Some(key) = mint(ingress, &executor, witness, service) {
             if wanted {
                 prefetch(ingress, witness);
             }
             return Ok(key);
         }
-        reserve(ingress, &witness).await;
-        if let Some(key) = mint(ingress, &executor, &witness, service) {
+        reserve(&ingress.witnesses, &ingress.decisions, witness).await;
+        if let Some(key) = mint(ingress, &executor, witness, service) {
             return Ok(key);
         }
     }
@@ -144,12 +141,12 @@
 fn mint(
     ingress: &Ingress,
     executor: &Endpoint,
-    witness: &Endpoint,
+    witness: InstanceId,
     service: &ServiceName,
 ) -> Option<Arc<str>> {
     ingress.decisions.mint().mint(
         executor.instance,
-        witness.instance,
+        witness,
         service,
         &ingress.shared.mesh_key,
         &mut rand::rng(),
@@ -158,51 +155,39 @@
 }
 
 /// Asks a witness ahead of need, so that a later caller does not wait.
-fn prefetch(ingress: &Ingress, witness: Endpoint) {
+fn prefetch(ingress: &Ingress, witness: InstanceId) {
     let (witnesses, decisions) = (ingress.witnesses.clone(), ingress.decisions.clone());
-    tokio::spawn(async move {
-        ask(&witnesses, &decisions, &witness).await;
-    });
-}
-
-async fn reserve(ingress: &Ingress, witness: &Endpoint) {
-    ask(&ingress.witnesses, &ingress.decisions, witness).await;
+    tokio::spawn(async move { reserve(&witnesses, &decisions, witness).await });
 }
 
-async fn ask(
-    witnesses: &crate::executor::Witnesses,
-    decisions: &super::decisions::Decisions,
-    witness: &Endpoint,
-) {
+async fn reserve(witnesses: &Witnesses, decisions: &Decisions, witness: InstanceId) {
     let request = WitnessRequest::Reserve {
         count: KeyMint::BATCH,
     };
     let until = Instant::now() + RESERVE_TIMEOUT;
-    let answer = witnesses
-        .ask(witness.instance.address, request, until)
-        .await;
+    let answer = witnesses.ask(witness.address, request, until).await;
     let mut mint = decisions.mint();
     match answer {
         Some(WitnessAnswer::Reserved { uptime }) => {
-            mint.reserved(witness.instance, uptime, Instant::now());
+            mint.reserved(witness, uptime, Instant::now());
         }
-        _ => mint.forget(&witness.instance),
+        _ => mint.forget(&witness),
     }
 }
 
 /// Returns the daemons that may witness for `executor`, best first: another data centre of the
-/// same region, then any other data centre, then any other daemon.
+/// same region, then any other data centre, then any other daemon, and the executor itself where
+/// there is no other.
 ///
 /// Within each, a hash spreads the ingresses and keeps one ingress at the same witness, so that its
 /// reservation lasts.
-fn witnesses(ingress: &Ingress, view: &View, executor: &Endpoint) -> Vec<Endpoint> {
+fn witnesses(ingress: &Ingress, view: &View, executor: &Endpoint) -> Vec<InstanceId> {
     let others = view.endpoints.values().flat_map(|list| list.iter());
-    let mut list: Vec<Endpoint> = others
+    let mut list: Vec<&Endpoint> = others
         .filter(|other| other.state == EndpointState::Ready)
         .filter(|other| other.instance.address != executor.instance.address)
-        .cloned()
         .collect();
-    let rank = |other: &Endpoint| {
+    list.sort_by_cached_key(|other| {
         let near = other.region == executor.region;
         let apart = other.data_centre != executor.data_centre;
         let distance = match (apart, near) {
@@ -211,9 +196,12 @@
             (false, _) => 2,
         };
         (distance, hash(ingress, other))
-    };
-    list.sort_by_cached_key(rank);
-    list
+    });
+    let mut found: Vec<InstanceId> = list.iter().map(|other| other.instance).collect();
+    found.dedup();
+    // A daemon without a backend server is in no list, and may witness all the same.
+    found.push(ingress.shared.local);
+    found
 }
 
 fn hash(ingress: &Ingress, other: &Endpoint) -> u64 {
--- a/crates/marigoldd/src/caller/replay_body.rs
+++ b/crates/marigoldd/src/caller/replay_body.rs
@@ -23,6 +23,8 @@
     max: u64,
     too_large: bool,
     ended: bool,
+    /// Why it will never be whole, where that is so.
+    cut: Option<CutError>,
     attempt: u32,
 }
 
@@ -46,6 +48,7 @@
             max,
             too_large: false,
             ended,
+            cut: None,
             attempt: 0,
         };
         Self {
@@ -136,9 +139,21 @@
 
 impl State {
     fn poll_next(&mut self, cx: &mut Context<'_>) -> Poll<Result<Option<Bytes>, CutError>> {
+        if let Some(cut) = &self.cut {
+            return Poll::Ready(Err(cut.clone()));
+        }
         if self.ended {
             return Poll::Ready(Ok(None));
         }
+        let next = ready!(self.poll_source(cx));
+        if let Err(error) = &next {
+            // A source that has failed may look ended when it is read once more.
+            self.cut = Some(error.clone());
+        }
+        Poll::Ready(next)
+    }
+
+    fn poll_source(&mut self, cx: &mut Context<'_>) -> Poll<Result<Option<Bytes>, CutError>> {
         loop {
             let Some(frame) = ready!(Pin::new(&mut self.source).poll_frame(cx)) else {
                 self.ended = true;
--- a/crates/marigoldd/src/executor/local_executor.rs
+++ b/crates/marigoldd/src/executor/local_executor.rs
@@ -224,11 +224,12 @@
         if !self.shared.view.load().serving {
             return refuse(RefusalReason::NotServing);
         }
+        // Another backend server of the service may well take it.
         let Some(target) = self.target.load_full() else {
-            return refuse(RefusalReason::NoBackendServer);
+            return refuse(RefusalReason::NotServing);
         };
         if target.server.service != head.service || !*self.shared.healthy.borrow() {
-            return refuse(RefusalReason::NoBackendServer);
+            return refuse(RefusalReason::NotServing);
         }
         let request = AdmitRequest {
             class: head.class,
--- a/crates/marigoldd/src/peer.rs
+++ b/crates/marigoldd/src/peer.rs
@@ -20,6 +20,7 @@
 mod quic_peers;
 mod registry;
 mod sender;
+mod server_slot;
 mod stream_server;
 mod traffic;
 mod transport;
--- a/crates/marigoldd/src/peer/acceptor.rs
+++ b/crates/marigoldd/src/peer/acceptor.rs
@@ -1,6 +1,6 @@
 //! Accepts the connections of other daemons.
 
-use std::sync::{Arc, OnceLock};
+use std::sync::Arc;
 
 use marigold_types::{Address, Interval};
 use quinn::crypto::rustls::HandshakeData;
@@ -15,7 +15,8 @@
 use super::meters::Meters;
 use super::peer_tls::is_identity;
 use super::registry::Registry;
-use super::{LinkKind, PeerLink, StreamServer, codec};
+use super::server_slot::ServerSlot;
+use super::{LinkKind, PeerLink, codec};
 
 /// Handshakes that may go on at once; in a storm the rest must first prove their address.
 const HANDSHAKES: usize = 128;
@@ -26,7 +27,7 @@
     pub(super) meters: Arc<Meters>,
     pub(super) control: Arc<ControlLinks>,
     pub(super) silence: Interval,
-    pub(super) server: Arc<OnceLock<Arc<dyn StreamServer>>>,
+    pub(super) server: ServerSlot,
 }
 
 impl Acceptor {
@@ -112,7 +113,7 @@
     async fn serve_calls(&self, link: &PeerLink) {
         while let Ok((send, receive)) = link.connection.accept_bi().await {
             // Without a server the dropped halves cut the stream off.
-            let Some(server) = self.server.get().cloned() else {
+            let Some(server) = self.server.get() else {
                 continue;
             };
             let stream = IncomingStream {
--- a/crates/marigoldd/src/peer/control_link.rs
+++ b/crates/marigoldd/src/peer/control_link.rs
@@ -76,6 +76,7 @@
                     Some(message) => self.send(message).await,
                     None => return,
                 },
+                () = closed(self.writer.as_ref()) => self.lose().await,
                 () = sleep_until(due) => {
                     if self.check.is_some() {
                         self.look();
@@ -192,6 +193,15 @@
         }
     }
 
+    /// Takes in that the connection was closed; what was sent last may not have arrived.
+    async fn lose(&mut self) {
+        self.writer = None;
+        if self.check.take().is_some() {
+            let error = self.error("connection", &"closed", true);
+            self.give_up(&error).await;
+        }
+    }
+
     /// Drops what waits and tells the control loop, which decides what that means.
     async fn give_up(&mut self, error: &PeerError) {
         let context = self.links.context().clone();
@@ -216,3 +226,11 @@
         }
     }
 }
+
+/// Waits until the connection is closed; without one, for ever.
+async fn closed(writer: Option<&Writer>) {
+    match writer {
+        Some(writer) => drop(writer.link.connection.closed().await),
+        None => std::future::pending().await,
+    }
+}
--- a/crates/marigoldd/src/peer/control_links.rs
+++ b/crates/marigoldd/src/peer/control_links.rs
@@ -34,14 +34,15 @@
 /// Holds the queue of each link; a link's task owns its connection.
 pub(super) struct ControlLinks {
     context: Arc<ControlContext>,
-    slots: Mutex<HashMap<Address, Slot>>,
+    /// Absent once the daemon is leaving.
+    slots: Mutex<Option<HashMap<Address, Slot>>>,
 }
 
 impl ControlLinks {
     pub(super) fn new(context: ControlContext) -> Arc<Self> {
         Arc::new(Self {
             context: Arc::new(context),
-            slots: Mutex::default(),
+            slots: Mutex::new(Some(HashMap::new())),
         })
     }
 
@@ -61,7 +62,10 @@
         if to == self.context.local {
             return Err(refused("a daemon does not send to itself"));
         }
-        let mut slots = self.lock();
+        let mut guard = self.lock();
+        let Some(slots) = guard.as_mut() else {
+            return Err(refused("the daemon is leaving"));
+        };
         if !slots.contains_key(&to) {
             if slots.len() >= MAX_LINKS {
                 self.context.meters.count_dropped("links");
@@ -78,7 +82,10 @@
 
     /// Lets the link to `peer` use a connection that the peer opened.
     pub(super) fn adopt(self: &Arc<Self>, peer: Address, link: PeerLink) {
-        let mut slots = self.lock();
+        let mut guard = self.lock();
+        let Some(slots) = guard.as_mut() else {
+            return;
+        };
         if !slots.contains_key(&peer) {
             if slots.len() >= MAX_LINKS {
                 return;
@@ -124,14 +131,21 @@
 
     /// Forgets an idle link unless something has been queued for it since.
     pub(super) fn retire(&self, peer: Address, queue: &mpsc::Receiver<Outgoing>) -> bool {
-        let mut slots = self.lock();
+        let mut guard = self.lock();
         if !queue.is_empty() {
             return false;
         }
-        slots.remove(&peer);
+        if let Some(slots) = guard.as_mut() {
+            slots.remove(&peer);
+        }
         true
     }
 
+    /// Ends every link; nothing is sent from now on.
+    pub(super) fn stop(&self) {
+        *self.lock() = None;
+    }
+
     fn start(self: &Arc<Self>, peer: Address) -> Slot {
         let (queue, waiting) = mpsc::channel(QUEUE);
         let (accepted, adopted) = mpsc::channel(1);
@@ -140,7 +154,7 @@
         Slot { queue, accepted }
     }
 
-    fn lock(&self) -> std::sync::MutexGuard<'_, HashMap<Address, Slot>> {
+    fn lock(&self) -> std::sync::MutexGuard<'_, Option<HashMap<Address, Slot>>> {
         self.slots.lock().unwrap_or_else(PoisonError::into_inner)
     }
 }
--- a/crates/marigoldd/src/peer/dialler.rs
+++ b/crates/marigoldd/src/peer/dialler.rs
@@ -13,8 +13,10 @@
 use super::registry::Registry;
 use super::{LinkKind, PeerError, PeerLink, PeerTls};
 
-/// How long a handshake may take.
+/// How long a handshake may take, longer than most deadlines so that a storm can pass.
 pub(super) const HANDSHAKE_TIMEOUT: Duration = Duration::from_secs(3);
+/// How long the handshake may take that a request waits for, so that it can go elsewhere.
+const CALL_TIMEOUT: Duration = Duration::from_secs(1);
 /// How often a new port may be taken; it bounds the ports of a daemon among many silent peers.
 const PORT_INTERVAL: Duration = Duration::from_secs(1);
 
@@ -73,7 +75,11 @@
         let connecting = endpoint
             .connect_with(config, to.0, &daemon_name(to))
             .map_err(|e| error(e.to_string()))?;
-        let connection = timeout(HANDSHAKE_TIMEOUT, connecting)
+        let limit = match kind {
+            LinkKind::Control => HANDSHAKE_TIMEOUT,
+            LinkKind::Call => CALL_TIMEOUT,
+        };
+        let connection = timeout(limit, connecting)
             .await
             .map_err(|_| error("the handshake took too long".to_owned()))?
             .map_err(|e| error(e.to_string()))?;
--- a/crates/marigoldd/src/peer/quic_peers.rs
+++ b/crates/marigoldd/src/peer/quic_peers.rs
@@ -1,8 +1,8 @@
 //! All connections of one daemon to others.
 
 use std::collections::BTreeMap;
-use std::net::UdpSocket;
-use std::sync::{Arc, OnceLock};
+use std::net::{SocketAddr, UdpSocket};
+use std::sync::Arc;
 
 use async_trait::async_trait;
 use bytes::Bytes;
@@ -19,6 +19,7 @@
 use super::dialler::Dialler;
 use super::meters::{MessageCount, Meters};
 use super::registry::Registry;
+use super::server_slot::ServerSlot;
 use super::{PeerError, PeerLink, PeerSender, PeerTls, StreamServer, Traffic, codec};
 
 const CLOSE_LEAVING: VarInt = VarInt::from_u32(0);
@@ -31,7 +32,7 @@
     meters: Arc<Meters>,
     control: Arc<ControlLinks>,
     calls: CallLinks,
-    server: Arc<OnceLock<Arc<dyn StreamServer>>>,
+    server: ServerSlot,
 }
 
 impl QuicPeers {
@@ -72,7 +73,7 @@
             events,
             meters: meters.clone(),
         });
-        let server = Arc::new(OnceLock::new());
+        let server = ServerSlot::default();
         let acceptor = Acceptor {
             registry: registry.clone(),
             meters: meters.clone(),
@@ -94,8 +95,7 @@
 
     /// Sets what serves the streams of other daemons; until then they are refused.
     pub fn serve(&self, server: Arc<dyn StreamServer>) {
-        // The first server stays; a daemon has one.
-        let _ = self.server.set(server);
+        self.server.set(server);
     }
 
     /// Returns the daemon's own address.
@@ -158,13 +158,25 @@
 
     /// Closes every connection and waits until the others have been told.
     pub async fn close(&self) {
+        self.control.stop();
+        self.server.clear();
         self.endpoint.close(CLOSE_LEAVING, b"leaving");
         self.endpoint.wait_idle().await;
     }
 
-    /// Drops everything without a word, as a process that dies; for tests and stand-ins.
-    pub fn abort(&self) {
+    /// Goes silent at once, as a process that dies without a word; for tests and stand-ins.
+    ///
+    /// # Errors
+    ///
+    /// When the system gives no socket.
+    pub fn abort(&self) -> std::io::Result<()> {
+        self.control.stop();
+        self.server.clear();
+        // What is still said comes from another port, where no peer takes it.
+        let elsewhere = SocketAddr::new(self.local.0.ip(), 0);
+        self.endpoint.rebind(UdpSocket::bind(elsewhere)?)?;
         self.endpoint.close(CLOSE_LEAVING, b"");
+        Ok(())
     }
 }
 
--- /dev/null
+++ b/crates/marigoldd/tests/bodies.rs
@@ -0,0 +1,124 @@
+//! Large and broken bodies through two daemons.
+
+mod support;
+
+use std::sync::Arc;
+use std::sync::atomic::Ordering;
+
+use bytes::Bytes;
+use futures_util::{StreamExt, stream};
+use http_body_util::{BodyExt, StreamBody};
+use hyper::body::Frame;
+use support::backend::LARGE;
+use support::http::{Body, send};
+use support::{Backend, Mesh, http};
+use tokio::sync::Notify;
+
+const PART: usize = 64 << 10;
+
+/// A body of `count` parts.
+fn body(count: usize) -> Body {
+    let part = Bytes::from(vec![b'y'; PART]);
+    let parts = (0..count).map(move |_| Ok(Frame::data(part.clone())));
+    StreamBody::new(stream::iter(parts)).boxed_unsync()
+}
+
+/// A body that fails after its first part, when it is told to.
+fn cut_body(fail: Arc<Notify>) -> Body {
+    let first = stream::once(async { Ok(Frame::data(Bytes::from_static(b"start"))) });
+    let cut = stream::once(async move {
+        fail.notified().await;
+        Err(std::io::Error::other("the test cuts it"))
+    });
+    StreamBody::new(first.chain(cut)).boxed_unsync()
+}
+
+#[tokio::test]
+async fn large_answer_is_whole() {
+    let backend = Backend::start().await;
+    let mesh = Mesh::start(&[&backend], 1).await;
+    let reply = http(mesh.daemons[1].caller, "GET", "/read/large", &[], "").await;
+    let reply = reply.unwrap();
+    assert_eq!((reply.status, reply.body.len()), (200, LARGE));
+}
+
+#[tokio::test]
+async fn large_request_is_whole() {
+    let backend = Backend::start().await;
+    let mesh = Mesh::start(&[&backend], 1).await;
+    let upload = body(LARGE / PART);
+    let caller = mesh.daemons[1].caller;
+    let response = send(caller, "POST", "/write/upload", &[], upload).await;
+    let text = response.unwrap().into_body().collect().await.unwrap();
+    assert_eq!(text.to_bytes(), LARGE.to_string());
+}
+
+macro_rules! cut_answers {
+    ($($name:ident: $path:literal;)*) => {$(
+        #[tokio::test]
+        async fn $name() {
+            let backend = Backend::start().await;
+            let mesh = Mesh::start(&[&backend], 1).await;
+            for daemon in &mesh.daemons {
+                let result = http(daemon.caller, "POST", $path, &[], "order").await;
+                assert!(result.is_err(), "a cut answer looks whole: {:?}", result.unwrap().status);
+            }
+        }
+    )*};
+}
+
+cut_answers! {
+    cut_answer_with_length: "/write/cut";
+    cut_answer_in_chunks: "/write/cut-chunked";
+}
+
+#[tokio::test]
+async fn cut_request_is_not_whole_at_the_backend_server() {
+    let backend = Backend::start().await;
+    let mesh = Mesh::start(&[&backend], 1).await;
+    let caller = mesh.daemons[1].caller;
+    let fail = Arc::new(Notify::new());
+    let call = tokio::spawn(send(
+        caller,
+        "POST",
+        "/write/echo",
+        &[],
+        cut_body(fail.clone()),
+    ));
+    backend.wait_busy(1).await;
+    fail.notify_one();
+    assert!(call.await.unwrap().is_err());
+    backend
+        .wait(|seen| seen.cancelled.load(Ordering::SeqCst) == 1)
+        .await;
+    assert_eq!(backend.total(), 0);
+}
+
+#[tokio::test]
+async fn declared_body_that_is_too_large_is_not_run() {
+    let backend = Backend::start().await;
+    let mut mesh = Mesh::new();
+    mesh.settings.caller.max_body = marigold_types::ByteSize(4);
+    mesh.add_all(&[&backend], 1).await;
+    let caller = mesh.daemons[1].caller;
+    let reply = http(caller, "POST", "/write/x", &[], "order")
+        .await
+        .unwrap();
+    assert_eq!((reply.status, reply.outcome()), (413, "not-run"));
+    assert_eq!(backend.total(), 0);
+}
+
+#[tokio::test]
+async fn streamed_body_that_turns_out_too_large_is_refused() {
+    let backend = Backend::start().await;
+    let mut mesh = Mesh::new();
+    mesh.settings.caller.max_body = marigold_types::ByteSize(PART as u64);
+    mesh.add_all(&[&backend], 1).await;
+    let caller = mesh.daemons[1].caller;
+    let response = send(caller, "POST", "/write/echo", &[], body(8)).await;
+    // The caller may still be sending when it is refused, so that its connection breaks.
+    if let Ok(response) = response {
+        assert_eq!(response.status(), 413);
+    }
+    assert_eq!(backend.total(), 0);
+}
--- /dev/null
+++ b/crates/marigoldd/tests/failures.rs
@@ -0,0 +1,232 @@
+//! Refusals, retries and a graceful shutdown.
+
+mod support;
+
+use marigold_request::drain::ExitCode;
+use support::{Backend, Mesh, http};
+use tokio::net::TcpListener;
+
+#[tokio::test]
+async fn refused_connection_is_not_run() {
+    let backend = Backend::start().await;
+    let mesh = Mesh::start(&[&backend], 1).await;
+    backend.stop();
+    // Once the listener is gone, a connection that may carry a write cannot be opened.
+    while tokio::net::TcpStream::connect(backend.address)
+        .await
+        .is_ok()
+    {
+        tokio::task::yield_now().await;
+    }
+    for daemon in &mesh.daemons {
+        let reply = http(daemon.caller, "POST", "/write/x", &[], "order").await;
+        let reply = reply.unwrap();
+        assert_eq!(
+            (reply.status, reply.outcome()),
+            (503, "not-run"),
+            "{reply:?}"
+        );
+        assert!(!reply.header("retry-after").is_empty());
+    }
+    assert_eq!(backend.total(), 0);
+}
+
+#[tokio::test]
+async fn unhealthy_backend_server_gets_nothing() {
+    let (one, two) = (Backend::start().await, Backend::start().await);
+    let mesh = Mesh::start(&[&one, &two], 1).await;
+    one.seen
+        .healthy
+        .store(false, std::sync::atomic::Ordering::SeqCst);
+    let mut healthy = mesh.daemons[0].shared.healthy.subscribe();
+    healthy.wait_for(|healthy| !*healthy).await.unwrap();
+    for _ in 0..20 {
+        let reply = http(mesh.daemons[2].caller, "POST", "/write/x", &[], "order").await;
+        // The view still shows it, and the budget for retries is bounded.
+        assert_ne!(reply.unwrap().outcome(), "unknown");
+    }
+    assert_eq!(one.total(), 0);
+    assert!(two.total() > 10, "{}", two.total());
+}
+
+#[tokio::test]
+async fn read_that_kills_is_tried_a_bounded_number_of_times() {
+    let servers = [
+        Backend::start().await,
+        Backend::start().await,
+        Backend::start().await,
+        Backend::start().await,
+    ];
+    let list: Vec<&Backend> = servers.iter().collect();
+    let mesh = Mesh::start(&list, 1).await;
+    let reply = http(mesh.daemons[4].caller, "GET", "/read/die", &[], "")
+        .await
+        .unwrap();
+    assert_eq!(reply.outcome(), "unknown");
+    let runs: usize = servers.iter().map(Backend::total).sum();
+    assert!(runs <= 3, "{runs} runs");
+}
+
+#[tokio::test]
+async fn write_that_kills_runs_once() {
+    let (one, two) = (Backend::start().await, Backend::start().await);
+    let mesh = Mesh::start(&[&one, &two], 1).await;
+    let reply = http(mesh.daemons[2].caller, "POST", "/write/die", &[], "w")
+        .await
+        .unwrap();
+    assert_eq!(reply.outcome(), "unknown");
+    assert_eq!(one.runs("w") + two.runs("w"), 1);
+}
+
+#[tokio::test]
+async fn full_backend_server_refuses_before_anything_is_sent() {
+    let backend = Backend::start().await;
+    let mut mesh = Mesh::new();
+    mesh.settings.request.queue = 0;
+    mesh.add_all(&[&backend], 1).await;
+    let caller = mesh.daemons[1].caller;
+    let mut held = Vec::new();
+    for index in 0.. {
+        let body = format!("order-{index}");
+        let mut call = tokio::spawn(async move {
+            http(caller, "POST", "/write/hold", &[], &body)
+                .await
+                .unwrap()
+        });
+        // Either it takes a slot, or it is refused at once.
+        tokio::select! {
+            () = backend.wait_busy(held.len() + 1) => held.push(call),
+            reply = &mut call => {
+                let reply = reply.unwrap();
+                assert_eq!((reply.status, reply.reason()), (503, "overloaded"));
+                assert!(!reply.header("marigold-retry-after-ms").is_empty());
+                break;
+            }
+        }
+    }
+    assert!(held.len() <= 16);
+    assert_eq!(backend.total(), held.len());
+    backend.release();
+    for call in held {
+        assert_eq!(call.await.unwrap().outcome(), "answered");
+    }
+}
+
+macro_rules! drains {
+    ($($name:ident: $caller:literal $leaving:literal;)*) => {$(
+        #[tokio::test]
+        async fn $name() {
+            let backend = Backend::start().await;
+            let mesh = Mesh::start(&[&backend], 1).await;
+            let caller = mesh.daemons[$caller].caller;
+            let call = tokio::spawn(async move {
+                http(caller, "POST", "/write/hold", &[], "w").await.unwrap()
+            });
+            backend.wait_busy(1).await;
+            let leaving = &mesh.daemons[$leaving];
+            leaving.side.signal();
+            let side = leaving.side.clone();
+            let drain = tokio::spawn(async move { side.drain().await });
+            // New work is refused once it has told the others and lingered.
+            loop {
+                let reply = http(leaving.caller, "GET", "/read/x", &[], "").await;
+                let Ok(reply) = reply else { continue };
+                if reply.outcome() == "not-run" {
+                    assert_eq!(reply.reason(), "draining");
+                    break;
+                }
+                assert_eq!(reply.outcome(), "answered");
+            }
+            assert!(!drain.is_finished());
+            backend.release();
+            assert_eq!(call.await.unwrap().body, "held");
+            assert_eq!(drain.await.unwrap(), ExitCode::Clean);
+        }
+    )*};
+}
+
+drains! {
+    drain_of_the_ingress_cuts_nothing_off: 1 1;
+    drain_of_the_executor_cuts_nothing_off: 1 0;
+    drain_of_both_in_one_cuts_nothing_off: 0 0;
+}
+
+#[tokio::test]
+async fn second_signal_ends_at_once() {
+    let backend = Backend::start().await;
+    let mesh = Mesh::start(&[&backend], 1).await;
+    let caller = mesh.daemons[1].caller;
+    let call = tokio::spawn(async move { http(caller, "POST", "/write/hold", &[], "w").await });
+    backend.wait_busy(1).await;
+    mesh.daemons[0].side.signal();
+    mesh.daemons[0].side.signal();
+    assert_eq!(mesh.daemons[0].side.drain().await, ExitCode::Forced);
+    backend.release();
+    assert_eq!(call.await.unwrap().unwrap().body, "held");
+}
+
+#[tokio::test]
+async fn daemon_that_may_not_serve_refuses() {
+    let backend = Backend::start().await;
+    let mesh = Mesh::start(&[&backend], 1).await;
+    let daemon = &mesh.daemons[1];
+    let mut view = marigold_control::View::clone(&daemon.shared.view.load());
+    view.serving = false;
+    daemon.shared.view.store(std::sync::Arc::new(view));
+    let reply = http(daemon.caller, "GET", "/read/x", &[], "")
+        .await
+        .unwrap();
+    assert_eq!((reply.status, reply.reason()), (503, "not-serving"));
+    assert_eq!(backend.total(), 0);
+}
+
+#[tokio::test]
+async fn idle_connection_that_the_backend_server_closed_doubles_nothing() {
+    // A backend server that answers once on each connection and then closes it unannounced.
+    let listener = TcpListener::bind("127.0.0.1:0").await.unwrap();
+    let address = listener.local_addr().unwrap();
+    let runs = std::sync::Arc::new(std::sync::atomic::AtomicUsize::new(0));
+    let counted = runs.clone();
+    tokio::spawn(async move {
+        loop {
+            let (mut stream, _) = listener.accept().await.unwrap();
+            let counted = counted.clone();
+            tokio::spawn(async move {
+                use tokio::io::{AsyncReadExt, AsyncWriteExt};
+                let mut buffer = vec![0; 4096];
+                let count = stream.read(&mut buffer).await.unwrap_or(0);
+                if buffer[..count].starts_with(b"POST") {
+                    counted.fetch_add(1, std::sync::atomic::Ordering::SeqCst);
+                }
+                let answer = b"HTTP/1.1 200 OK\r\ncontent-length: 2\r\n\r\nok";
+                let _ = stream.write_all(answer).await;
+            });
+        }
+    });
+    let mut mesh = Mesh::new();
+    mesh.add("hall-a", Some(address)).await;
+    mesh.add("hall-b", None).await;
+    mesh.publish();
+    mesh.daemons[0].wait_healthy().await;
+    let mut answered = 0;
+    for round in 0..50 {
+        let reply = http(
+            mesh.daemons[1].caller,
+            "POST",
+            "/write/x",
+            &[],
+            &round.to_string(),
+        )
+        .await;
+        match reply.unwrap().outcome() {
+            "answered" => answered += 1,
+            "unknown" | "not-run" => {}
+            other => panic!("{other}"),
+        }
+    }
+    let runs = runs.load(std::sync::atomic::Ordering::SeqCst);
+    assert!(
+        (answered..=50).contains(&runs),
+        "{answered} answered, {runs} runs"
+    );
+}
--- /dev/null
+++ b/crates/marigoldd/tests/once.rs
@@ -0,0 +1,234 @@
+//! Requests that run at most once, across daemons that fail.
+
+mod support;
+
+use std::net::SocketAddr;
+use std::sync::atomic::Ordering;
+
+use support::mesh::SERVICE;
+use support::{Backend, Mesh, Reply, http};
+
+async fn key(to: SocketAddr) -> String {
+    let path = format!("/.marigold/keys?service={SERVICE}");
+    let reply = http(to, "POST", &path, &[], "").await.unwrap();
+    assert_eq!(reply.status, 200, "{reply:?}");
+    let json: serde_json::Value = serde_json::from_slice(&reply.body).unwrap();
+    json["keys"][0].as_str().unwrap().to_owned()
+}
+
+async fn order(to: SocketAddr, path: &str, key: &str, body: &str) -> Reply {
+    let headers = [("idempotency-key", key)];
+    http(to, "POST", path, &headers, body).await.unwrap()
+}
+
+/// Three daemons: the first with the backend server, so that every key names it.
+async fn start(backend: &Backend) -> Mesh {
+    let other = Backend::start().await;
+    let mut mesh = Mesh::new();
+    mesh.add("hall-a", Some(backend.address)).await;
+    mesh.add("hall-b", None).await;
+    mesh.add("hall-c", None).await;
+    mesh.publish();
+    mesh.daemons[0].wait_healthy().await;
+    drop(other);
+    mesh
+}
+
+#[tokio::test]
+async fn repeat_through_another_daemon_gets_the_stored_answer() {
+    let backend = Backend::start().await;
+    let mesh = start(&backend).await;
+    let key = key(mesh.daemons[1].caller).await;
+    let first = order(mesh.daemons[1].caller, "/write/x", &key, "one").await;
+    assert_eq!(
+        (first.status, first.header("marigold-stored")),
+        (200, ""),
+        "{first:?}"
+    );
+    for daemon in &mesh.daemons {
+        let again = order(daemon.caller, "/write/x", &key, "one").await;
+        assert_eq!(again.body, "one");
+        assert_eq!(again.header("marigold-stored"), "true");
+    }
+    assert_eq!(backend.runs("one"), 1);
+}
+
+#[tokio::test]
+async fn repeat_during_the_run_waits_for_it() {
+    let backend = Backend::start().await;
+    let mesh = start(&backend).await;
+    let key = key(mesh.daemons[1].caller).await;
+    let send = |index: usize| {
+        let (to, key) = (mesh.daemons[index].caller, key.clone());
+        tokio::spawn(async move { order(to, "/write/hold", &key, "two").await })
+    };
+    let first = send(1);
+    backend.wait_busy(1).await;
+    let second = send(2);
+    let third = send(0);
+    // A late repeat after the release gets the stored answer, an early one waits: one run either way.
+    backend.release();
+    for call in [first, second, third] {
+        assert_eq!(call.await.unwrap().body, "held");
+    }
+    assert_eq!(backend.runs("two"), 1);
+}
+
+#[tokio::test]
+async fn caller_that_leaves_does_not_stop_a_run_under_a_key() {
+    let backend = Backend::start().await;
+    let mesh = start(&backend).await;
+    let key = key(mesh.daemons[1].caller).await;
+    let to = mesh.daemons[1].caller;
+    let call = tokio::spawn({
+        let key = key.clone();
+        async move { order(to, "/write/hold", &key, "three").await }
+    });
+    backend.wait_busy(1).await;
+    call.abort();
+    assert!(call.await.unwrap_err().is_cancelled());
+    backend.release();
+    backend.wait_busy(0).await;
+    let again = order(mesh.daemons[2].caller, "/write/hold", &key, "three").await;
+    assert_eq!(again.body, "held");
+    assert_eq!(backend.seen.cancelled.load(Ordering::SeqCst), 0);
+    assert_eq!(backend.runs("three"), 1);
+}
+
+#[tokio::test]
+async fn key_is_for_one_request() {
+    let backend = Backend::start().await;
+    let mesh = start(&backend).await;
+    let key = key(mesh.daemons[1].caller).await;
+    order(mesh.daemons[1].caller, "/write/x", &key, "four").await;
+    let other = order(mesh.daemons[2].caller, "/write/y", &key, "four").await;
+    assert_eq!(
+        (other.status, other.outcome()),
+        (409, "not-run"),
+        "{other:?}"
+    );
+    assert_eq!(backend.total(), 1);
+}
+
+#[tokio::test]
+async fn backend_server_that_dies_leaves_unknown_and_no_second_run() {
+    let backend = Backend::start().await;
+    let mesh = start(&backend).await;
+    let key = key(mesh.daemons[1].caller).await;
+    for daemon in &mesh.daemons {
+        let reply = order(daemon.caller, "/write/die", &key, "five").await;
+        assert_eq!(reply.outcome(), "unknown", "{reply:?}");
+    }
+    assert_eq!(backend.runs("five"), 1);
+}
+
+/// Two daemons with backend servers; the key names one and is witnessed by the other.
+async fn pair() -> (Backend, Backend, Mesh) {
+    let (one, two) = (Backend::start().await, Backend::start().await);
+    let mesh = Mesh::start(&[&one, &two], 1).await;
+    (one, two, mesh)
+}
+
+/// Returns the position of the daemon that `key` names as executor.
+fn executor(mesh: &Mesh, key: &str) -> usize {
+    let secret = &mesh.daemons[0].shared.mesh_key;
+    let key = marigold_request::once::RequestKey::open(key, secret).unwrap();
+    let find = |daemon: &support::Daemon| daemon.shared.local == key.executor;
+    mesh.daemons.iter().position(find).unwrap()
+}
+
+#[tokio::test]
+async fn dead_executor_that_never_started_is_not_run() {
+    let (one, two, mesh) = pair().await;
+    let key = key(mesh.daemons[2].caller).await;
+    mesh.daemons[executor(&mesh, &key)].kill();
+    for _ in 0..2 {
+        let reply = order(mesh.daemons[2].caller, "/write/x", &key, "six").await;
+        assert_eq!(
+            (reply.status, reply.outcome()),
+            (503, "not-run"),
+            "{reply:?}"
+        );
+    }
+    assert_eq!(one.total() + two.total(), 0);
+}
+
+#[tokio::test]
+async fn executor_that_dies_during_the_run_is_unknown() {
+    let (one, two, mesh) = pair().await;
+    let key = key(mesh.daemons[2].caller).await;
+    let (index, to) = (executor(&mesh, &key), mesh.daemons[2].caller);
+    let call = tokio::spawn({
+        let key = key.clone();
+        async move { order(to, "/write/hold", &key, "seven").await }
+    });
+    [&one, &two][index].wait_busy(1).await;
+    mesh.daemons[index].kill();
+    assert_eq!(call.await.unwrap().outcome(), "unknown");
+    let again = order(to, "/write/hold", &key, "seven").await;
+    assert_eq!(again.outcome(), "unknown");
+    assert_eq!(one.runs("seven") + two.runs("seven"), 1);
+}
+
+#[tokio::test]
+async fn dead_witness_means_not_run() {
+    let (one, two, mesh) = pair().await;
+    let key = key(mesh.daemons[2].caller).await;
+    let index = executor(&mesh, &key);
+    mesh.daemons[1 - index].kill();
+    let reply = order(mesh.daemons[2].caller, "/write/x", &key, "eight").await;
+    assert_eq!(
+        (reply.outcome(), reply.reason()),
+        ("not-run", "no-witness"),
+        "{reply:?}"
+    );
+    let again = order(mesh.daemons[2].caller, "/write/x", &key, "eight").await;
+    assert_eq!(again.outcome(), "not-run");
+    assert_eq!(one.total() + two.total(), 0);
+}
+
+#[tokio::test]
+async fn both_dead_is_unknown() {
+    let (one, two, mesh) = pair().await;
+    let key = key(mesh.daemons[2].caller).await;
+    mesh.daemons[0].kill();
+    mesh.daemons[1].kill();
+    let reply = order(mesh.daemons[2].caller, "/write/x", &key, "nine").await;
+    assert_eq!(reply.outcome(), "unknown", "{reply:?}");
+    assert_eq!(one.total() + two.total(), 0);
+}
+
+macro_rules! bad_questions {
+    ($($name:ident: $method:literal $query:literal => $status:literal;)*) => {$(
+        #[tokio::test]
+        async fn $name() {
+            let backend = Backend::start().await;
+            let mesh = start(&backend).await;
+            let path = concat!("/.marigold/keys", $query);
+            let reply = http(mesh.daemons[1].caller, $method, path, &[], "").await.unwrap();
+            assert_eq!((reply.status, reply.outcome()), ($status, "not-run"), "{reply:?}");
+        }
+    )*};
+}
+
+bad_questions! {
+    key_needs_post: "GET" "?service=desk" => 405;
+    key_needs_service: "POST" "" => 400;
+    key_of_unknown_service: "POST" "?service=nowhere" => 400;
+    key_of_unknown_path: "POST" "?path=/nowhere" => 400;
+    too_many_keys: "POST" "?service=desk&count=65" => 400;
+    unknown_question: "POST" "?service=desk&colour=red" => 400;
+}
+
+#[tokio::test]
+async fn keys_come_in_batches_by_path() {
+    let backend = Backend::start().await;
+    let mesh = start(&backend).await;
+    let path = "/.marigold/keys?path=/write/x&count=64";
+    let reply = http(mesh.daemons[1].caller, "POST", path, &[], "")
+        .await
+        .unwrap();
+    let json: serde_json::Value = serde_json::from_slice(&reply.body).unwrap();
+    assert_eq!(json["keys"].as_array().unwrap().len(), 64);
+    assert_eq!(json["service"], SERVICE);
+}
--- a/crates/marigoldd/tests/support/backend.rs
+++ b/crates/marigoldd/tests/support/backend.rs
@@ -15,7 +15,7 @@
 use hyper::{HeaderMap, Request, Response, StatusCode};
 use hyper_util::rt::TokioIo;
 use tokio::net::TcpListener;
-use tokio::sync::Notify;
+use tokio::sync::{Notify, watch};
 
 /// The bytes of a large body, and of its parts.
 pub const LARGE: usize = 32 << 20;
@@ -34,7 +34,7 @@
     pub cancelled: AtomicUsize,
     pub healthy: AtomicBool,
     /// Lets `/hold` requests go on.
-    pub release: Notify,
+    pub release: watch::Sender<bool>,
     pub changed: Notify,
 }
 
@@ -86,7 +86,12 @@
     }
 
     pub fn release(&self) {
-        self.seen.release.notify_waiters();
+        self.seen.release.send_replace(true);
+    }
+
+    /// Lets further `/hold` requests wait for another release.
+    pub fn hold(&self) {
+        self.seen.release.send_replace(false);
     }
 
     /// Stops accepting; open connections stay.
@@ -147,6 +152,7 @@
         return response;
     }
     seen.busy.fetch_add(1, Ordering::SeqCst);
+    seen.changed.notify_waiters();
     let mut busy = Busy {
         seen: seen.clone(),
         ended: false,
@@ -175,11 +181,8 @@
     count(&seen, &name);
     let response = match kind.as_str() {
         "hold" => {
-            let release = seen.release.notified();
-            tokio::pin!(release);
-            release.as_mut().enable();
-            seen.changed.notify_waiters();
-            release.await;
+            let mut release = seen.release.subscribe();
+            release.wait_for(|released| *released).await.unwrap();
             Response::new(whole(Bytes::from_static(b"held")))
         }
         "die" => {
--- a/crates/marigoldd/tests/support/mesh.rs
+++ b/crates/marigoldd/tests/support/mesh.rs
@@ -201,12 +201,20 @@
         healthy.wait_for(|healthy| *healthy).await.unwrap();
     }
 
-    /// Ends the daemon without a word to anybody but its sockets.
+    /// Ends the daemon without a word.
     pub fn kill(&self) {
         for task in &self.tasks {
             task.abort();
         }
-        self.peers.abort();
+        self.peers.abort().unwrap();
+    }
+
+    /// Ends the daemon and frees its port.
+    pub async fn stop(self) {
+        for task in &self.tasks {
+            task.abort();
+        }
+        self.peers.close().await;
     }
 
     pub async fn drain(&self) -> ExitCode {
