--- a/crates/marigold-request/src/admission.rs
+++ b/crates/marigold-request/src/admission.rs
@@ -4,6 +4,7 @@
 mod admit;
 mod gate;
 mod service_time;
+mod solo;
 mod waiting_line;
 
 pub use admit::{Admit, AdmitRequest, Dropped, Granted, Moves, Permit, Ticket};
--- a/crates/marigold-request/src/admission/gate.rs
+++ b/crates/marigold-request/src/admission/gate.rs
@@ -6,6 +6,7 @@
 use slotmap::SlotMap;
 use tokio::time::Instant;
 
+use crate::admission::solo::Solo;
 use crate::admission::waiting_line::{Waiting, WaitingLine};
 use crate::admission::{Admit, AdmitRequest, Dropped, Granted, Moves, Permit, ServiceTime, Ticket};
 use crate::{LoadReport, Refusal, RefusalReason};
@@ -17,6 +18,8 @@
 const BATCH_PART: u32 = 2;
 /// One in so many freed slots goes to the last class that waits, so that it is never starved.
 const TURN: u32 = 16;
+/// When a request that could not run alone is asked to come back.
+const SOLO_RETRY: Interval = Interval::from_millis(1_000);
 /// The least time after which a refused caller is asked to come back.
 const MIN_RETRY: Duration = Duration::from_millis(50);
 
@@ -32,6 +35,7 @@
 struct Queued {
     class: Class,
     waiting: Waiting,
+    alone: bool,
 }
 
 /// Gives out the slots of the backend server beside the daemon.
@@ -47,6 +51,7 @@
     held: [u32; CLASSES],
     queued: SlotMap<Ticket, Queued>,
     lines: [WaitingLine; CLASSES],
+    solo: Solo,
     times: [ServiceTime; CLASSES],
     next_place: u64,
     turn: u32,
@@ -64,6 +69,7 @@
             held: [0; CLASSES],
             queued: SlotMap::with_key(),
             lines: Default::default(),
+            solo: Solo::default(),
             times: [ServiceTime::default(); CLASSES],
             next_place: 0,
             turn: 0,
@@ -85,8 +91,11 @@
         if request.deadline <= now {
             return Admit::Refuse(Refusal::last(RefusalReason::Deadline));
         }
+        if request.alone {
+            return self.offer_alone(request, now);
+        }
         let class = request.class;
-        if self.lines[class.index()].len() == 0 && self.has_room(class) {
+        if self.lines[class.index()].len() == 0 && self.has_room(class, now) {
             return Admit::Run(self.run(class, now));
         }
         self.queue(request, now)
@@ -98,6 +107,7 @@
             let index = running.class.index();
             self.held[index] -= 1;
             self.times[index].observe(now.saturating_duration_since(running.since));
+            self.solo.ended(permit, now);
         }
         self.advance(now)
     }
@@ -105,7 +115,11 @@
     /// Takes a request out of its line, because its caller has left.
     pub fn cancel(&mut self, ticket: Ticket) {
         if let Some(queued) = self.queued.remove(ticket) {
-            self.lines[queued.class.index()].remove(queued.waiting);
+            if queued.alone {
+                self.solo.remove(queued.waiting);
+            } else {
+                self.lines[queued.class.index()].remove(queued.waiting);
+            }
         }
     }
 
@@ -117,7 +131,8 @@
     /// Returns when [`Admission::expire`] has something to do next.
     #[must_use]
     pub fn next_expiry(&self) -> Option<Instant> {
-        self.lines.iter().filter_map(WaitingLine::next_end).min()
+        let ends = self.lines.iter().map(WaitingLine::next_end);
+        ends.chain([self.solo.next_end()]).flatten().min()
     }
 
     /// Takes the slots that the backend server announced last.
@@ -130,6 +145,7 @@
     pub fn drop_waiting(&mut self, reason: RefusalReason) -> Vec<Dropped> {
         let refusal = Refusal::after(reason, interval(MIN_RETRY));
         self.lines = Default::default();
+        while self.solo.pop().is_some() {}
         let tickets = self.queued.drain().map(|(ticket, _)| ticket);
         tickets.map(|ticket| Dropped { ticket, refusal }).collect()
     }
@@ -155,11 +171,37 @@
         let ticket = self.queued.insert(Queued {
             class: request.class,
             waiting,
+            alone: false,
         });
         self.lines[index].push(ticket, waiting);
         Admit::Wait(ticket)
     }
 
+    /// Decides on a request that is to run with no other beside it.
+    fn offer_alone(&mut self, request: &AdmitRequest, now: Instant) -> Admit {
+        if self.running.is_empty() && self.queued.is_empty() && self.slots > 0 {
+            let permit = self.run(request.class, now);
+            self.solo.started(permit, 0);
+            return Admit::Run(permit);
+        }
+        if self.slots == 0 || !self.solo.has_space() {
+            let refusal = Refusal::after(RefusalReason::Overloaded, SOLO_RETRY);
+            return Admit::Refuse(refusal);
+        }
+        let waiting = Waiting {
+            place: self.next_place,
+            until: request.deadline,
+        };
+        self.next_place += 1;
+        let ticket = self.queued.insert(Queued {
+            class: request.class,
+            waiting,
+            alone: true,
+        });
+        self.solo.push(ticket, waiting, now);
+        Admit::Wait(ticket)
+    }
+
     /// Estimates how long a request of `class` would wait behind those that go before it.
     fn wait(&self, class: Class) -> Duration {
         let before = Class::ALL.iter().filter(|other| **other <= class);
@@ -193,7 +235,10 @@
         }
     }
 
-    fn has_room(&self, class: Class) -> bool {
+    fn has_room(&self, class: Class, now: Instant) -> bool {
+        if self.solo.keeps_out(now) {
+            return false;
+        }
         let total: u32 = self.held.iter().sum();
         let later = self.held[Class::Interactive.index()] + self.held[Class::Batch.index()];
         let own = match class {
@@ -213,6 +258,11 @@
     /// Gives up what is late, then fills the free slots.
     fn advance(&mut self, now: Instant) -> Moves {
         let mut moves = Moves::default();
+        while let Some(ticket) = self.solo.pop_ended(now) {
+            self.queued.remove(ticket);
+            let refusal = Refusal::after(RefusalReason::Overloaded, SOLO_RETRY);
+            moves.dropped.push(Dropped { ticket, refusal });
+        }
         for class in Class::ALL {
             while let Some(ticket) = self.lines[class.index()].pop_ended(now) {
                 self.queued.remove(ticket);
@@ -221,7 +271,8 @@
                 moves.dropped.push(Dropped { ticket, refusal });
             }
         }
-        while let Some(class) = self.next_class() {
+        self.advance_solo(&mut moves, now);
+        while let Some(class) = self.next_class(now) {
             let Some(ticket) = self.lines[class.index()].pop() else {
                 break;
             };
@@ -232,9 +283,26 @@
         moves
     }
 
+    /// Runs the first request that is to run alone, if it is time.
+    fn advance_solo(&mut self, moves: &mut Moves, now: Instant) {
+        let busy = self.running.len();
+        if !self.solo.may_run(busy, self.slots, now) {
+            return;
+        }
+        let Some(ticket) = self.solo.pop() else {
+            return;
+        };
+        if let Some(queued) = self.queued.remove(ticket) {
+            let permit = self.run(queued.class, now);
+            self.solo.started(permit, busy);
+            moves.granted.push(Granted { ticket, permit });
+        }
+    }
+
     /// Returns the class whose first waiting request runs next.
-    fn next_class(&mut self) -> Option<Class> {
-        let can_run = |class: &Class| self.lines[class.index()].len() > 0 && self.has_room(*class);
+    fn next_class(&mut self, now: Instant) -> Option<Class> {
+        let can_run =
+            |class: &Class| self.lines[class.index()].len() > 0 && self.has_room(*class, now);
         let first = Class::ALL.into_iter().find(can_run)?;
         let last = Class::ALL.into_iter().rev().find(can_run)?;
         self.turn += 1;
--- a/crates/marigold-request/src/once/executor_table.rs
+++ b/crates/marigold-request/src/once/executor_table.rs
@@ -4,23 +4,24 @@
 use std::sync::Arc;
 
 use marigold_types::{ByteSize, Digest, InstanceId, Interval};
-use slotmap::{SlotMap, new_key_type};
 
 use crate::once::{Nonce, RequestKey, StoredAnswer};
 use crate::{Refusal, RefusalReason, WitnessAnswer};
 
-new_key_type! {
-    /// Names the entry of one key in an [`ExecutorTable`].
-    pub struct EntryKey;
+/// Names the entry of one key in an [`ExecutorTable`].
+#[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord, Hash)]
+pub struct EntryKey {
+    witness: InstanceId,
+    nonce: Nonce,
 }
 
 /// How long a caller waits before it takes a new key after a refusal of this one.
 const NEW_KEY_DELAY: Interval = Interval::from_millis(0);
-/// The most lives of witnesses that are closed.
-const MAX_CLOSED: usize = 4096;
+/// The most lives of witnesses that are remembered apart from their keys.
+const MAX_WITNESSES: usize = 4096;
 
 /// How much an [`ExecutorTable`] remembers.
-#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Hash)]
 pub struct ExecutorLimits {
     /// The most keys.
     pub keys: usize,
@@ -68,7 +69,7 @@
 }
 
 /// Where the request of a key stands.
-#[derive(Debug, Clone, PartialEq, Eq)]
+#[derive(Debug, Clone, PartialEq, Eq, Hash)]
 enum State {
     /// It is admitted or asks its witness; it has not run.
     Pending,
@@ -82,11 +83,9 @@
     Refused(Refusal),
 }
 
-#[derive(Debug, Clone, PartialEq, Eq)]
+#[derive(Debug, Clone, PartialEq, Eq, Hash)]
 struct Entry {
-    witness: InstanceId,
     expiry: u64,
-    nonce: Nonce,
     digest: Digest,
     state: State,
 }
@@ -95,23 +94,36 @@
     fn has_ended(&self) -> bool {
         !matches!(self.state, State::Pending | State::Running)
     }
+
+    fn repeat(&self, id: EntryKey, digest: Digest) -> Begin {
+        if self.digest != digest {
+            return Begin::NotRun(Refusal::last(RefusalReason::KeyReused));
+        }
+        match &self.state {
+            State::Pending | State::Running => Begin::Wait(id),
+            State::Done(answer) => Begin::Stored(Arc::clone(answer)),
+            State::Lost => Begin::Unknown("it ran before and its answer was not kept"),
+            State::Refused(refusal) => Begin::NotRun(*refusal),
+        }
+    }
 }
 
 /// The keys that name this life of this daemon, and what became of their requests.
 ///
 /// An entry leaves the table only on its witness's own word that the key has expired, or when that
-/// witness's life is closed for good; this instance's clock has no say. A full table does not say
-/// *not run*, since it could not remember that it did. Every operation on a key takes logarithmic
-/// time. See docs/design/at-most-once.md.
-#[derive(Debug, Clone)]
+/// witness's life is closed for good; this instance's clock has no say. From then on it says of such
+/// a key that it does not know. A full table does not say *not run* either, since it could not
+/// remember that it did. Every operation on a key takes logarithmic time. See
+/// docs/design/at-most-once.md.
+#[derive(Debug, Clone, PartialEq, Eq, Hash)]
 pub struct ExecutorTable {
     local: InstanceId,
     limits: ExecutorLimits,
-    entries: SlotMap<EntryKey, Entry>,
-    by_nonce: BTreeMap<(InstanceId, Nonce), EntryKey>,
+    entries: BTreeMap<EntryKey, Entry>,
     by_expiry: BTreeMap<InstanceId, BTreeSet<(u64, Nonce)>>,
-    /// Lives of witnesses under whose keys nothing begins any more.
-    closed: BTreeSet<InstanceId>,
+    /// The uptime of each witness up to which its keys are forgotten, the highest for one that is
+    /// closed.
+    forgotten: BTreeMap<InstanceId, u64>,
     /// Bytes of all stored answers.
     bytes: u64,
 }
@@ -123,10 +135,9 @@
         Self {
             local,
             limits,
-            entries: SlotMap::with_key(),
-            by_nonce: BTreeMap::new(),
+            entries: BTreeMap::new(),
             by_expiry: BTreeMap::new(),
-            closed: BTreeSet::new(),
+            forgotten: BTreeMap::new(),
             bytes: 0,
         }
     }
@@ -154,22 +165,28 @@
         if key.executor != self.local {
             return Begin::Unknown("key names another life of the executor");
         }
-        if let Some(&id) = self.by_nonce.get(&(key.witness, key.nonce)) {
-            return self.repeat(id, digest);
+        let id = EntryKey {
+            witness: key.witness,
+            nonce: key.nonce,
+        };
+        if let Some(entry) = self.entries.get(&id) {
+            return entry.repeat(id, digest);
         }
-        if self.closed.contains(&key.witness) {
-            return Begin::Unknown("key names a witness that is closed here");
+        let forgotten = self.forgotten.get(&key.witness);
+        if forgotten.is_some_and(|uptime| key.expiry <= *uptime) {
+            return Begin::Unknown("key has expired");
         }
         if self.entries.len() >= self.limits.keys {
             return Begin::Unknown("table of keys is full");
         }
-        Begin::Run(self.insert(key, digest))
+        self.insert(id, key.expiry, digest);
+        Begin::Run(id)
     }
 
     /// Decides on the witness's answer for a request that is about to run; none when it gave none
     /// in time.
     pub fn start(&mut self, id: EntryKey, answer: Option<&WitnessAnswer>) -> Start {
-        let Some(entry) = self.entries.get_mut(id) else {
+        let Some(entry) = self.entries.get_mut(&id) else {
             return Start::Ignore;
         };
         match &entry.state {
@@ -198,7 +215,7 @@
     /// Gives up a request that has not run and remembers that it never will; returns whether it
     /// may be called *not run*.
     pub fn refuse(&mut self, id: EntryKey, refusal: Refusal) -> bool {
-        match self.entries.get_mut(id) {
+        match self.entries.get_mut(&id) {
             Some(entry) if entry.state == State::Pending => {
                 entry.state = State::Refused(refusal);
                 true
@@ -214,7 +231,7 @@
             Finish::Answered(answer) => self.keep(answer),
             Finish::TooLarge | Finish::Lost => None,
         };
-        let Some(entry) = self.entries.get_mut(id) else {
+        let Some(entry) = self.entries.get_mut(&id) else {
             return;
         };
         if entry.state != State::Running {
@@ -228,15 +245,11 @@
 
     /// Takes the uptime that `witness` gave, and forgets the keys that have expired by it.
     pub fn witness_uptime(&mut self, witness: &InstanceId, uptime: u64) {
-        let Some(ends) = self.by_expiry.get_mut(witness) else {
-            return;
-        };
-        let later = ends.split_off(&(uptime.saturating_add(1), Nonce(0)));
-        let over = std::mem::replace(ends, later);
-        for (expiry, nonce) in over {
-            self.forget(witness, expiry, nonce);
+        let known = self.forgotten.get(witness).copied().unwrap_or_default();
+        let has_room = self.forgotten.len() < MAX_WITNESSES || self.forgotten.contains_key(witness);
+        if uptime > known && has_room {
+            self.forget(witness, uptime);
         }
-        self.trim(witness);
     }
 
     /// Returns the witnesses of remembered keys, whose uptime is worth asking for.
@@ -245,44 +258,20 @@
     }
 
     /// Forgets every key of a witness's life that is over for good, and begins nothing under its
-    /// other keys from now on; returns whether there was room to remember that.
-    pub fn close(&mut self, witness: &InstanceId) -> bool {
-        if self.closed.len() >= MAX_CLOSED {
-            return false;
-        }
-        self.closed.insert(*witness);
-        let ends = self.by_expiry.remove(witness).unwrap_or_default();
-        for (expiry, nonce) in ends {
-            self.forget(witness, expiry, nonce);
-        }
-        true
+    /// other keys from now on.
+    pub fn close(&mut self, witness: &InstanceId) {
+        self.witness_uptime(witness, u64::MAX);
     }
 
-    fn repeat(&self, id: EntryKey, digest: Digest) -> Begin {
-        let entry = &self.entries[id];
-        if entry.digest != digest {
-            return Begin::NotRun(Refusal::last(RefusalReason::KeyReused));
-        }
-        match &entry.state {
-            State::Pending | State::Running => Begin::Wait(id),
-            State::Done(answer) => Begin::Stored(Arc::clone(answer)),
-            State::Lost => Begin::Unknown("it ran before and its answer was not kept"),
-            State::Refused(refusal) => Begin::NotRun(*refusal),
-        }
-    }
-
-    fn insert(&mut self, key: &RequestKey, digest: Digest) -> EntryKey {
-        let id = self.entries.insert(Entry {
-            witness: key.witness,
-            expiry: key.expiry,
-            nonce: key.nonce,
+    fn insert(&mut self, id: EntryKey, expiry: u64, digest: Digest) {
+        let entry = Entry {
+            expiry,
             digest,
             state: State::Pending,
-        });
-        self.by_nonce.insert((key.witness, key.nonce), id);
-        let ends = self.by_expiry.entry(key.witness).or_default();
-        ends.insert((key.expiry, key.nonce));
-        id
+        };
+        self.entries.insert(id, entry);
+        let ends = self.by_expiry.entry(id.witness).or_default();
+        ends.insert((expiry, id.nonce));
     }
 
     /// Returns the answer if there is room for it.
@@ -292,28 +281,37 @@
         fits.then(|| Arc::new(answer))
     }
 
-    /// Forgets a key that has ended; one that is still at work is kept until the next time.
-    fn forget(&mut self, witness: &InstanceId, expiry: u64, nonce: Nonce) {
-        let Some(&id) = self.by_nonce.get(&(*witness, nonce)) else {
+    /// Forgets the keys of `witness` that expire up to `uptime`, but for those still at work.
+    fn forget(&mut self, witness: &InstanceId, uptime: u64) {
+        self.forgotten.insert(*witness, uptime);
+        let Some(mut over) = self.by_expiry.remove(witness) else {
             return;
         };
-        if !self.entries[id].has_ended() {
-            let ends = self.by_expiry.entry(*witness).or_default();
-            ends.insert((expiry, nonce));
-            return;
+        let mut kept = match uptime.checked_add(1) {
+            Some(next) => over.split_off(&(next, Nonce(0))),
+            None => BTreeSet::new(),
+        };
+        for (expiry, nonce) in over {
+            let witness = *witness;
+            if !self.remove(EntryKey { witness, nonce }) {
+                kept.insert((expiry, nonce));
+            }
         }
-        self.by_nonce.remove(&(*witness, nonce));
-        if let Some(entry) = self.entries.remove(id)
-            && let State::Done(answer) = entry.state
-        {
-            self.bytes -= cost(&answer);
+        if !kept.is_empty() {
+            self.by_expiry.insert(*witness, kept);
         }
     }
 
-    fn trim(&mut self, witness: &InstanceId) {
-        if self.by_expiry.get(witness).is_some_and(BTreeSet::is_empty) {
-            self.by_expiry.remove(witness);
+    /// Removes a key that has ended; returns false for one that is still at work.
+    fn remove(&mut self, id: EntryKey) -> bool {
+        let is_over = self.entries.get(&id).is_none_or(Entry::has_ended);
+        if is_over
+            && let Some(entry) = self.entries.remove(&id)
+            && let State::Done(answer) = entry.state
+        {
+            self.bytes -= cost(&answer);
         }
+        is_over
     }
 }
 
--- a/crates/marigold-request/src/once/resolution.rs
+++ b/crates/marigold-request/src/once/resolution.rs
@@ -5,7 +5,7 @@
 use crate::{Refusal, RefusalReason, WitnessAnswer};
 
 /// What an ingress has of the executor that a key names.
-#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+#[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord, Hash)]
 pub enum Word {
     /// The whole answer is here.
     Answered,
--- a/crates/marigold-request/src/once/stored_answer.rs
+++ b/crates/marigold-request/src/once/stored_answer.rs
@@ -3,7 +3,7 @@
 use std::sync::Arc;
 
 /// A whole answer of a backend server.
-#[derive(Debug, Clone, PartialEq, Eq)]
+#[derive(Debug, Clone, PartialEq, Eq, Hash)]
 pub struct StoredAnswer {
     /// The HTTP status.
     pub status: u16,
--- a/crates/marigold-request/src/once/witness_table.rs
+++ b/crates/marigold-request/src/once/witness_table.rs
@@ -10,7 +10,7 @@
 use crate::once::{Nonce, RequestKey};
 
 /// What has become of a key.
-#[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord)]
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Hash)]
 enum Mark {
     /// Its executor was told that it may start.
     Started,
@@ -26,7 +26,7 @@
 /// A mark is kept for one more lifetime of a key after the key has expired, so that a seal asked
 /// for late is still answered with certainty. Marks are never evicted earlier: a full table
 /// refuses. Every operation takes logarithmic time. See docs/design/at-most-once.md.
-#[derive(Debug, Clone, PartialEq, Eq)]
+#[derive(Debug, Clone, PartialEq, Eq, Hash)]
 pub struct WitnessTable {
     local: InstanceId,
     /// When the uptime was zero.
--- a/crates/marigold-request/src/refusal.rs
+++ b/crates/marigold-request/src/refusal.rs
@@ -66,7 +66,7 @@
 }
 
 /// A refusal with the time after which it is worth sending again.
-#[derive(Debug, Clone, Copy, PartialEq, Eq, Serialize, Deserialize)]
+#[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord, Hash, Serialize, Deserialize)]
 pub struct Refusal {
     /// Why it was refused.
     pub reason: RefusalReason,
--- a/crates/marigold-request/src/witness_message.rs
+++ b/crates/marigold-request/src/witness_message.rs
@@ -25,7 +25,7 @@
 }
 
 /// What a witness answers.
-#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+#[derive(Debug, Clone, PartialEq, Eq, PartialOrd, Ord, Hash, Serialize, Deserialize)]
 pub enum WitnessAnswer {
     /// The request may start, and the witness remembers that it did.
     Started,
