--- a/crates/marigold-request/src/retry/policy.rs
+++ b/crates/marigold-request/src/retry/policy.rs
@@ -54,9 +54,13 @@
         }
     }
 
-    /// Counts a request's first attempt.
-    pub fn started(&mut self) {
-        self.budget.earn();
+    /// Counts a request's first attempt here, which came with the attempt `inherited`.
+    ///
+    /// A retry from above earns nothing: otherwise the budgets of a call's levels would multiply.
+    pub fn started(&mut self, inherited: u8) {
+        if inherited == 0 {
+            self.budget.earn();
+        }
     }
 
     /// Decides on an attempt, and takes a retry from the budget when it allows one.
--- /dev/null
+++ b/crates/marigold-request/tests/deadlines.rs
@@ -0,0 +1,59 @@
+//! The time left to a request. See docs/design/retries.md.
+
+mod common;
+
+use common::{interval, ms};
+use marigold_request::deadline::Deadline;
+use marigold_types::Interval;
+use tokio::time::Instant;
+
+#[test]
+fn is_read_afresh_for_each_attempt() {
+    let now = Instant::now();
+    let deadline = Deadline::new(interval(1_000), None, now);
+    assert_eq!(deadline.left(now), interval(1_000));
+    assert_eq!(deadline.left(now + ms(400)), interval(600));
+    assert_eq!(deadline.to_header(now + ms(999)), "1");
+    assert!(!deadline.has_passed(now + ms(999)));
+    assert!(deadline.has_passed(now + ms(1_000)));
+    assert_eq!(deadline.left(now + ms(5_000)), Interval::default());
+}
+
+#[test]
+fn caller_can_shorten_and_not_extend() {
+    let now = Instant::now();
+    let left = |caller| Deadline::new(interval(500), Some(interval(caller)), now).left(now);
+    assert_eq!(left(200), interval(200));
+    assert_eq!(left(9_000), interval(500));
+}
+
+#[test]
+fn far_deadline_from_a_peer_is_bounded() {
+    let now = Instant::now();
+    let left = Deadline::after(interval(u64::MAX), now).left(now);
+    assert_eq!(left, interval(86_400_000));
+}
+
+macro_rules! refuses {
+    ($($name:ident: $text:expr;)*) => {$(
+        #[test]
+        fn $name() {
+            let error = Deadline::parse_header($text).unwrap_err();
+            assert!(error.to_string().contains("milliseconds"), "{error}");
+        }
+    )*};
+}
+
+refuses! {
+    nothing: "";
+    zero: "0";
+    negative: "-5";
+    unit: "5s";
+    too_long: "86400001";
+    overflow: "99999999999999999999";
+}
+
+#[test]
+fn reads_header() {
+    assert_eq!(Deadline::parse_header(" 250 ").unwrap(), interval(250));
+}
--- /dev/null
+++ b/crates/marigold-request/tests/keys.rs
@@ -0,0 +1,126 @@
+//! Keys as text, and how they are made. See docs/design/at-most-once.md.
+
+mod common;
+
+use common::{SECOND, instance, interval, ms, service};
+use marigold_auth::MeshKey;
+use marigold_request::once::{KeyError, KeyMint, Nonce, RequestKey};
+use rand::{Rng, RngExt, SeedableRng};
+use rand_chacha::ChaCha8Rng;
+use tokio::time::Instant;
+
+fn secret() -> MeshKey {
+    MeshKey::new([7; 32])
+}
+
+fn key() -> RequestKey {
+    RequestKey {
+        executor: instance(1, 3),
+        witness: instance(2, 4),
+        service: service(),
+        expiry: 120_000,
+        nonce: Nonce(9),
+    }
+}
+
+#[test]
+fn round_trips() {
+    let text = key().seal(&secret());
+    assert_eq!(RequestKey::open(&text, &secret()), Ok(key()));
+    assert_eq!(
+        RequestKey::open_for(&text, &service(), &secret()),
+        Ok(key())
+    );
+    assert!(text.len() <= 128, "{}", text.len());
+}
+
+macro_rules! refuses {
+    ($($name:ident: $text:expr => $error:expr;)*) => {$(
+        #[test]
+        fn $name() {
+            let error = RequestKey::open(&$text, &secret()).unwrap_err();
+            assert_eq!(error, $error);
+            assert!(error.to_string().contains("POST /.marigold/keys"), "{error}");
+        }
+    )*};
+}
+
+refuses! {
+    empty: "" => KeyError::Malformed;
+    a_callers_own: "order-4711" => KeyError::Malformed;
+    no_body: "mk1." => KeyError::Malformed;
+    short: "mk1.AAAA" => KeyError::Malformed;
+    not_base64: "mk1.!!!!" => KeyError::Malformed;
+    long: "mk1.".to_owned() + &"A".repeat(1 << 20) => KeyError::TooLong((1 << 20) + 4);
+    other_mesh: key().seal(&MeshKey::new([8; 32])) => KeyError::Forged;
+}
+
+#[test]
+fn key_of_another_service_is_refused() {
+    let text = key().seal(&secret());
+    let other = "delivery-ledger".parse().unwrap();
+    assert_eq!(
+        RequestKey::open_for(&text, &other, &secret()),
+        Err(KeyError::OtherService)
+    );
+}
+
+#[test]
+fn every_changed_byte_is_refused() {
+    let text = key().seal(&secret());
+    for index in 0..text.len() {
+        let mut bytes = text.as_bytes().to_vec();
+        bytes[index] = if bytes[index] == b'A' { b'B' } else { b'A' };
+        let text = String::from_utf8(bytes).unwrap();
+        assert!(RequestKey::open(&text, &secret()).is_err(), "byte {index}");
+    }
+}
+
+#[test]
+fn random_texts_are_refused_without_panic() {
+    let mut rng = ChaCha8Rng::seed_from_u64(42);
+    for _ in 0..20_000 {
+        let length = rng.random_range(0..300);
+        let bytes: Vec<u8> = (0..length).map(|_| (rng.next_u32() & 0x7f) as u8).collect();
+        let mut text = String::from_utf8(bytes).unwrap();
+        if rng.random_bool(0.5) {
+            text.insert_str(0, "mk1.");
+        }
+        assert!(RequestKey::open(&text, &secret()).is_err());
+    }
+}
+
+#[test]
+fn one_question_to_the_witness_makes_many_keys() {
+    let (now, mut rng) = (Instant::now(), ChaCha8Rng::seed_from_u64(1));
+    let (executor, witness) = (instance(1, 1), instance(2, 1));
+    let mut mint = KeyMint::new(interval(120_000));
+    let mut make = |mint: &mut KeyMint, now| {
+        mint.mint(executor, witness, &service(), &secret(), &mut rng, now)
+    };
+    assert!(mint.needs(&witness, now));
+    assert_eq!(make(&mut mint, now), None);
+    mint.reserved(witness, 5_000, now);
+    let mut nonces = std::collections::BTreeSet::new();
+    for made in 1..=KeyMint::BATCH {
+        let text = make(&mut mint, now + ms(100)).unwrap();
+        let key = RequestKey::open(&text, &secret()).unwrap();
+        assert_eq!(key.expiry, 125_000);
+        assert!(nonces.insert(key.nonce));
+        // The next question goes out before the keys are used up.
+        assert_eq!(mint.needs(&witness, now), made >= KeyMint::BATCH - 64);
+    }
+    assert_eq!(make(&mut mint, now), None);
+}
+
+#[test]
+fn old_reservation_makes_no_key() {
+    let (now, mut rng) = (Instant::now(), ChaCha8Rng::seed_from_u64(1));
+    let (executor, witness) = (instance(1, 1), instance(2, 1));
+    let mut mint = KeyMint::new(interval(120_000));
+    mint.reserved(witness, 5_000, now);
+    let later = now + 30 * SECOND;
+    assert!(mint.needs(&witness, later));
+    let made = mint.mint(executor, witness, &service(), &secret(), &mut rng, later);
+    assert_eq!(made, None);
+}
--- /dev/null
+++ b/crates/marigold-request/tests/shutdown.rs
@@ -0,0 +1,101 @@
+//! A graceful shutdown. See docs/design/draining.md.
+
+mod common;
+
+use common::{SECOND, interval, ms};
+use marigold_request::drain::{Drain, ExitCode, Phase};
+use tokio::time::Instant;
+
+fn drain() -> (Drain, Instant) {
+    (Drain::new(interval(30_000)), Instant::now())
+}
+
+#[test]
+fn cuts_off_nothing_in_flight() {
+    let (mut drain, now) = drain();
+    drain.started();
+    drain.started();
+    assert_eq!(drain.signal(now), Phase::Leaving);
+    assert!(drain.takes_work());
+    assert_eq!(drain.tick(now + 2 * SECOND), Phase::Finishing);
+    assert!(!drain.takes_work());
+    assert_eq!(drain.finished(now + 10 * SECOND), Phase::Finishing);
+    assert_eq!(
+        drain.finished(now + 20 * SECOND),
+        Phase::Exit(ExitCode::Clean)
+    );
+}
+
+#[test]
+fn takes_what_others_send_before_they_know() {
+    let (mut drain, now) = drain();
+    drain.signal(now);
+    assert_eq!(drain.tick(now + ms(1_999)), Phase::Leaving);
+    drain.started();
+    assert_eq!(drain.tick(now + ms(2_000)), Phase::Finishing);
+    assert_eq!(
+        drain.finished(now + ms(2_100)),
+        Phase::Exit(ExitCode::Clean)
+    );
+}
+
+#[test]
+fn idle_daemon_stays_until_it_is_known_to_leave() {
+    let (mut drain, now) = drain();
+    drain.signal(now);
+    assert_eq!(drain.tick(now + ms(100)), Phase::Leaving);
+    assert_eq!(drain.next_tick(), Some(now + 2 * SECOND));
+    assert_eq!(drain.tick(now + 2 * SECOND), Phase::Exit(ExitCode::Clean));
+    assert_eq!(drain.next_tick(), None);
+}
+
+#[test]
+fn ends_at_the_bound() {
+    let (mut drain, now) = drain();
+    drain.started();
+    drain.signal(now);
+    drain.tick(now + 2 * SECOND);
+    assert_eq!(drain.next_tick(), Some(now + 30 * SECOND));
+    assert_eq!(drain.tick(now + ms(29_999)), Phase::Finishing);
+    assert_eq!(
+        drain.tick(now + 30 * SECOND),
+        Phase::Exit(ExitCode::TimedOut)
+    );
+    assert_eq!(drain.in_flight(), 1);
+}
+
+#[test]
+fn late_tick_goes_straight_to_the_end() {
+    let (mut drain, now) = drain();
+    drain.started();
+    drain.signal(now);
+    assert_eq!(
+        drain.tick(now + 60 * SECOND),
+        Phase::Exit(ExitCode::TimedOut)
+    );
+}
+
+#[test]
+fn second_signal_ends_at_once() {
+    let (mut drain, now) = drain();
+    drain.started();
+    drain.signal(now);
+    assert_eq!(drain.signal(now + ms(1)), Phase::Exit(ExitCode::Forced));
+    assert_eq!(drain.signal(now + ms(2)), Phase::Exit(ExitCode::Forced));
+}
+
+#[test]
+fn short_bound_leaves_time_to_finish() {
+    let now = Instant::now();
+    let mut drain = Drain::new(interval(1_000));
+    drain.started();
+    drain.signal(now);
+    assert_eq!(drain.tick(now + ms(500)), Phase::Finishing);
+    assert_eq!(drain.tick(now + ms(1_000)), Phase::Exit(ExitCode::TimedOut));
+}
+
+#[test]
+fn exit_codes_differ() {
+    let codes = [ExitCode::Clean, ExitCode::TimedOut, ExitCode::Forced].map(ExitCode::code);
+    assert_eq!(codes, [0, 3, 4]);
+}
--- /dev/null
+++ b/crates/marigold-request/tests/silent_connections.rs
@@ -0,0 +1,69 @@
+//! Connections that stay open and say nothing. See docs/design/silent-connections.md.
+
+mod common;
+
+use common::{interval, ms};
+use marigold_request::silence::{Monitor, Verdict};
+use tokio::time::Instant;
+
+fn monitor() -> (Monitor, Instant) {
+    let now = Instant::now();
+    (Monitor::new(interval(1_000), now), now)
+}
+
+#[test]
+fn silent_connection_is_replaced_within_twice_the_silence() {
+    let (mut monitor, now) = monitor();
+    monitor.sent(now);
+    assert_eq!(monitor.judge(now + ms(999)), Verdict::Healthy);
+    assert_eq!(monitor.next_judge(), Some(now + ms(1_000)));
+    assert_eq!(monitor.judge(now + ms(1_000)), Verdict::Probe);
+    monitor.probe_sent(now + ms(1_000));
+    assert_eq!(monitor.judge(now + ms(1_999)), Verdict::Doubtful);
+    assert!(!monitor.may_carry(true, now + ms(1_500)));
+    assert_eq!(monitor.judge(now + ms(2_000)), Verdict::Replace);
+}
+
+#[test]
+fn slow_answer_is_no_silence() {
+    let (mut monitor, now) = monitor();
+    monitor.sent(now);
+    for second in 1..30 {
+        let at = now + ms(1_000 * second);
+        assert_eq!(monitor.judge(at), Verdict::Probe);
+        monitor.probe_sent(at);
+        monitor.heard(at + ms(2));
+        assert_eq!(monitor.judge(at + ms(2)), Verdict::Healthy);
+        // The next probe is due one silence after the last sign of life.
+        monitor.heard(at);
+    }
+}
+
+#[test]
+fn more_requests_do_not_put_off_the_probe() {
+    let (mut monitor, now) = monitor();
+    for step in 0..10 {
+        monitor.sent(now + ms(100 * step));
+    }
+    assert_eq!(monitor.judge(now + ms(1_000)), Verdict::Probe);
+}
+
+#[test]
+fn giving_up_does_not_clear_the_suspicion() {
+    let (mut monitor, now) = monitor();
+    monitor.sent(now);
+    monitor.ended();
+    assert_eq!(monitor.judge(now + ms(1_000)), Verdict::Probe);
+}
+
+#[test]
+fn idle_connection_is_judged_healthy_and_carries_only_what_may_be_repeated() {
+    let (mut monitor, now) = monitor();
+    monitor.sent(now);
+    monitor.ended();
+    monitor.heard(now + ms(5));
+    assert_eq!(monitor.next_judge(), None);
+    assert!(monitor.may_carry(false, now + ms(1_004)));
+    assert!(!monitor.may_carry(false, now + ms(1_005)));
+    assert!(monitor.may_carry(true, now + ms(60_000)));
+}
