--- a/crates/marigoldd/src/caller/decisions.rs
+++ b/crates/marigoldd/src/caller/decisions.rs
@@ -104,9 +104,9 @@
         lock(&self.limiter).allow(service, caller, Instant::now())
     }
 
-    /// Counts a first attempt for the retry budget.
-    pub fn first_attempt(&self) {
-        lock(&self.retry).started();
+    /// Counts a first attempt of a request that came with `inherited` for the retry budget.
+    pub fn first_attempt(&self, inherited: u8) {
+        lock(&self.retry).started(inherited);
     }
 
     /// Decides whether a request is sent again.
--- a/crates/marigoldd/src/caller/ingress.rs
+++ b/crates/marigoldd/src/caller/ingress.rs
@@ -190,7 +190,7 @@
         let inherited = call.head.attempt;
         let mut tried: Vec<Address> = Vec::new();
         let mut last = None;
-        self.decisions.first_attempt();
+        self.decisions.first_attempt(inherited);
         for number in 0..=u8::MAX {
             let chosen = self.decisions.choose(view, &call.head.service, &tried);
             let endpoint = match chosen {
