--- a/crates/marigoldd/src/admin/gate.rs
+++ b/crates/marigoldd/src/admin/gate.rs
@@ -9,6 +9,7 @@
 use tokio::net::{TcpListener, TcpStream};
 use tokio::sync::Semaphore;
 use tokio::time::{sleep, timeout};
+use tokio_util::sync::CancellationToken;
 
 /// The most bytes that are taken from one connection: a body of the largest size with its head.
 const MAX_REQUEST_BYTES: u64 = 1_100_000;
@@ -68,11 +69,18 @@
     pub lifetime: Duration,
     /// Who stands behind each connection.
     pub peers: Peers,
+    /// Ends the gate and its connections.
+    pub stop: CancellationToken,
 }
 
 impl Gate {
-    /// Takes connections until it is dropped.
+    /// Takes connections until it is stopped.
     pub async fn run(self, listener: TcpListener) {
+        let stop = self.stop.clone();
+        stop.run_until_cancelled(self.accept(listener)).await;
+    }
+
+    async fn accept(self, listener: TcpListener) {
         // Other hosts cannot keep the backend server from announcing itself.
         let near = Arc::new(Semaphore::new(MAX_CONNECTIONS));
         let far = Arc::new(Semaphore::new(MAX_CONNECTIONS));
@@ -93,7 +101,8 @@
             tokio::spawn(async move {
                 let _permit = permit;
                 // A connection that fails or lasts too long is closed, and its peer sees that.
-                let _ = timeout(gate.lifetime, gate.pass(stream, peer)).await;
+                let pass = timeout(gate.lifetime, gate.pass(stream, peer));
+                let _ = gate.stop.run_until_cancelled(pass).await;
             });
         }
     }
--- a/crates/marigoldd/src/admin/server.rs
+++ b/crates/marigoldd/src/admin/server.rs
@@ -6,7 +6,7 @@
 use std::time::Duration;
 
 use rouille::Server;
-use tokio::task::AbortHandle;
+use tokio_util::sync::CancellationToken;
 
 use super::AdminError;
 use super::announcements::Announcements;
@@ -23,9 +23,9 @@
 /// A running server with threads of its own; it ends when it is dropped.
 pub struct AdminServer {
     address: SocketAddr,
-    stop: mpsc::Sender<()>,
+    end: mpsc::Sender<()>,
     thread: Option<JoinHandle<()>>,
-    tasks: [AbortHandle; 2],
+    stop: CancellationToken,
 }
 
 impl AdminServer {
@@ -49,6 +49,7 @@
         let listener = tokio::net::TcpListener::from_std(listener).map_err(io)?;
         let address = listener.local_addr().map_err(io)?;
 
+        let stop = CancellationToken::new();
         let peers = Peers::default();
         let lifetime = operators::longest(&parts) + MARGIN;
         let announcements = Arc::new(Announcements::new(parts.shared.clone()));
@@ -62,15 +63,17 @@
             inner: server.server_addr(),
             lifetime,
             peers,
+            stop: stop.clone(),
         };
-        let gate = runtime.spawn(gate.run(listener)).abort_handle();
-        let expiry = runtime.spawn(async move { keeper.run().await });
-        let (thread, stop) = server.stoppable();
+        runtime.spawn(gate.run(listener));
+        let expiry = stop.clone();
+        runtime.spawn(async move { expiry.run_until_cancelled(keeper.run()).await });
+        let (thread, end) = server.stoppable();
         Ok(Self {
             address,
-            stop,
+            end,
             thread: Some(thread),
-            tasks: [gate, expiry.abort_handle()],
+            stop,
         })
     }
 
@@ -79,15 +82,18 @@
     pub fn address(&self) -> SocketAddr {
         self.address
     }
+
+    /// Cuts every connection and takes no more.
+    pub fn close(&self) {
+        self.stop.cancel();
+    }
 }
 
 impl Drop for AdminServer {
     fn drop(&mut self) {
-        for task in &self.tasks {
-            task.abort();
-        }
+        self.close();
         // The thread may be gone already, and then there is nobody to tell.
-        let _ = self.stop.send(());
+        let _ = self.end.send(());
         if let Some(thread) = self.thread.take() {
             let _ = thread.join();
         }
--- a/crates/marigoldd/tests/admin.rs
+++ b/crates/marigoldd/tests/admin.rs
@@ -443,6 +443,30 @@
     });
 }
 
+/// A closed side answers nobody, as when the process has died.
+#[test]
+fn closes_at_once() {
+    let bench = Bench::new();
+    let mut open = TcpStream::connect(bench.server.address()).unwrap();
+    assert_eq!(bench.send("GET", "/healthz", b"", None).status, 200);
+    bench.server.close();
+    // An end or a reset, and no answer.
+    assert!(!matches!(open.read(&mut [0]), Ok(read) if read > 0));
+    wait_until(|| TcpStream::connect(bench.server.address()).is_err());
+}
+
+/// Probes of clients that keep their connections are answered on them.
+#[test]
+fn kept_connection_is_answered() {
+    let bench = Bench::new();
+    let agent = ureq::Agent::new_with_defaults();
+    let url = format!("http://{}/healthz", bench.server.address());
+    for _ in 0..20 {
+        let mut response = agent.get(&url).call().unwrap();
+        assert_eq!(response.body_mut().read_to_string().unwrap(), "ok\n");
+    }
+}
+
 /// Waits for something that has to happen sooner or later.
 fn wait_until(mut done: impl FnMut() -> bool) {
     for _ in 0..6_000 {
