Keep an unknown outcome when the retry after it is refused

An idempotent request whose first attempt may have run was tried again, and the refusal of the second attempt was handed to the caller as the whole outcome. Change: a refusal of a later attempt leaves an earlier unknown in force. Conclusion: not-run is said only where no attempt may have run.

--- a/crates/marigoldd/src/caller/ingress.rs
+++ b/crates/marigoldd/src/caller/ingress.rs
@@ -227,11 +227,12 @@
                 keyed: false,
                 left: call.deadline.left(Instant::now()),
             });
+            let ran = conclude(last.take(), attempted.ran);
             if decision == Decision::GiveUp || !call.body.is_replayable() {
-                return Ended::early(attempted.ran);
+                return Ended::early(ran);
             }
             tried.push(address);
-            last = Some(attempted.ran);
+            last = Some(ran);
         }
         Ended::early(last.unwrap_or_else(|| Ran::unknown("retries")))
     }
@@ -278,6 +279,16 @@
     }
 }
 
+/// Joins what came of the attempts so far with what came of the latest.
+///
+/// A refused attempt says nothing of an earlier one that may have run.
+fn conclude(earlier: Option<Ran>, latest: Ran) -> Ran {
+    match (earlier, latest) {
+        (Some(Ran::Unknown(step)), Ran::NotRun(_)) => Ran::Unknown(step),
+        (_, latest) => latest,
+    }
+}
+
 /// Refuses what this side of HTTP does not take.
 fn refuse_form(request: &Request<Incoming>) -> Option<Response<CallerBody>> {
     if request.version() != Version::HTTP_11 {
--- a/crates/marigoldd/src/daemon.rs
+++ b/crates/marigoldd/src/daemon.rs
@@ -220,7 +220,8 @@
     /// Ends without a word, as a process that dies; for tests and stand-ins.
     pub fn abort(&self) {
         self.stop.cancel();
-        self.peers.abort();
+        // The peers are gone for good either way.
+        let _ = self.peers.abort();
     }
 
     fn run(
--- a/crates/marigoldd/tests/failures.rs
+++ b/crates/marigoldd/tests/failures.rs
@@ -67,6 +67,26 @@
     assert!(runs <= 3, "{runs} runs");
 }
 
+#[tokio::test]
+async fn refusal_of_a_retry_hides_no_earlier_run() {
+    let (one, two) = (Backend::start().await, Backend::start().await);
+    let mesh = Mesh::start(&[&one, &two], 1).await;
+    two.stop();
+    while tokio::net::TcpStream::connect(two.address).await.is_ok() {
+        tokio::task::yield_now().await;
+    }
+    for index in 0..20 {
+        let name = format!("read-{index}");
+        let reply = http(mesh.daemons[2].caller, "GET", "/read/die", &[], &name).await;
+        let reply = reply.unwrap();
+        let runs = one.runs(&name) + two.runs(&name);
+        assert!(
+            reply.outcome() == "unknown" || runs == 0,
+            "{index} ran {runs} times: {reply:?}"
+        );
+    }
+}
+
 #[tokio::test]
 async fn write_that_kills_runs_once() {
     let (one, two) = (Backend::start().await, Backend::start().await);
