Keep no text of any length that a rejected plan brings

A record may hold names and values of up to a megabyte. History and verdicts repeated them, so that an operator without rights could have filled the state of every daemon, and one with rights the table of verdicts. Names in plans now have the grammar of names, and explanations are cut.

--- a/crates/marigold-config/src/authority.rs
+++ b/crates/marigold-config/src/authority.rs
@@ -7,6 +7,9 @@
 
 use crate::{Config, Declaration, Pattern, Plan, Reason, Resource, Rule, Trust, Window};
 
+/// The most windows that a rejection names.
+const MAX_WINDOWS: usize = 8;
+
 /// Judges operators by the configuration in force and the roots of trust.
 #[derive(Debug, Clone, Copy)]
 pub struct Authority<'a> {
@@ -109,7 +112,8 @@
     }
 
     fn outside_window(&self, operator: &OperatorName, resource: &Resource) -> Reason {
-        let windows = self.rules(operator, resource).map(|rule| &*rule.window);
+        let rules = self.rules(operator, resource).take(MAX_WINDOWS);
+        let windows = rules.map(|rule| &*rule.window);
         let windows: Vec<&str> = windows.collect();
         Reason::OutsideWindow {
             operator: operator.clone(),
--- a/crates/marigold-config/src/invalid.rs
+++ b/crates/marigold-config/src/invalid.rs
@@ -7,6 +7,9 @@
 
 use crate::Resource;
 
+/// The most characters of a problem's text, which may repeat what an operator wrote.
+const MAX_PROBLEM: usize = 200;
+
 /// A field of a declaration that has no valid value, with what is allowed there.
 #[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
 pub struct Invalid {
@@ -27,7 +30,7 @@
         Self {
             resource: resource.clone(),
             field: Arc::from(field),
-            problem: Arc::from(problem),
+            problem: Arc::from(problem.chars().take(MAX_PROBLEM).collect::<String>()),
             allowed: Arc::from(allowed),
         }
     }
--- a/crates/marigold-config/src/plan.rs
+++ b/crates/marigold-config/src/plan.rs
@@ -87,7 +87,8 @@
             return false;
         }
         let unique: BTreeSet<_> = self.changes.iter().map(|change| &change.resource).collect();
-        if unique.len() != self.changes.len() {
+        let named = unique.iter().all(|resource| resource.has_valid_name());
+        if unique.len() != self.changes.len() || !named {
             return false;
         }
         let expected = self.expects.iter().map(|expected| &expected.resource);
--- a/crates/marigold-config/src/resource.rs
+++ b/crates/marigold-config/src/resource.rs
@@ -38,6 +38,12 @@
         }
     }
 
+    /// Returns whether the name has the grammar of names; a record can hold others.
+    #[must_use]
+    pub fn has_valid_name(&self) -> bool {
+        self.name().parse::<RouteName>().is_ok()
+    }
+
     /// Returns the name within its kind.
     #[must_use]
     pub fn name(&self) -> &str {
--- a/crates/marigold-config/src/state.rs
+++ b/crates/marigold-config/src/state.rs
@@ -5,6 +5,7 @@
 use marigold_log::StoredRecord;
 use marigold_types::{Digest, LogOffset, OperatorName, RecordTime, Version};
 
+use crate::history::MAX_NAMED;
 use crate::judge::Judge;
 use crate::pending::Pending;
 use crate::settled::SettledTable;
@@ -297,7 +298,9 @@
                 verdict: verdict.clone(),
             });
         }
-        let resources = plan.changes.iter().map(|change| change.resource.clone());
+        // A rejected plan may hold names of any length.
+        let resources = plan.changes.iter().map(|change| &change.resource);
+        let resources = resources.filter(|resource| resource.has_valid_name());
         self.history.push(Entry {
             offset: stored.offset,
             time: stored.time,
@@ -306,7 +309,7 @@
             operator: confirm.operator.clone(),
             verdict,
             count: plan.changes.len(),
-            changed: resources.collect(),
+            changed: resources.take(MAX_NAMED).cloned().collect(),
         });
     }
 
--- a/crates/marigold-config/src/window.rs
+++ b/crates/marigold-config/src/window.rs
@@ -7,6 +7,8 @@
 
 const ALLOWED: &str = "`always`, or DAYS HH:MM-HH:MM in UTC with DAYS as mon-fri, sat or mon,wed \
     (an end of 24:00 is midnight), as mon-fri 06:00-18:00";
+/// The longest accepted text, in bytes.
+const MAX_BYTES: usize = 64;
 const ALWAYS: &str = "always";
 const DAYS: [&str; 7] = ["mon", "tue", "wed", "thu", "fri", "sat", "sun"];
 const DAY_MINUTES: u32 = 24 * 60;
@@ -80,6 +82,9 @@
     if text == ALWAYS {
         return Some(Window::ALWAYS);
     }
+    if text.len() > MAX_BYTES {
+        return None;
+    }
     let (days, span) = text.split_once(' ')?;
     let (start, end) = span.trim().split_once('-')?;
     let window = Window {
--- a/crates/marigold-config/tests/fold.rs
+++ b/crates/marigold-config/tests/fold.rs
@@ -414,3 +414,39 @@
     );
     assert_eq!(entry.changed, [Resource::Route("refunds".parse().unwrap())]);
 }
+
+/// What operators without rights write into records takes up no room in the state.
+#[test]
+fn long_texts_are_not_kept() {
+    let mut mesh = Mesh::started();
+    let base = mesh.config();
+    let expires = RecordTime(mesh.time + HOUR);
+    let long = |letter: &str| std::sync::Arc::<str>::from(letter.repeat(400_000));
+    let removal = Change {
+        resource: Resource::Limit(long("x")),
+        after: None,
+    };
+    let bob = mesh.bob.operator().clone();
+    let named = SignedPlan::sign(Plan::new(&base, bob, expires, vec![removal]), &mesh.bob);
+
+    let good = plan(
+        &mesh,
+        &mesh.root,
+        &base,
+        "[rule r]\noperator = ann\nresources = *\n",
+    )
+    .plan;
+    let text = serde_json::to_string(&good).unwrap();
+    let text = text.replace("\"always\"", &format!("\"{}\"", long("y")));
+    let valued = SignedPlan::sign(serde_json::from_str(&text).unwrap(), &mesh.root);
+
+    for plan in [named, valued] {
+        mesh.store(&plan);
+        for _ in 0..3 {
+            mesh.confirm(&plan);
+            assert!(accepted(&last(&mesh)).is_none());
+        }
+    }
+    let checkpoint = serde_json::to_string(&mesh.fold().0.checkpoint()).unwrap();
+    assert!(checkpoint.len() < 20_000, "{}", checkpoint.len());
+}
