Give the search for a checkpoint a file of its own, and let it miss nothing

A reader that found no base waited from the log's present end, and so passed over what was appended while it searched: a restoration there was missed, and another had to be written. It now waits from where its search began. Decisions on checkpoints carry the offset that they go on from, so that each record is parsed once.

--- a/crates/marigold-config/src/decision.rs
+++ b/crates/marigold-config/src/decision.rs
@@ -2,7 +2,7 @@
 
 use std::sync::Arc;
 
-use marigold_types::Version;
+use marigold_types::{LogOffset, Version};
 use serde::{Deserialize, Serialize};
 
 use crate::{Delta, PlanId, Reason, Verdict};
@@ -60,11 +60,15 @@
     Checkpointed {
         /// The version that it carries.
         version: Version,
+        /// The first record that it does not include.
+        next: LogOffset,
     },
     /// A checkpoint carried a later version than the records did, and was adopted.
     Adopted {
         /// The version that it carries.
         version: Version,
+        /// The first record that it does not include.
+        next: LogOffset,
     },
     /// The record was passed over.
     Ignored {
--- a/crates/marigold-config/src/lib.rs
+++ b/crates/marigold-config/src/lib.rs
@@ -28,6 +28,7 @@
 mod resource;
 mod route;
 mod rule;
+mod search;
 mod service;
 mod settled;
 mod share;
--- a/crates/marigold-config/src/log_reader.rs
+++ b/crates/marigold-config/src/log_reader.rs
@@ -13,16 +13,13 @@
 
 use std::sync::Arc;
 
-use marigold_log::{Batch, StoredRecord};
+use marigold_log::Batch;
 use marigold_types::{LogOffset, RecordTime, Version};
 
 use crate::record::MAX_RECORD_BYTES;
+use crate::search::{FIRST_WINDOW, Search, open_checkpoint};
 use crate::{Checkpoint, Config, Decision, History, Record, SealedCheckpoint, State, Trust};
 
-/// How many records before the end the search for a checkpoint starts.
-const FIRST_WINDOW: u64 = 256;
-/// How much larger each further window of the search is.
-const WINDOW_GROWTH: u64 = 4;
 /// After how many records a new checkpoint is due.
 const CHECKPOINT_RECORDS: u64 = 64;
 
@@ -46,15 +43,6 @@
     Records,
 }
 
-/// A search for the last checkpoint within `[low, high)`, which goes back window by window.
-#[derive(Debug, Clone)]
-struct Search {
-    low: LogOffset,
-    at: LogOffset,
-    high: LogOffset,
-    best: Option<Checkpoint>,
-}
-
 #[derive(Debug, Clone)]
 enum Phase {
     /// The end of the log is not known yet; the first read is from `at`.
@@ -100,7 +88,7 @@
     pub fn next(&self) -> LogOffset {
         match &self.phase {
             Phase::Start { at } | Phase::Lost { at } => *at,
-            Phase::Search(search) => search.at,
+            Phase::Search(search) => search.at(),
             Phase::Fold => self.state.next(),
         }
     }
@@ -263,30 +251,14 @@
 
     /// Starts to search the records before `high`, the last of them first.
     fn open_search(&mut self, high: LogOffset) {
-        let low = LogOffset(high.0.saturating_sub(FIRST_WINDOW)).max(self.earliest);
-        let search = Search {
-            low,
-            at: low,
-            high,
-            best: None,
-        };
-        self.phase = Phase::Search(search);
+        self.phase = Phase::Search(Search::new(high, self.earliest));
         self.finish_search();
     }
 
     fn search(&mut self, batch: &Batch) {
-        let Phase::Search(search) = &mut self.phase else {
-            return;
-        };
-        for record in &batch.records {
-            if record.offset != search.at || search.at >= search.high {
-                continue;
-            }
-            search.at = record.offset.next();
-            if let Some(checkpoint) = open_checkpoint(record, &self.trust) {
-                self.mark = self.mark.max(Some((checkpoint.next, record.offset)));
-                search.best = Some(better(search.best.take(), checkpoint, self.earliest));
-            }
+        if let Phase::Search(search) = &mut self.phase {
+            search.take(batch, &self.trust, self.earliest);
+            self.mark = self.mark.max(search.mark());
         }
         self.finish_search();
     }
@@ -296,37 +268,32 @@
         let Phase::Search(search) = &mut self.phase else {
             return;
         };
-        if search.at < search.high {
+        if !search.is_done() {
             return;
         }
-        if let Some(checkpoint) = search.best.take() {
+        if let Some(checkpoint) = search.take_best() {
             if checkpoint.next >= self.earliest {
                 self.state = State::restore(self.trust.clone(), &checkpoint);
                 self.phase = Phase::Fold;
                 return;
             }
             // Records after it are gone, but its configuration was in force once.
-            self.hold(&Arc::new(checkpoint.to_config()));
+            let config = Arc::new(checkpoint.to_config());
+            if config.version > self.held.version {
+                self.held = config;
+            }
         }
-        self.widen_search();
-    }
-
-    fn widen_search(&mut self) {
-        let Phase::Search(search) = &mut self.phase else {
+        if search.widen(self.earliest) {
             return;
-        };
-        if search.low > self.earliest {
-            let size = (self.end.0 - search.low.0).saturating_mul(WINDOW_GROWTH);
-            search.high = search.low;
-            search.low = LogOffset(self.end.0.saturating_sub(size)).max(self.earliest);
-            search.at = search.low;
-        } else if self.earliest == LogOffset(0) {
+        }
+        self.phase = if self.earliest == LogOffset(0) {
             // Nothing is trimmed, so the fold from the first record needs no checkpoint.
             self.state = State::new(self.trust.clone());
-            self.phase = Phase::Fold;
+            Phase::Fold
         } else {
-            self.phase = Phase::Lost { at: self.end };
-        }
+            let at = search.top();
+            Phase::Lost { at }
+        };
     }
 
     fn fold(&mut self, batch: &Batch, decided: &mut Vec<Decided>) {
@@ -334,13 +301,14 @@
             if record.offset != self.state.next() {
                 continue;
             }
-            if let Some(checkpoint) = open_checkpoint(record, &self.trust) {
-                self.mark = self.mark.max(Some((checkpoint.next, record.offset)));
+            let decision = self.state.apply(record);
+            if let Decision::Checkpointed { next, .. } | Decision::Adopted { next, .. } = decision {
+                self.mark = self.mark.max(Some((next, record.offset)));
             }
             decided.push(Decided {
                 record: record.offset,
                 time: record.time,
-                decision: self.state.apply(record),
+                decision,
             });
         }
     }
@@ -363,22 +331,3 @@
         }
     }
 }
-
-/// Returns the one of two checkpoints to start from: first one whose records are all there, then
-/// the higher version, then the earlier.
-fn better(best: Option<Checkpoint>, other: Checkpoint, earliest: LogOffset) -> Checkpoint {
-    let rank = |checkpoint: &Checkpoint| (checkpoint.next >= earliest, checkpoint.version);
-    match best {
-        Some(best) if rank(&best) >= rank(&other) => best,
-        _ => other,
-    }
-}
-
-fn open_checkpoint(record: &StoredRecord, trust: &Trust) -> Option<Checkpoint> {
-    match Record::parse(&record.data) {
-        Ok(Record::Checkpoint(sealed)) => sealed
-            .open(trust)
-            .filter(|checkpoint| checkpoint.next <= record.offset),
-        _ => None,
-    }
-}
--- a/crates/marigold-config/src/state.rs
+++ b/crates/marigold-config/src/state.rs
@@ -319,9 +319,9 @@
             let reason = IgnoreReason::BadSeal;
             return Decision::Ignored { reason };
         };
-        let version = checkpoint.version;
+        let (version, next) = (checkpoint.version, checkpoint.next);
         if version <= self.config.version {
-            return Decision::Checkpointed { version };
+            return Decision::Checkpointed { version, next };
         }
         // Another reader held more than the records that were left to this one.
         let time = self.time.max(checkpoint.time);
@@ -330,6 +330,6 @@
             time,
             ..Self::restore(self.trust.clone(), &checkpoint)
         };
-        Decision::Adopted { version }
+        Decision::Adopted { version, next }
     }
 }
--- a/crates/marigold-config/tests/reader.rs
+++ b/crates/marigold-config/tests/reader.rs
@@ -376,3 +376,26 @@
     mesh.confirm(&later);
     assert!(common::accepted(mesh.fold().1.last().unwrap()).is_some());
 }
+
+/// A restoration that was appended while a newcomer searched is not missed.
+#[test]
+fn restoration_during_the_search_is_found() {
+    let mut mesh = Mesh::started();
+    let held = mesh.reader(100).config();
+    for _ in 0..10 {
+        mesh.append("noise".to_owned());
+    }
+    mesh.earliest = 4;
+    let mut other = mesh.reader(100);
+    other.hold(&held);
+    let record = other.to_restoration().unwrap().to_string();
+
+    let mut reader = LogReader::new(mesh.trust.clone());
+    reader.trim(LogOffset(4));
+    reader.take(&mesh.batch(reader.next(), 2));
+    reader.take(&mesh.batch(reader.next(), 2));
+    mesh.append(record);
+    mesh.read(&mut reader, 2);
+    assert!(reader.is_caught_up());
+    assert_eq!(reader.config(), held);
+}
