Tell what each daemon holds also while some are silent, and never hold oneself alone in haste

Cause: one silent daemon made a data centre's counts incomplete, so that the status knew nothing of its other daemons; a daemon whose seeds refuse at once went through its rounds in two seconds and held itself alone before it had asked those that the log names.

Change: followers' counts are compared with the live members and worked into what is remembered of each address, which also strengthens the restart floor; the search for the mesh is bounded by time in place of rounds; a lone daemon goes on greeting those that the log named.

Tests: two of the status and the board, one of refusing seeds, and the scenario log_down_for_longer_than_retention.

--- a/crates/marigold-control/src/board.rs
+++ b/crates/marigold-control/src/board.rs
@@ -9,7 +9,8 @@
 
 use crate::member_table::Merge;
 use crate::{
-    ControlOptions, FetchLimiter, Gate, Local, Mark, Member, MemberTable, Summary, Topology, Update,
+    ControlOptions, FetchLimiter, Gate, Local, Mark, Member, MemberTable, Standing, Summary,
+    Topology, Update,
 };
 
 /// The most members that are kept; a table beyond the mesh's size is an error somewhere.
@@ -83,6 +84,8 @@
     pub log: LogPart,
     /// What the followers report; written by the report controller.
     pub reports: BTreeMap<Address, Report>,
+    /// Whether a report has come that has not been worked into the members.
+    pub recount: bool,
 }
 
 impl Board {
@@ -109,6 +112,7 @@
             gate: Gate::Starting,
             log: LogPart::default(),
             reports: BTreeMap::new(),
+            recount: false,
         }
     }
 
@@ -187,6 +191,7 @@
             since: since.collect(),
         };
         self.reports.insert(*follower, report);
+        self.recount = true;
         let update = update.clone();
         self.news.push(News { update, from });
     }
@@ -248,6 +253,55 @@
         self.challenge = Some(member);
     }
 
+    /// Returns the followers of `data_centre`.
+    #[must_use]
+    pub fn followers_of(&self, data_centre: &DataCentre) -> &[Address] {
+        if *data_centre == self.local.data_centre {
+            return &self.topology.followers;
+        }
+        let remote = self.topology.remote.get(data_centre);
+        remote.map_or(&[], Vec::as_slice)
+    }
+
+    /// Returns the reports of the followers of `data_centre`.
+    #[must_use]
+    pub fn reports_of(&self, data_centre: &DataCentre) -> Vec<&Report> {
+        let followers = self.followers_of(data_centre).iter();
+        followers.filter_map(|f| self.reports.get(f)).collect()
+    }
+
+    /// Returns the version that every live daemon of `data_centre` holds at least, but for those
+    /// that the followers name as behind; absent while they do not count everyone.
+    #[must_use]
+    pub fn reported(&self, data_centre: &DataCentre) -> Option<Version> {
+        let reports = self.reports_of(data_centre);
+        let counted: u32 = reports.iter().map(|report| report.summary.total).sum();
+        let members = self.members.local(data_centre);
+        let alive = members.filter(|entry| entry.member.standing == Standing::Alive);
+        let is_all = usize::try_from(counted).is_ok_and(|counted| counted >= alive.count());
+        let is_exact = reports.iter().all(|report| report.summary.is_exact());
+        if !is_all || !is_exact || reports.len() < self.followers_of(data_centre).len() {
+            return None;
+        }
+        reports.iter().map(|report| report.summary.newest).min()
+    }
+
+    /// Remembers what the followers of `data_centre` say that each of its daemons holds.
+    pub fn note_reported(&mut self, data_centre: &DataCentre) {
+        let Some(version) = self.reported(data_centre) else {
+            return;
+        };
+        let reports = self.reports_of(data_centre);
+        let is_named = |at: Address| reports.iter().any(|r| r.summary.find(at).is_some());
+        let members = self.members.local(data_centre);
+        let alive = members.filter(|entry| entry.member.standing == Standing::Alive);
+        let holders = alive.map(|entry| entry.member.address());
+        let holders: Vec<Address> = holders.filter(|at| !is_named(*at)).collect();
+        for address in holders {
+            self.members.note_held(address, version);
+        }
+    }
+
     fn notice_challenge(&mut self, member: &Member) {
         let own = self.members.get(self.address());
         let overrides = own.is_some_and(|own| member.rank() > own.member.rank());
--- a/crates/marigold-control/src/controllers/detector.rs
+++ b/crates/marigold-control/src/controllers/detector.rs
@@ -1,7 +1,6 @@
 //! Finds out who is silent.
 
 use std::collections::BTreeMap;
-use std::time::Duration;
 
 use marigold_types::Address;
 use rand::RngExt;
@@ -9,8 +8,8 @@
 use rand_chacha::ChaCha8Rng;
 use tokio::time::Instant;
 
+use crate::burial::bury;
 use crate::controller::{Controller, Input};
-use crate::herd::is_herd;
 use crate::{Board, Event, Mark, Message, Outbox, Standing, Update};
 
 /// One probe in so many goes to a member that is suspected or dead, to find it again.
@@ -19,8 +18,6 @@
 const RELAYS: usize = 2;
 /// The most probes that are made for others at one time.
 const MAX_ERRANDS: usize = 1_024;
-/// How long deaths count towards a herd.
-const HERD_WINDOW: Duration = Duration::from_mins(1);
 
 /// A probe that has not been answered.
 #[derive(Debug, Clone, Copy)]
@@ -245,66 +242,3 @@
         board.learn(&member, None, now);
     }
 }
-
-/// Gives up those that were suspected for long enough, unless they are a herd, and forgets those
-/// that have been dead for very long.
-fn bury(board: &mut Board, now: Instant) {
-    let options = &board.options;
-    let limit = if herd_in(board, now) {
-        options.hold
-    } else {
-        options.suspicion
-    };
-    let mut dead = Vec::new();
-    let mut gone = Vec::new();
-    for entry in board.members.iter() {
-        let age = now.duration_since(entry.changed);
-        match entry.member.standing {
-            Standing::Suspect => {
-                let ours = entry.member.data_centre == board.local.data_centre;
-                let patience = if entry.member.draining {
-                    options.suspicion
-                } else {
-                    limit
-                };
-                if ours && age >= patience {
-                    dead.push(entry.member.with_standing(Standing::Dead));
-                }
-            }
-            Standing::Dead if age >= options.forget => gone.push(entry.member.address()),
-            Standing::Alive | Standing::Dead => {}
-        }
-    }
-    for member in dead {
-        board.learn(&member, None, now);
-    }
-    for address in gone {
-        board.members.remove(address);
-    }
-}
-
-/// Returns whether the data centre's daemons are falling silent as a herd.
-fn herd_in(board: &Board, now: Instant) -> bool {
-    let mut known = 0;
-    let mut silent = 0;
-    for entry in board.members.iter() {
-        let member = &entry.member;
-        if member.data_centre != board.local.data_centre || member.draining {
-            continue;
-        }
-        let recent = now.duration_since(entry.changed) < HERD_WINDOW;
-        match member.standing {
-            Standing::Alive => known += 1,
-            Standing::Suspect => {
-                known += 1;
-                silent += 1;
-            }
-            Standing::Dead if recent => {
-                known += 1;
-                silent += 1;
-            }
-            Standing::Dead => {}
-        }
-    }
-    is_herd(silent, known)
-}
--- a/crates/marigold-control/src/controllers/join.rs
+++ b/crates/marigold-control/src/controllers/join.rs
@@ -22,10 +22,10 @@
 const MAX_WAIT: Duration = Duration::from_secs(5);
 /// After so many rounds without an answer the log's members stream is read, too.
 const ROUNDS_BEFORE_LOG: u32 = 2;
-/// From this round on the table of a daemon that has just started itself is enough.
-const ROUNDS_PARTIAL: u32 = 3;
-/// After so many rounds without an answer a daemon that could read the log holds itself alone.
-const ROUNDS_ALONE: u32 = 6;
+/// After so long the table of a daemon that has just started itself is enough.
+const PARTIAL_AFTER: Duration = Duration::from_secs(3);
+/// After so long without an answer a daemon that could read the log holds itself alone.
+const ALONE_AFTER: Duration = Duration::from_secs(15);
 /// How many records at the end of the members stream are read.
 const ROSTER_RECORDS: usize = 64;
 /// The most candidates that are kept from the members stream.
@@ -48,6 +48,7 @@
     rng: ChaCha8Rng,
     seeds: Vec<Address>,
     candidates: Vec<Address>,
+    began: Option<Instant>,
     next: Option<Instant>,
     rounds: u32,
     reading: Reading,
@@ -82,6 +83,7 @@
             rng,
             seeds,
             candidates: Vec::new(),
+            began: None,
             next: None,
             rounds: 0,
             reading: Reading::Unread,
@@ -98,6 +100,7 @@
             self.greet(board, now, out);
             return;
         }
+        let began = *self.began.get_or_insert(now);
         self.rounds += 1;
         let wait = PATIENCE.mul_f64(self.rng.random_range(0.8..1.2)) * self.rounds.min(8);
         self.next = Some(now + wait.min(MAX_WAIT));
@@ -108,26 +111,22 @@
         if self.rounds > ROUNDS_BEFORE_LOG || known.is_empty() {
             self.read(out);
         }
-        let nobody = known.is_empty() || self.rounds > ROUNDS_ALONE;
+        let nobody = known.is_empty() || now.duration_since(began) >= ALONE_AFTER;
         board.joined = nobody && self.reading == Reading::Done;
     }
 
-    /// Makes itself known to a seed that is not a live member: after a split the two sides may
-    /// have forgotten one another.
+    /// Makes itself known to a seed, or a daemon that the log named, that is not a live member:
+    /// after a split the two sides may have forgotten one another.
     fn greet(&mut self, board: &Board, now: Instant, out: &mut Outbox) {
         self.next = Some(now + GREETING.mul_f64(self.rng.random_range(0.8..1.2)));
-        let is_alive = |seed: &Address| {
-            let entry = board.members.get(*seed);
+        let is_alive = |peer: &Address| {
+            let entry = board.members.get(*peer);
             entry.is_some_and(|entry| entry.member.standing == Standing::Alive)
         };
-        let lost: Vec<Address> = self
-            .seeds
-            .iter()
-            .filter(|s| !is_alive(s))
-            .copied()
-            .collect();
-        if let Some(seed) = lost.choose(&mut self.rng) {
-            ask(board, *seed, out);
+        let mut lost = self.known(board);
+        lost.retain(|peer| !is_alive(peer));
+        if let Some(peer) = lost.choose(&mut self.rng) {
+            ask(board, *peer, out);
         }
     }
 
@@ -204,7 +203,8 @@
                 }
                 if *last {
                     // Two daemons that start together know only one another.
-                    let enough = *joined || self.rounds >= ROUNDS_PARTIAL;
+                    let waited = self.began.map(|began| now.duration_since(began));
+                    let enough = *joined || waited >= Some(PARTIAL_AFTER);
                     finish(board, from, enough, out);
                 }
             }
--- a/crates/marigold-control/src/controllers/report.rs
+++ b/crates/marigold-control/src/controllers/report.rs
@@ -68,6 +68,9 @@
         if now < next || !board.joined {
             return;
         }
+        if std::mem::take(&mut board.recount) {
+            recount(board);
+        }
         self.next = Some(now + board.options.report);
         let children = &board.topology.children;
         self.below.retain(|address, _| children.contains(address));
@@ -140,3 +143,12 @@
         }
     }
 }
+
+/// Works the followers' reports into what is remembered of each address.
+fn recount(board: &mut Board) {
+    let mut centres = board.topology.centres.clone();
+    centres.insert(board.local.data_centre.clone());
+    for centre in &centres {
+        board.note_reported(centre);
+    }
+}
--- a/crates/marigold-control/src/lib.rs
+++ b/crates/marigold-control/src/lib.rs
@@ -5,6 +5,7 @@
 
 mod action;
 mod board;
+mod burial;
 mod controller;
 mod controllers;
 mod endpoint;
--- a/crates/marigold-control/src/status.rs
+++ b/crates/marigold-control/src/status.rs
@@ -1,15 +1,14 @@
 //! What operators are told.
 
-use std::collections::BTreeMap;
 use std::time::Duration;
 
 use marigold_types::{
-    Address, DataCentre, Digest, InstanceId, Interval, Region, ServiceName, SlotCount, Version,
+    DataCentre, Digest, InstanceId, Interval, Region, ServiceName, SlotCount, Version,
 };
 use serde::Serialize;
 use tokio::time::Instant;
 
-use crate::{Board, Counters, Entry, Member, Report, Standing};
+use crate::{Board, Counters, Entry, Standing};
 
 /// What one daemon knows of itself and the mesh.
 #[derive(Debug, Clone, Serialize)]
@@ -90,9 +89,6 @@
     /// Gathers the status from the board.
     #[must_use]
     pub fn new(board: &Board, counters: &Counters, now: Instant) -> Self {
-        let topology = &board.topology;
-        let mut followers = topology.remote.clone();
-        followers.insert(board.local.data_centre.clone(), topology.followers.clone());
         let members = board.members.iter();
         Self {
             local: board.local.instance,
@@ -101,12 +97,12 @@
             digest: board.config.digest(),
             serving: board.is_serving(),
             joined: board.joined,
-            follower: topology.is_follower,
+            follower: board.topology.is_follower,
             log_read: board.log.fresh.map(|at| to_interval(now - at)),
             newest: board.newest(),
-            data_centres: centres(board, &followers),
+            data_centres: centres(board),
             members: members
-                .map(|entry| member_status(board, &followers, entry, now))
+                .map(|entry| member_status(board, entry, now))
                 .collect(),
             counters: counters.clone(),
             fetch_peak: board.limiter.peak(),
@@ -114,11 +110,13 @@
     }
 }
 
-fn centres(board: &Board, followers: &BTreeMap<DataCentre, Vec<Address>>) -> Vec<CentreStatus> {
+fn centres(board: &Board) -> Vec<CentreStatus> {
     let cut = board.cut();
     let newest = board.newest();
-    let status = |(name, list): (&DataCentre, &Vec<Address>)| {
-        let reports: Vec<&Report> = list.iter().filter_map(|f| board.reports.get(f)).collect();
+    let mut names = board.topology.centres.clone();
+    names.insert(board.local.data_centre.clone());
+    let status = |name: &DataCentre| {
+        let reports = board.reports_of(name);
         let current = reports.iter().filter(|r| r.summary.newest == newest);
         let members = board.members.local(name);
         CentreStatus {
@@ -129,18 +127,13 @@
             reachable: !cut.contains(name),
         }
     };
-    followers.iter().map(status).collect()
+    names.iter().map(status).collect()
 }
 
-fn member_status(
-    board: &Board,
-    followers: &BTreeMap<DataCentre, Vec<Address>>,
-    entry: &Entry,
-    now: Instant,
-) -> MemberStatus {
+fn member_status(board: &Board, entry: &Entry, now: Instant) -> MemberStatus {
     let member = &entry.member;
-    let list = followers.get(&member.data_centre);
-    let (held, since) = held_by(board, list.map_or(&[], Vec::as_slice), entry);
+    let followers = board.followers_of(&member.data_centre);
+    let (held, since) = held_by(board, entry);
     MemberStatus {
         instance: member.instance,
         data_centre: member.data_centre.clone(),
@@ -151,7 +144,7 @@
         healthy: member.healthy,
         draining: member.draining,
         since: to_interval(now.duration_since(entry.changed)),
-        follower: list.is_some_and(|list| list.contains(&member.address())),
+        follower: followers.contains(&member.address()),
         held,
         lag: since.map(|since| to_interval(now.duration_since(since))),
     }
@@ -159,44 +152,19 @@
 
 /// Returns the version that a member holds and since when it is reported behind.
 ///
-/// A member that its data centre's followers do not name as behind holds the oldest of the newest
-/// versions that they report.
-fn held_by(
-    board: &Board,
-    followers: &[Address],
-    entry: &Entry,
-) -> (Option<Version>, Option<Instant>) {
+/// A live member that its data centre's followers do not name as behind holds the oldest of the
+/// newest versions that they report; otherwise the last version that it was known to hold counts.
+fn held_by(board: &Board, entry: &Entry) -> (Option<Version>, Option<Instant>) {
     let address = entry.member.address();
     if address == board.address() {
         return (Some(board.config.version), None);
     }
-    let reports: Vec<&Report> = followers
-        .iter()
-        .filter_map(|f| board.reports.get(f))
-        .collect();
-    for report in &reports {
-        let lag = report
-            .summary
-            .behind
-            .iter()
-            .find(|lag| lag.address == address);
-        if let Some(lag) = lag {
-            return (Some(lag.held), report.since.get(&address).copied());
+    for report in board.reports_of(&entry.member.data_centre) {
+        if let Some(held) = report.summary.find(address) {
+            return (Some(held), report.since.get(&address).copied());
         }
     }
-    let is_counted = is_all_counted(board, &entry.member, &reports);
-    let reported = reports.iter().map(|report| report.summary.newest).min();
-    let known = (entry.held.0 > 0).then_some(entry.held);
-    if is_counted && reports.len() == followers.len() {
-        return (reported.max(known), None);
-    }
-    (known, None)
-}
-
-fn is_all_counted(board: &Board, member: &Member, reports: &[&Report]) -> bool {
-    let counted: u32 = reports.iter().map(|report| report.summary.total).sum();
-    let known = board.members.local(&member.data_centre).count();
-    usize::try_from(counted).is_ok_and(|counted| counted >= known)
+    ((entry.held.0 > 0).then_some(entry.held), None)
 }
 
 fn to_interval(duration: Duration) -> Interval {
--- a/crates/marigold-control/src/summary.rs
+++ b/crates/marigold-control/src/summary.rs
@@ -58,6 +58,20 @@
         }
     }
 
+    /// Returns whether everyone counted either holds the newest version or is named.
+    #[must_use]
+    pub fn is_exact(&self) -> bool {
+        let named = u32::try_from(self.behind.len()).unwrap_or(u32::MAX);
+        self.holders.saturating_add(named) >= self.total
+    }
+
+    /// Returns the version that the daemon at `address` is named with as behind.
+    #[must_use]
+    pub fn find(&self, address: Address) -> Option<Version> {
+        let lag = self.behind.iter().find(|lag| lag.address == address)?;
+        Some(lag.held)
+    }
+
     fn push(&mut self, lag: Lag) {
         if self.behind.len() < MAX_BEHIND {
             self.behind.push(lag);
--- a/crates/marigold-control/tests/configuration.rs
+++ b/crates/marigold-control/tests/configuration.rs
@@ -3,6 +3,7 @@
 mod common;
 
 use std::collections::{BTreeMap, BTreeSet};
+use std::sync::Arc;
 
 use common::{Fixture, SECOND, address, set_service};
 use marigold_config::Config;
@@ -331,3 +332,31 @@
     assert_eq!((member.held, status.newest), (Some(first), newer));
     assert!(member.lag.is_some());
 }
+
+#[test]
+fn status_keeps_what_was_known_of_a_silent_daemon() {
+    let mut fixture = Fixture::new(ControlOptions::time(), &[8, 8], 16);
+    let version = fixture.publish_route(1);
+    fixture.mesh.advance(15 * SECOND);
+    fixture.mesh.crash(address(0, 3));
+    fixture.mesh.advance(3 * SECOND);
+    let status = fixture.mesh.plane(address(1, 5)).status(fixture.mesh.now);
+    assert_eq!(status.members.len(), 16);
+    for member in &status.members {
+        assert_eq!(member.held, Some(version), "{}", member.instance);
+    }
+}
+
+#[test]
+fn board_takes_no_older_configuration() {
+    let mut fixture = Fixture::new(ControlOptions::time(), &[3], 17);
+    fixture.publish_route(1);
+    fixture.mesh.advance(5 * SECOND);
+    let mut board = fixture.mesh.plane(address(0, 0)).board().clone();
+    let held = Arc::clone(&board.config);
+    for version in [0, held.version.0 - 1, held.version.0] {
+        let other = held.with(&[set_service("other")], Version(version));
+        assert!(!board.replace_config(Arc::new(other)));
+        assert_eq!(board.config, held);
+    }
+}
--- a/crates/marigold-control/tests/storm.rs
+++ b/crates/marigold-control/tests/storm.rs
@@ -89,3 +89,22 @@
     assert_eq!(plane.config().version, version);
     assert!(plane.view().serving);
 }
+
+#[test]
+fn daemon_whose_seeds_refuse_does_not_hold_itself_alone() {
+    let mut fixture = Fixture::new(ControlOptions::time(), &[10], 4);
+    fixture.publish_route(1);
+    fixture.mesh.advance(40 * SECOND);
+    // Both seeds and most of those that the log names are down, and refuse at once.
+    for number in 0..8 {
+        fixture.mesh.crash(address(0, number));
+    }
+    fixture.restart(address(0, 0));
+    for _ in 0..150 {
+        fixture.mesh.advance(SECOND / 10);
+        let plane = fixture.mesh.plane(address(0, 0));
+        let members = plane.board().members.len();
+        assert!(!plane.view().serving || members > 1, "it serves alone");
+    }
+    assert!(fixture.mesh.plane(address(0, 0)).view().serving);
+}
--- a/crates/marigold-scenarios/tests/control.rs
+++ b/crates/marigold-scenarios/tests/control.rs
@@ -31,6 +31,7 @@
     reconnect_storm
     log_outage
     log_trimmed
+    log_down_for_longer_than_retention
     lost_answer_to_a_confirmation
     updates_cross_in_flight
     racing_operators
