Tell a daemon that doubts another the record that refutes it

Cause: a data centre split by a switch did not find itself again: a suspect that was probed after the heal refuted on its own side only, since the daemon that had probed it stood on none of its links.

Change: a daemon that is shown an older or worse record of itself sends its own back to whoever showed it.

Tests: split_data_centre_finds_itself_again_without_log_or_seeds, scenario switch_breaks.

--- a/crates/marigold-control/src/board.rs
+++ b/crates/marigold-control/src/board.rs
@@ -66,6 +66,8 @@
     pub urgent: bool,
     /// A record of this daemon by others that it has to override.
     pub challenge: Option<Member>,
+    /// Who holds something else of this daemon than it announces, and is to be told.
+    pub doubters: BTreeSet<Address>,
     /// Whether the members have been learnt; written by the join controller.
     pub joined: bool,
     /// The data centres that this daemon, as a follower, cannot reach; written by the remote one.
@@ -105,6 +107,7 @@
             news: Vec::new(),
             urgent: false,
             challenge: None,
+            doubters: BTreeSet::new(),
             joined: false,
             unreached: BTreeSet::new(),
             config,
@@ -140,6 +143,9 @@
 
     /// Takes in a record and has it passed on if it is new.
     pub fn learn(&mut self, member: &Member, from: Option<Address>, now: Instant) -> Merge {
+        if member.address() == self.address() {
+            self.notice_doubt(member, from);
+        }
         let merge = self.import(member, now);
         if merge == Merge::Newer {
             self.urgent |= member.draining;
@@ -302,6 +308,15 @@
         }
     }
 
+    /// Notes who holds something older or worse of this daemon: its own side may be all that hears
+    /// its announcements.
+    fn notice_doubt(&mut self, member: &Member, from: Option<Address>) {
+        let own = self.members.get(self.address());
+        if own.is_some_and(|own| own.member != *member) {
+            self.doubters.extend(from);
+        }
+    }
+
     fn notice_challenge(&mut self, member: &Member) {
         let own = self.members.get(self.address());
         let overrides = own.is_some_and(|own| member.rank() > own.member.rank());
--- a/crates/marigold-control/src/controllers/announcement.rs
+++ b/crates/marigold-control/src/controllers/announcement.rs
@@ -6,7 +6,7 @@
 use tokio::time::Instant;
 
 use crate::controller::{Controller, Input};
-use crate::{Board, Event, Member, News, Outbox, Update};
+use crate::{Board, Event, Member, Message, News, Outbox, Update};
 
 /// How soon one change of health may follow another.
 const HEALTH_PERIOD: Duration = Duration::from_secs(3);
@@ -23,12 +23,13 @@
         "announcement"
     }
 
-    fn handle(&mut self, board: &mut Board, input: Input<'_>, now: Instant, _: &mut Outbox) {
+    fn handle(&mut self, board: &mut Board, input: Input<'_>, now: Instant, out: &mut Outbox) {
         if let Input::Event(event) = input {
             take_local(board, event);
         }
         self.answer_challenge(board);
         self.announce(board, now);
+        tell_doubters(board, out);
     }
 }
 
@@ -84,6 +85,16 @@
     }
 }
 
+/// Sends the daemon's own record to those that hold another one.
+fn tell_doubters(board: &mut Board, out: &mut Outbox) {
+    for doubter in std::mem::take(&mut board.doubters) {
+        if let Some(own) = board.members.get(board.address()) {
+            let updates = vec![Update::Member(own.member.clone())];
+            out.send(doubter, &Message::Gossip { updates });
+        }
+    }
+}
+
 fn take_local(board: &mut Board, event: &Event) {
     match event {
         Event::Announced {
--- a/crates/marigold-control/tests/membership.rs
+++ b/crates/marigold-control/tests/membership.rs
@@ -222,3 +222,21 @@
         own
     );
 }
+
+#[test]
+fn split_data_centre_finds_itself_again_without_log_or_seeds() {
+    let mut fixture = Fixture::new(ControlOptions::time(), &[10], 12);
+    fixture.publish_route(1);
+    fixture.mesh.advance(5 * SECOND);
+    fixture.mesh.log.down = true;
+    // The seeds, which are greeted now and then, stand on one side of the broken switch.
+    let away = (6..10).map(|number| address(0, number));
+    fixture.mesh.split = vec![away.collect()];
+    fixture.mesh.advance(300 * SECOND);
+    fixture.mesh.split.clear();
+    fixture.mesh.advance(8 * SECOND);
+    for plane in fixture.mesh.planes() {
+        let own = plane.view().local.address;
+        assert_eq!(fixture.count(own, EndpointState::Ready), 10, "at {own}");
+    }
+}
--- a/crates/marigold-scenarios/src/control/command.rs
+++ b/crates/marigold-scenarios/src/control/command.rs
@@ -58,6 +58,11 @@
         /// The data centres.
         centres: Vec<String>,
     },
+    /// Cuts daemons off from all others, as one group behind a broken switch.
+    Split {
+        /// The daemons.
+        names: Vec<String>,
+    },
     /// Ends every cut.
     Heal,
     /// Changes the log: `down`, `up`, `loses-answers` or `keeps-answers`.
--- a/crates/marigold-scenarios/src/control/mesh.rs
+++ b/crates/marigold-scenarios/src/control/mesh.rs
@@ -55,6 +55,8 @@
     pub seeds: Vec<Address>,
     /// The data centres that are cut off from all others, each group by itself.
     pub cut: Vec<BTreeSet<DataCentre>>,
+    /// The daemons that a broken switch cuts off from all others, each group by itself.
+    pub split: Vec<BTreeSet<Address>>,
     /// Of a million messages, how many are lost.
     pub loss: u32,
     /// The kinds of messages that a daemon does not get.
@@ -84,6 +86,7 @@
             trust,
             seeds: Vec::new(),
             cut: Vec::new(),
+            split: Vec::new(),
             loss: 0,
             deaf: BTreeMap::new(),
             refuses: true,
@@ -266,7 +269,8 @@
         let group = |address: Address| {
             let centre = self.nodes.get(&address).map(|node| &node.data_centre);
             let is_in = |group: &BTreeSet<DataCentre>| centre.is_some_and(|c| group.contains(c));
-            self.cut.iter().position(is_in)
+            let switch = self.split.iter().position(|group| group.contains(&address));
+            (self.cut.iter().position(is_in), switch)
         };
         group(from) != group(to) || self.rng.random_range(0..1_000_000) < self.loss
     }
--- a/crates/marigold-scenarios/src/control/runner.rs
+++ b/crates/marigold-scenarios/src/control/runner.rs
@@ -314,8 +314,14 @@
                 self.mesh.cut.push(group.into_iter().collect());
                 Ok(String::new())
             }
+            C::Split { names } => {
+                let group = self.addresses(names)?;
+                self.mesh.split.push(group.into_iter().collect());
+                Ok(String::new())
+            }
             C::Heal => {
                 self.mesh.cut.clear();
+                self.mesh.split.clear();
                 Ok(String::new())
             }
             C::Log { change } => self.change_log(change),
--- a/crates/marigold-scenarios/tests/control.rs
+++ b/crates/marigold-scenarios/tests/control.rs
@@ -38,6 +38,7 @@
     rules_of_who_may_change_what
     paused_process
     region_cut_off
+    switch_breaks
     daemon_lags
     restart_at_the_same_address
     two_faults_at_once
