--- a/crates/marigold-scenarios/tests/control.rs
+++ b/crates/marigold-scenarios/tests/control.rs
@@ -31,12 +31,14 @@
     reconnect_storm
     log_outage
     log_trimmed
+    log_down_for_longer_than_retention
     lost_answer_to_a_confirmation
     updates_cross_in_flight
     racing_operators
     rules_of_who_may_change_what
     paused_process
     region_cut_off
+    switch_breaks
     daemon_lags
     restart_at_the_same_address
     two_faults_at_once
