--- a/crates/marigoldd/src/caller.rs
+++ b/crates/marigoldd/src/caller.rs
@@ -19,7 +19,6 @@
 mod peer_body;
 mod remote_call;
 mod replay_body;
-mod route;
 
 pub use decisions::Decisions;
 pub use guarded_io::GuardedIo;
--- a/crates/marigoldd/src/caller/ingress.rs
+++ b/crates/marigoldd/src/caller/ingress.rs
@@ -17,12 +17,12 @@
 use super::call_options::CallOptions;
 use super::call_record::CallRecord;
 use super::decisions::Decisions;
+use super::fields;
 use super::key_desk::{KEYS_PATH, KeyDesk};
 use super::meters::CallMeters;
 use super::remote_call::{Attempted, RemoteCall};
 use super::replay_body::{AttemptBody, ReplayBody};
 use super::response::{self, CallerBody};
-use super::{fields, route};
 use crate::Shared;
 use crate::executor::{Answer, AnswerBody, InFlight, LocalExecutor, RETRY_DELAY, Ran, Witnesses};
 use crate::peer::QuicPeers;
@@ -119,7 +119,7 @@
                 &detail,
             )));
         }
-        let Some((name, route)) = route::find(view, parts.uri.path()) else {
+        let Some((name, route)) = view.route_for(parts.uri.path()) else {
             let refusal = Refusal::last(RefusalReason::NoRoute);
             return Err(Box::new(response::not_run(None, refusal, "")));
         };
--- a/crates/marigoldd/src/caller/key_desk.rs
+++ b/crates/marigoldd/src/caller/key_desk.rs
@@ -16,7 +16,6 @@
 use super::decisions::Decisions;
 use super::ingress::Ingress;
 use super::response::{self, CallerBody};
-use super::route;
 use crate::executor::Witnesses;
 
 /// Where callers get keys.
@@ -99,7 +98,7 @@
                     );
                 }
                 Some(("path", path)) => {
-                    let found = route::find(view, path);
+                    let found = view.route_for(path);
                     let (_, route) = found.ok_or(format!("no route takes {path}; {ALLOWED}"))?;
                     service = Some(route.service.clone());
                 }
--- a/crates/marigoldd/src/peer/quic_peers.rs
+++ b/crates/marigoldd/src/peer/quic_peers.rs
@@ -165,18 +165,16 @@
     }
 
     /// Goes silent at once, as a process that dies without a word; for tests and stand-ins.
-    ///
-    /// # Errors
-    ///
-    /// When the system gives no socket.
-    pub fn abort(&self) -> std::io::Result<()> {
+    pub fn abort(&self) {
         self.control.stop();
         self.server.clear();
-        // What is still said comes from another port, where no peer takes it.
+        // What is still said comes from another port, where no peer takes it. Without one the
+        // peers are told of the end, which is all that can be done then.
         let elsewhere = SocketAddr::new(self.local.0.ip(), 0);
-        self.endpoint.rebind(UdpSocket::bind(elsewhere)?)?;
+        if let Ok(socket) = UdpSocket::bind(elsewhere) {
+            let _ = self.endpoint.rebind(socket);
+        }
         self.endpoint.close(CLOSE_LEAVING, b"");
-        Ok(())
     }
 }
 
