Share limits among daemons and keep crashing requests in quarantine

Call connections begin with a greeting, so that a keeper of limits knows who asks. An executor that loses its backend server accuses what was in flight and tells the others of the service before it answers; such a request is not sent again by the mesh.

--- a/crates/marigoldd/src/caller/ingress.rs
+++ b/crates/marigoldd/src/caller/ingress.rs
@@ -24,7 +24,9 @@
 use super::replay_body::{AttemptBody, ReplayBody};
 use super::response::{self, CallerBody};
 use crate::Shared;
-use crate::executor::{Answer, AnswerBody, InFlight, LocalExecutor, RETRY_DELAY, Ran, Witnesses};
+use crate::executor::{
+    Answer, AnswerBody, CRASH_STEP, InFlight, LocalExecutor, RETRY_DELAY, Ran, Witnesses,
+};
 use crate::peer::QuicPeers;
 
 /// What every request of an ingress needs.
@@ -218,6 +220,10 @@
                 Ran::Unknown(_) => (Outcome::Unknown, None),
             };
             record.finish(outcome, refusal.map(|refusal| refusal.reason));
+            let crashed = matches!(&attempted.ran, Ran::Unknown(step) if **step == *CRASH_STEP);
+            if crashed || !call.body.is_replayable() {
+                return Ended::early(attempted.ran);
+            }
             let decision = self.decisions.decide(&Attempt {
                 number,
                 inherited,
@@ -227,7 +233,7 @@
                 keyed: false,
                 left: call.deadline.left(Instant::now()),
             });
-            if decision == Decision::GiveUp || !call.body.is_replayable() {
+            if decision == Decision::GiveUp {
                 return Ended::early(attempted.ran);
             }
             tried.push(address);
--- a/crates/marigoldd/src/executor/backend_pool.rs
+++ b/crates/marigoldd/src/executor/backend_pool.rs
@@ -118,6 +118,13 @@
         idle.push(Idle { connection, since });
     }
 
+    /// Returns whether there are several idle connections and all of them were closed.
+    #[must_use]
+    pub fn lost_all(&self) -> bool {
+        let idle = self.lock();
+        idle.len() > 1 && idle.iter().all(|idle| idle.connection.sender.is_closed())
+    }
+
     /// Returns the connection that was used last, if it will do.
     fn pop(&self, idempotent: bool) -> Option<Idle> {
         let limit = if idempotent { MAX_IDLE } else { FRESH };
--- a/crates/marigoldd/src/executor/collect.rs
+++ b/crates/marigoldd/src/executor/collect.rs
@@ -30,16 +30,17 @@
         AnswerBody::Whole(bytes) => return Ok(Collected::Whole(bytes)),
         AnswerBody::Stream(body) => body,
     };
-    let mut parts = VecDeque::new();
+    let mut parts = Vec::new();
     let mut size = 0;
     while let Some(frame) = rest.frame().await {
         let Ok(data) = frame?.into_data() else {
             continue;
         };
         size += data.len();
-        parts.push_back(data);
+        parts.push(data);
         if size > limit {
-            return Ok(Collected::More(Resumed { parts, rest }.boxed_unsync()));
+            let parts = parts.into_iter().map(|part| Ok(Frame::data(part)));
+            return Ok(Collected::More(resume(parts.collect(), rest)));
         }
     }
     let mut whole = BytesMut::with_capacity(size);
@@ -49,9 +50,20 @@
     Ok(Collected::Whole(whole.freeze()))
 }
 
+type Part = Result<Frame<Bytes>, CutError>;
+
+/// Returns a body that gives the parts that were read, then the rest.
+pub fn resume(
+    parts: Vec<Part>,
+    rest: UnsyncBoxBody<Bytes, CutError>,
+) -> UnsyncBoxBody<Bytes, CutError> {
+    let parts = VecDeque::from(parts);
+    Resumed { parts, rest }.boxed_unsync()
+}
+
 /// Parts that were read, then the rest.
 struct Resumed {
-    parts: VecDeque<Bytes>,
+    parts: VecDeque<Part>,
     rest: UnsyncBoxBody<Bytes, CutError>,
 }
 
@@ -64,7 +76,7 @@
         cx: &mut Context<'_>,
     ) -> Poll<Option<Result<Frame<Bytes>, CutError>>> {
         match self.parts.pop_front() {
-            Some(part) => Poll::Ready(Some(Ok(Frame::data(part)))),
+            Some(part) => Poll::Ready(Some(part)),
             None => Pin::new(&mut self.rest).poll_frame(cx),
         }
     }
--- /dev/null
+++ b/crates/marigoldd/src/executor/crash_watch.rs
@@ -0,0 +1,96 @@
+//! Watches which requests are in flight when the backend server crashes. See
+//! docs/design/quarantine.md.
+
+use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
+
+use marigold_request::quarantine::{Fingerprint, Quarantine, Sentence, Standing};
+use marigold_types::{InstanceId, Interval};
+use tokio::sync::Notify;
+use tokio::time::Instant;
+
+/// The memory of crashes, for tasks.
+pub struct CrashWatch {
+    quarantine: Mutex<Quarantine>,
+    news: Notify,
+}
+
+/// A request that the backend server runs, until its end is known.
+pub struct Watched {
+    watch: Arc<CrashWatch>,
+    print: Fingerprint,
+    done: bool,
+}
+
+impl CrashWatch {
+    /// Builds an empty memory in which a request stays for `term`.
+    #[must_use]
+    pub fn new(local: InstanceId, term: Interval) -> Arc<Self> {
+        Arc::new(Self {
+            quarantine: Mutex::new(Quarantine::new(local, term)),
+            news: Notify::new(),
+        })
+    }
+
+    /// Returns how a request is treated now.
+    pub fn standing(&self, print: &Fingerprint) -> Standing {
+        self.lock().standing(print, Instant::now())
+    }
+
+    /// Counts a request that is handed to the backend server.
+    #[must_use]
+    pub fn start(self: &Arc<Self>, print: Fingerprint) -> Watched {
+        self.lock().started(print);
+        Watched {
+            watch: self.clone(),
+            print,
+            done: false,
+        }
+    }
+
+    /// Takes in that the backend server has crashed.
+    pub fn crashed(&self) {
+        self.lock().crashed(Instant::now());
+        self.news.notify_one();
+    }
+
+    /// Takes what another daemon knows, and returns everything that is known here.
+    pub fn receive(&self, sentences: &[Sentence]) -> Vec<Sentence> {
+        let now = Instant::now();
+        let mut quarantine = self.lock();
+        quarantine.receive(sentences, now);
+        quarantine.sentences(now)
+    }
+
+    /// Waits until there may be something that other daemons should know.
+    pub async fn wait_news(&self) {
+        self.news.notified().await;
+    }
+
+    /// Returns what other daemons should know and have not been told.
+    pub fn take_news(&self) -> Vec<Sentence> {
+        self.lock().take_news(Instant::now())
+    }
+
+    fn lock(&self) -> MutexGuard<'_, Quarantine> {
+        self.quarantine
+            .lock()
+            .unwrap_or_else(PoisonError::into_inner)
+    }
+}
+
+impl Watched {
+    /// Notes that the request was answered, which clears it of its crashes.
+    pub fn answered(mut self) {
+        self.done = true;
+        self.watch.lock().answered(&self.print, Instant::now());
+        self.watch.news.notify_one();
+    }
+}
+
+impl Drop for Watched {
+    fn drop(&mut self) {
+        if !self.done {
+            self.watch.lock().ended(&self.print);
+        }
+    }
+}
--- /dev/null
+++ b/crates/marigoldd/src/executor/exchange.rs
@@ -0,0 +1,47 @@
+//! Questions to other daemons that are neither calls nor for a witness.
+
+use std::sync::Arc;
+use std::time::Duration;
+
+use marigold_request::StreamOpen;
+use marigold_types::Address;
+use serde::de::DeserializeOwned;
+use tokio::time::timeout;
+
+use crate::peer::{CallSend, QuicPeers, codec};
+
+/// How long another daemon may take to answer.
+const ANSWER_TIMEOUT: Duration = Duration::from_secs(1);
+
+/// Asks the daemon at `to` and returns its answer, or none when it gives none in time.
+pub async fn ask<T: DeserializeOwned>(
+    peers: &Arc<QuicPeers>,
+    to: Address,
+    question: &StreamOpen,
+) -> Option<T> {
+    let question = codec::encode(question).ok()?;
+    let asking = async {
+        let mut stream = peers.open(to, true).await.ok()?;
+        stream.send.write(question).await.ok()?;
+        stream.send.finish();
+        codec::read(&mut stream.frames).await.ok()
+    };
+    timeout(ANSWER_TIMEOUT, asking).await.ok().flatten()
+}
+
+/// Answers a question.
+///
+/// # Errors
+///
+/// When the answer cannot be encoded.
+pub async fn answer<T: serde::Serialize>(
+    send: &mut CallSend,
+    answer: &T,
+) -> Result<(), codec::FrameError> {
+    let frame = codec::encode(answer)?;
+    // A failed write means that nobody waits any more.
+    if send.write(frame).await.is_ok() {
+        send.finish();
+    }
+    Ok(())
+}
--- a/crates/marigoldd/src/executor/local_executor.rs
+++ b/crates/marigoldd/src/executor/local_executor.rs
@@ -1,5 +1,6 @@
 //! Runs requests on the backend server beside the daemon.
 
+use std::net::SocketAddr;
 use std::sync::Arc;
 use std::sync::atomic::{AtomicU64, Ordering};
 use std::time::Duration;
@@ -9,21 +10,27 @@
 use marigold_request::admission::AdmitRequest;
 use marigold_request::deadline::Deadline;
 use marigold_request::once::{Begin, EntryKey, Finish, RequestKey, Start, StoredAnswer};
+use marigold_request::quarantine::{Fingerprint, Standing};
 use marigold_request::{CallHead, LoadReport, Refusal, RefusalReason, WitnessRequest};
 use marigold_types::Digest;
-use tokio::time::{Instant, timeout_at};
+use tokio::net::TcpStream;
+use tokio::time::{Instant, timeout, timeout_at};
 
 use super::backend_call::BackendCall;
 use super::backend_pool::{BackendConnection, BackendPool};
 use super::collect::{Collected, collect};
 use super::in_flight::{Counted, InFlight};
 use super::once::{ANSWER_BYTES, Once};
+use super::peek::peek;
 use super::slots::{Slot, Slots};
 use super::witnesses::Witnesses;
-use super::{Answer, AnswerBody, RETRY_DELAY, Ran, RequestBody};
-use crate::peer::CutError;
+use super::{Answer, AnswerBody, CRASH_STEP, CrashWatch, RETRY_DELAY, Ran, RequestBody};
+use crate::peer::{CutError, QuicPeers};
 use crate::{BackendServer, Shared};
 
+/// How long the other executors of a service may take to hear of a crash before its caller does.
+const TELL_TIMEOUT: Duration = Duration::from_millis(100);
+
 /// The backend server that has announced itself.
 pub(super) struct Target {
     pub(super) server: BackendServer,
@@ -36,6 +43,16 @@
     pool: Arc<BackendPool>,
     connection: BackendConnection,
     counted: Counted,
+    address: SocketAddr,
+    print: Fingerprint,
+}
+
+/// A request under a key that is new here.
+struct NewRun {
+    id: EntryKey,
+    key: RequestKey,
+    text: Arc<str>,
+    print: Fingerprint,
 }
 
 /// The only way to the backend server beside the daemon.
@@ -45,6 +62,8 @@
     pub(super) once: Arc<Once>,
     pub(super) witnesses: Arc<Witnesses>,
     pub(super) target: ArcSwapOption<Target>,
+    pub(super) peers: Arc<QuicPeers>,
+    pub(super) crashes: Arc<CrashWatch>,
     in_flight: Arc<InFlight>,
     /// Milliseconds from `start` to the last answer, plus one; zero while there was none.
     answered: AtomicU64,
@@ -56,6 +75,7 @@
     #[must_use]
     pub fn new(
         shared: Arc<Shared>,
+        peers: Arc<QuicPeers>,
         witnesses: Arc<Witnesses>,
         in_flight: Arc<InFlight>,
     ) -> Arc<Self> {
@@ -65,6 +85,8 @@
             once: Arc::new(Once::new(shared.local, request.keys)),
             witnesses,
             target: ArcSwapOption::empty(),
+            crashes: CrashWatch::new(shared.local, request.quarantine),
+            peers,
             in_flight,
             answered: AtomicU64::new(0),
             start: Instant::now(),
@@ -93,14 +115,22 @@
     /// Runs a request; dropping the future cancels it, unless it has a key.
     pub async fn run(self: &Arc<Self>, head: CallHead, body: RequestBody) -> Ran {
         let deadline = Deadline::after(head.left, Instant::now());
+        let (start, body) = peek(body).await;
+        let print = Fingerprint::of(&head, &start);
         match head.key.clone() {
-            None => self.run_plain(&head, body, deadline).await,
-            Some(key) => self.run_keyed(head, &key, body, deadline).await,
+            None => self.run_plain(&head, print, body, deadline).await,
+            Some(key) => self.run_keyed(head, &key, print, body, deadline).await,
         }
     }
 
-    async fn run_plain(&self, head: &CallHead, body: RequestBody, deadline: Deadline) -> Ran {
-        match self.admit(head, deadline).await {
+    async fn run_plain(
+        &self,
+        head: &CallHead,
+        print: Fingerprint,
+        body: RequestBody,
+        deadline: Deadline,
+    ) -> Ran {
+        match self.admit(head, print, deadline).await {
             Ok(admitted) => self.hand_on(admitted, head, body, deadline).await,
             Err(refusal) => Ran::NotRun(refusal),
         }
@@ -112,6 +142,7 @@
         self: &Arc<Self>,
         head: CallHead,
         key: &Arc<str>,
+        print: Fingerprint,
         body: RequestBody,
         deadline: Deadline,
     ) -> Ran {
@@ -128,12 +159,13 @@
             Some(Begin::Wait(_)) | None => return Ran::unknown("deadline during an earlier run"),
         };
         let executor = self.clone();
-        let key = key.clone();
-        let run = async move {
-            executor
-                .run_new(id, &head, opened, key, body, deadline)
-                .await
+        let new = NewRun {
+            id,
+            key: opened,
+            text: key.clone(),
+            print,
         };
+        let run = async move { executor.run_new(new, &head, body, deadline).await };
         let joined = tokio::spawn(run).await;
         joined.unwrap_or_else(|_| Ran::unknown("executor"))
     }
@@ -141,19 +173,18 @@
     /// Runs a request whose key is new here.
     async fn run_new(
         &self,
-        id: EntryKey,
+        new: NewRun,
         head: &CallHead,
-        key: RequestKey,
-        text: Arc<str>,
         body: RequestBody,
         deadline: Deadline,
     ) -> Ran {
-        let admitted = match self.admit(head, deadline).await {
+        let id = new.id;
+        let admitted = match self.admit(head, new.print, deadline).await {
             Ok(admitted) => admitted,
             Err(refusal) => return self.refuse(id, refusal),
         };
-        let request = WitnessRequest::Start { key: text };
-        let witness = key.witness.address;
+        let request = WitnessRequest::Start { key: new.text };
+        let witness = new.key.witness.address;
         let answer = self.witnesses.ask(witness, request, deadline.0).await;
         if deadline.has_passed(Instant::now()) {
             return self.refuse(id, Refusal::last(RefusalReason::Deadline));
@@ -216,7 +247,12 @@
     }
 
     /// Takes everything that a request needs before it is handed on.
-    async fn admit(&self, head: &CallHead, deadline: Deadline) -> Result<Admitted, Refusal> {
+    async fn admit(
+        &self,
+        head: &CallHead,
+        print: Fingerprint,
+        deadline: Deadline,
+    ) -> Result<Admitted, Refusal> {
         let refuse = |reason| Err(Refusal::after(reason, RETRY_DELAY));
         let Some(counted) = self.in_flight.start() else {
             return refuse(RefusalReason::Draining);
@@ -231,11 +267,16 @@
         if target.server.service != head.service || !*self.shared.healthy.borrow() {
             return refuse(RefusalReason::NotServing);
         }
+        let alone = match self.crashes.standing(&print) {
+            Standing::Free => false,
+            Standing::Suspect => true,
+            Standing::Refused(refusal) => return Err(refusal),
+        };
         let request = AdmitRequest {
             class: head.class,
             deadline: deadline.0,
             caller: head.caller.clone(),
-            alone: false,
+            alone,
         };
         let slot = self.slots.acquire(&request).await?;
         let opened = target.pool.acquire(head.idempotent, deadline.0).await;
@@ -247,9 +288,11 @@
         }
         Ok(Admitted {
             slot,
+            address: target.server.address,
             pool: target.pool.clone(),
             connection,
             counted,
+            print,
         })
     }
 
@@ -266,7 +309,11 @@
             pool,
             connection,
             counted,
+            address,
+            print,
         } = admitted;
+        let watched = self.crashes.start(print);
+        let idle = pool.clone();
         let call = BackendCall {
             pool,
             connection,
@@ -275,17 +322,38 @@
         match call.run(head, body).await {
             Ran::Answered(answer) => {
                 self.note_answer();
+                watched.answered();
                 let body = match answer.body {
                     AnswerBody::Stream(body) => AnswerBody::Stream(hold(body, (slot, counted))),
                     whole @ AnswerBody::Whole(_) => whole,
                 };
                 Ran::Answered(Answer { body, ..answer })
             }
+            // A request whose backend server died with it is not sent again by the mesh.
+            Ran::Unknown(_) if has_crashed(address, &idle).await => {
+                self.crashes.crashed();
+                self.shared.healthy.send_replace(false);
+                // The caller may send it again at once, to any of the others.
+                let _ = timeout(TELL_TIMEOUT, self.tell_crashes()).await;
+                Ran::unknown(CRASH_STEP)
+            }
             other => other,
         }
     }
 }
 
+/// Returns whether the process behind a lost connection is gone: it takes no new connection, or all
+/// of its idle ones were closed at once.
+async fn has_crashed(address: SocketAddr, pool: &BackendPool) -> bool {
+    if pool.lost_all() {
+        return true;
+    }
+    matches!(
+        TcpStream::connect(address).await,
+        Err(error) if error.kind() == std::io::ErrorKind::ConnectionRefused
+    )
+}
+
 /// Keeps `guards` until `body` has ended or is dropped.
 fn hold(body: RequestBody, guards: impl Send + 'static) -> RequestBody {
     let mut guards = Some(guards);
--- a/crates/marigoldd/src/executor/stream_executor.rs
+++ b/crates/marigoldd/src/executor/stream_executor.rs
@@ -11,7 +11,8 @@
 use marigold_request::{CallHead, StreamOpen};
 use tokio::time::{Instant, timeout, timeout_at};
 
-use super::{AnswerBody, InFlight, LocalExecutor, Witnesses};
+use super::{AnswerBody, InFlight, LocalExecutor, Witnesses, exchange};
+use crate::caller::Decisions;
 use crate::peer::codec::{self, FrameError};
 use crate::peer::{CallSend, IncomingStream, QuicBody, StreamServer, pump};
 
@@ -20,28 +21,19 @@
 /// How long a shutdown waits for an answer to arrive.
 const ARRIVAL_TIMEOUT: Duration = Duration::from_secs(1);
 
-/// Joins the executor and the witness to the connections.
+/// Joins the executor, the witness and the shared decisions to the connections.
 pub struct StreamExecutor {
-    executor: Arc<LocalExecutor>,
-    witnesses: Arc<Witnesses>,
-    in_flight: Arc<InFlight>,
+    /// The executor.
+    pub executor: Arc<LocalExecutor>,
+    /// The witness.
+    pub witnesses: Arc<Witnesses>,
+    /// The keeper of shared limits.
+    pub decisions: Arc<Decisions>,
+    /// What is in flight.
+    pub in_flight: Arc<InFlight>,
 }
 
 impl StreamExecutor {
-    /// Builds it from its parts.
-    #[must_use]
-    pub fn new(
-        executor: Arc<LocalExecutor>,
-        witnesses: Arc<Witnesses>,
-        in_flight: Arc<InFlight>,
-    ) -> Self {
-        Self {
-            executor,
-            witnesses,
-            in_flight,
-        }
-    }
-
     /// Runs a request and sends its answer; a daemon that goes away cancels it.
     async fn call(
         &self,
@@ -91,6 +83,7 @@
             mut send,
             mut frames,
             guard,
+            from,
         } = stream;
         let open = timeout(OPEN_TIMEOUT, codec::read(&mut frames)).await;
         let open = open.map_err(|_| FrameError::Ended)??;
@@ -99,7 +92,18 @@
                 self.call(head, QuicBody::new(frames), &mut send).await?;
             }
             StreamOpen::Witness(request) => self.witnesses.reply(&request, &mut send).await?,
-            StreamOpen::Demand(_) | StreamOpen::Sentences(_) => {}
+            StreamOpen::Demand(demands) => {
+                // A daemon that has not been told by its greeting gets no share, and asks again.
+                if let Some(from) = from.get() {
+                    let now = Instant::now();
+                    let grants = self.decisions.limiter().on_demand(*from, &demands, now);
+                    exchange::answer(&mut send, &grants).await?;
+                }
+            }
+            StreamOpen::Sentences(sentences) => {
+                let known = self.executor.crashes.receive(&sentences);
+                exchange::answer(&mut send, &known).await?;
+            }
         }
         drop(guard);
         Ok(())
--- a/crates/marigoldd/src/executor/upkeep.rs
+++ b/crates/marigoldd/src/executor/upkeep.rs
@@ -3,12 +3,14 @@
 use std::sync::Arc;
 use std::time::Duration;
 
-use marigold_request::{RefusalReason, WitnessAnswer, WitnessRequest};
+use marigold_request::quarantine::Sentence;
+use marigold_request::{RefusalReason, StreamOpen, WitnessAnswer, WitnessRequest};
 use marigold_types::{InstanceId, SlotCount};
 use tokio::time::{Instant, MissedTickBehavior, interval};
 
 use super::LocalExecutor;
 use super::backend_pool::BackendPool;
+use super::exchange;
 use super::local_executor::Target;
 use super::prober::Prober;
 use crate::BackendServer;
@@ -25,6 +27,7 @@
         follow(&executor),
         Prober::new(executor.clone()).run(),
         forget(&executor),
+        tell_crashes(&executor),
     );
 }
 
@@ -40,6 +43,14 @@
     }
 }
 
+/// Tells the other executors of the service whenever something of a crash is known anew.
+async fn tell_crashes(executor: &LocalExecutor) {
+    loop {
+        executor.crashes.wait_news().await;
+        executor.tell_crashes().await;
+    }
+}
+
 /// Asks the witnesses of remembered keys for their time.
 async fn forget(executor: &LocalExecutor) {
     let mut ticks = interval(FORGET);
@@ -62,6 +73,32 @@
 }
 
 impl LocalExecutor {
+    /// Tells the other executors of the service what is known anew of crashes.
+    pub(super) async fn tell_crashes(&self) {
+        let news = self.crashes.take_news();
+        let server = self.shared.server.borrow().clone();
+        let Some(server) = server.filter(|_| !news.is_empty()) else {
+            return;
+        };
+        let view = self.shared.view.load_full();
+        let others = view
+            .endpoints_of(&server.service)
+            .iter()
+            .map(|endpoint| endpoint.instance.address)
+            .filter(|address| *address != self.shared.local.address);
+        let question = StreamOpen::Sentences(news);
+        let tell = |to| {
+            let question = &question;
+            async move {
+                let known: Option<Vec<Sentence>> = exchange::ask(&self.peers, to, question).await;
+                if let Some(known) = known {
+                    self.crashes.receive(&known);
+                }
+            }
+        };
+        futures_util::future::join_all(others.map(tell)).await;
+    }
+
     /// Turns to the backend server that announced itself, or to none.
     fn take_server(&self, server: Option<BackendServer>) {
         let Some(server) = server else {
--- a/crates/marigoldd/src/peer/acceptor.rs
+++ b/crates/marigoldd/src/peer/acceptor.rs
@@ -1,6 +1,6 @@
 //! Accepts the connections of other daemons.
 
-use std::sync::Arc;
+use std::sync::{Arc, OnceLock};
 
 use marigold_types::{Address, Interval};
 use quinn::crypto::rustls::HandshakeData;
@@ -67,7 +67,7 @@
         None
     }
 
-    async fn serve(&self, connection: Connection) {
+    async fn serve(self: &Arc<Self>, connection: Connection) {
         let data = connection
             .handshake_data()
             .and_then(|any| any.downcast::<HandshakeData>().ok());
@@ -91,26 +91,38 @@
     }
 
     async fn serve_control(&self, link: PeerLink) {
-        let Ok(Ok(stream)) = timeout(HANDSHAKE_TIMEOUT, link.connection.accept_uni()).await else {
-            link.close_nonsense("no greeting");
+        let Some((from, frames)) = self.greeting(&link).await else {
             return;
         };
-        let mut frames = codec::frames(stream);
-        let greeting = timeout(HANDSHAKE_TIMEOUT, codec::read::<Address>(&mut frames)).await;
-        let proven = match greeting {
-            Ok(Ok(from)) if is_identity(link.connection.peer_identity(), from) => Some(from),
-            _ => None,
+        self.control.adopt(from, link.clone());
+        ControlLinks::read(self.control.context(), from, &link, frames).await;
+    }
+
+    /// Reads who has dialled, and holds it against the certificate.
+    async fn greeting(&self, link: &PeerLink) -> Option<(Address, codec::Frames)> {
+        let reading = async {
+            let stream = link.connection.accept_uni().await.ok()?;
+            let mut frames = codec::frames(stream);
+            let from: Address = codec::read(&mut frames).await.ok()?;
+            is_identity(link.connection.peer_identity(), from).then_some((from, frames))
         };
-        let Some(from) = proven else {
+        let proven = timeout(HANDSHAKE_TIMEOUT, reading).await.ok().flatten();
+        if proven.is_none() {
             self.meters.count_fault("greeting");
             link.close_nonsense("the greeting does not fit the certificate");
-            return;
-        };
-        self.control.adopt(from, link.clone());
-        ControlLinks::read(self.control.context(), from, &link, frames).await;
+        }
+        proven
     }
 
-    async fn serve_calls(&self, link: &PeerLink) {
+    async fn serve_calls(self: &Arc<Self>, link: &PeerLink) {
+        let from = Arc::new(OnceLock::new());
+        let (acceptor, greeted, known) = (self.clone(), link.clone(), from.clone());
+        tokio::spawn(async move {
+            if let Some((address, _)) = acceptor.greeting(&greeted).await {
+                // It is set here alone.
+                let _ = known.set(address);
+            }
+        });
         while let Ok((send, receive)) = link.connection.accept_bi().await {
             // Without a server the dropped halves cut the stream off.
             let Some(server) = self.server.get() else {
@@ -120,6 +132,7 @@
                 send: CallSend::new(send),
                 frames: codec::frames(receive),
                 guard: link.usage.open(),
+                from: from.clone(),
             };
             let (meters, link) = (self.meters.clone(), link.clone());
             tokio::spawn(async move {
--- a/crates/marigoldd/src/peer/call_stream.rs
+++ b/crates/marigoldd/src/peer/call_stream.rs
@@ -1,6 +1,9 @@
 //! The two directions of one request between two daemons.
 
+use std::sync::{Arc, OnceLock};
+
 use bytes::Bytes;
+use marigold_types::Address;
 use quinn::{SendStream, VarInt};
 
 use super::PeerLink;
@@ -77,4 +80,6 @@
     pub frames: Frames,
     /// Keeps the connection in use.
     pub guard: StreamGuard,
+    /// Who opened it, once its greeting has come and fits its certificate.
+    pub from: Arc<OnceLock<Address>>,
 }
--- a/crates/marigoldd/src/peer/dialler.rs
+++ b/crates/marigoldd/src/peer/dialler.rs
@@ -6,12 +6,12 @@
 
 use marigold_auth::{AuthError, daemon_name};
 use marigold_types::{Address, Interval};
-use quinn::{ClientConfig, Endpoint};
+use quinn::{ClientConfig, Connection, Endpoint};
 use tokio::time::{Instant, timeout};
 
 use super::link_monitor::LinkMonitor;
 use super::registry::Registry;
-use super::{LinkKind, PeerError, PeerLink, PeerTls};
+use super::{LinkKind, PeerError, PeerLink, PeerTls, codec};
 
 /// How long a handshake may take, longer than most deadlines so that a storm can pass.
 pub(super) const HANDSHAKE_TIMEOUT: Duration = Duration::from_secs(3);
@@ -34,6 +34,7 @@
     endpoint: Endpoint,
     configs: [ClientConfig; 2],
     registry: Arc<Registry>,
+    local: Address,
     silence: Interval,
     spare: Mutex<Option<(Instant, Endpoint)>>,
 }
@@ -43,12 +44,14 @@
         endpoint: Endpoint,
         tls: &PeerTls,
         registry: Arc<Registry>,
+        local: Address,
         silence: Interval,
     ) -> Result<Self, AuthError> {
         Ok(Self {
             endpoint,
             configs: [tls.client(LinkKind::Control)?, tls.client(LinkKind::Call)?],
             registry,
+            local,
             silence,
             spare: Mutex::default(),
         })
@@ -83,6 +86,9 @@
             .await
             .map_err(|_| error("the handshake took too long".to_owned()))?
             .map_err(|e| error(e.to_string()))?;
+        if kind == LinkKind::Call {
+            self.greet(&connection).await.map_err(error)?;
+        }
         let usage = self.registry.add(&connection, kind);
         Ok(PeerLink {
             connection,
@@ -91,6 +97,15 @@
         })
     }
 
+    /// Says who has dialled, which the certificate proves.
+    async fn greet(&self, connection: &Connection) -> Result<(), String> {
+        let greeting = codec::encode(&self.local).map_err(|e| e.to_string())?;
+        let mut stream = connection.open_uni().await.map_err(|e| e.to_string())?;
+        let written = stream.write_all(&greeting).await;
+        written.map_err(|e| e.to_string())?;
+        stream.finish().map_err(|e| e.to_string())
+    }
+
     /// Returns an endpoint at a port that was not used before, or lately.
     fn fresh(&self) -> std::io::Result<Endpoint> {
         let mut spare = self.spare.lock().unwrap_or_else(PoisonError::into_inner);
--- a/crates/marigoldd/src/peer/quic_peers.rs
+++ b/crates/marigoldd/src/peer/quic_peers.rs
@@ -65,6 +65,7 @@
             endpoint.clone(),
             tls,
             registry.clone(),
+            local,
             silence,
         )?);
         let control = ControlLinks::new(ControlContext {
--- a/crates/marigoldd/src/request_side.rs
+++ b/crates/marigoldd/src/request_side.rs
@@ -32,11 +32,22 @@
     pub fn new(shared: Arc<Shared>, peers: Arc<QuicPeers>) -> Arc<Self> {
         let in_flight = InFlight::new(shared.settings.request.drain);
         let witnesses = Arc::new(Witnesses::new(shared.clone(), peers.clone()));
-        let executor = LocalExecutor::new(shared.clone(), witnesses.clone(), in_flight.clone());
-        let streams = StreamExecutor::new(executor.clone(), witnesses.clone(), in_flight.clone());
+        let executor = LocalExecutor::new(
+            shared.clone(),
+            peers.clone(),
+            witnesses.clone(),
+            in_flight.clone(),
+        );
+        let decisions = Arc::new(Decisions::new(&shared));
+        let streams = StreamExecutor {
+            executor: executor.clone(),
+            witnesses: witnesses.clone(),
+            decisions: decisions.clone(),
+            in_flight: in_flight.clone(),
+        };
         peers.serve(Arc::new(streams));
         let ingress = Arc::new(Ingress {
-            decisions: Arc::new(Decisions::new(&shared)),
+            decisions,
             meters: Arc::new(CallMeters::new(shared.local.address)),
             shared: shared.clone(),
             executor: executor.clone(),
@@ -59,6 +70,11 @@
             caller::serve(listener, self.ingress.clone()),
             executor::upkeep(self.executor.clone()),
             self.refresh(),
+            caller::share_limits(
+                self.shared.local.address,
+                self.ingress.decisions.clone(),
+                self.ingress.peers.clone(),
+            ),
         );
     }
 
--- a/crates/marigoldd/tests/failures.rs
+++ b/crates/marigoldd/tests/failures.rs
@@ -230,3 +230,75 @@
         "{answered} answered, {runs} runs"
     );
 }
+
+#[tokio::test]
+async fn request_that_crashes_costs_two_backend_servers_at_most() {
+    let servers = [
+        Backend::start().await,
+        Backend::start().await,
+        Backend::start().await,
+        Backend::start().await,
+    ];
+    let list: Vec<&Backend> = servers.iter().collect();
+    let mesh = Mesh::start(&list, 2).await;
+    let mut refused = 0;
+    for round in 0..12 {
+        let caller = mesh.daemons[4 + round % 2].caller;
+        let reply = http(caller, "GET", "/read/crash", &[], "").await.unwrap();
+        match reply.outcome() {
+            "unknown" => {}
+            "not-run" => refused += usize::from(reply.reason() == "quarantined"),
+            other => panic!("{other}"),
+        }
+    }
+    let gone = servers.iter().filter(|server| server.is_gone()).count();
+    assert!(gone <= 2, "{gone} backend servers crashed");
+    assert!(refused > 0);
+    // Others are not held up by it.
+    let mut answered = 0;
+    for _ in 0..20 {
+        let reply = http(mesh.daemons[4].caller, "GET", "/read/x", &[], "").await;
+        answered += usize::from(reply.unwrap().outcome() == "answered");
+    }
+    assert!(answered > 0);
+}
+
+#[tokio::test]
+async fn declared_limit_is_refused_before_anything_is_sent() {
+    use marigold_config::{Config, Declaration, Limit, Resource};
+
+    let backend = Backend::start().await;
+    let mut mesh = Mesh::new();
+    let mut declarations = mesh.config.declarations().clone();
+    let limit = Limit {
+        service: support::mesh::SERVICE.parse().unwrap(),
+        caller: Some("greedy".parse().unwrap()),
+        rate: marigold_types::Rate(1),
+    };
+    declarations.insert(
+        Resource::Limit("greedy".into()),
+        std::sync::Arc::new(Declaration::Limit(limit)),
+    );
+    let version = mesh.config.version;
+    mesh.config = std::sync::Arc::new(Config::new(version, declarations));
+    mesh.add_all(&[&backend], 1).await;
+    let caller = mesh.daemons[1].caller;
+    let headers = [("marigold-caller", "greedy")];
+    let mut limited = 0;
+    for _ in 0..50 {
+        let reply = http(caller, "POST", "/write/x", &headers, "order")
+            .await
+            .unwrap();
+        if reply.outcome() == "not-run" {
+            assert_eq!((reply.status, reply.reason()), (429, "limited"));
+            assert!(!reply.header("retry-after").is_empty());
+            limited += 1;
+        }
+    }
+    assert!(limited > 0);
+    assert_eq!(backend.total(), 50 - limited);
+    let other = http(caller, "POST", "/write/x", &[], "order")
+        .await
+        .unwrap();
+    assert_eq!(other.outcome(), "answered");
+}
--- a/crates/marigoldd/tests/support/backend.rs
+++ b/crates/marigoldd/tests/support/backend.rs
@@ -16,6 +16,7 @@
 use hyper_util::rt::TokioIo;
 use tokio::net::TcpListener;
 use tokio::sync::{Notify, watch};
+use tokio::task::JoinSet;
 
 /// The bytes of a large body, and of its parts.
 pub const LARGE: usize = 32 << 20;
@@ -36,6 +37,8 @@
     /// Lets `/hold` requests go on.
     pub release: watch::Sender<bool>,
     pub changed: Notify,
+    /// Ends the whole backend server.
+    pub crash: Notify,
 }
 
 pub struct Backend {
@@ -58,6 +61,11 @@
         }
     }
 
+    /// Returns whether it has crashed or was stopped.
+    pub fn is_gone(&self) -> bool {
+        self.task.is_finished()
+    }
+
     pub fn runs(&self, name: &str) -> usize {
         let runs = self.seen.runs.lock().unwrap();
         runs.get(name).copied().unwrap_or_default()
@@ -94,17 +102,23 @@
         self.seen.release.send_replace(false);
     }
 
-    /// Stops accepting; open connections stay.
+    /// Ends it with all its connections.
     pub fn stop(&self) {
         self.task.abort();
     }
 }
 
 async fn serve(listener: TcpListener, seen: Arc<Seen>) {
+    // Dropped with the listener, so that a crash closes every connection.
+    let mut connections = JoinSet::new();
     loop {
-        let (stream, _) = listener.accept().await.unwrap();
+        let accepted = tokio::select! {
+            accepted = listener.accept() => accepted,
+            () = seen.crash.notified() => return,
+        };
+        let (stream, _) = accepted.unwrap();
         let seen = seen.clone();
-        tokio::spawn(async move {
+        connections.spawn(async move {
             let closing = Arc::new(Notify::new());
             let handed = closing.clone();
             let service = service_fn(move |request| {
@@ -185,6 +199,10 @@
             release.wait_for(|released| *released).await.unwrap();
             Response::new(whole(Bytes::from_static(b"held")))
         }
+        "crash" => {
+            seen.crash.notify_one();
+            std::future::pending().await
+        }
         "die" => {
             closing.notify_one();
             std::future::pending().await
