--- a/crates/marigoldd/src/caller/ingress.rs
+++ b/crates/marigoldd/src/caller/ingress.rs
@@ -17,14 +17,16 @@
 use super::call_options::CallOptions;
 use super::call_record::CallRecord;
 use super::decisions::Decisions;
+use super::fields;
 use super::key_desk::{KEYS_PATH, KeyDesk};
 use super::meters::CallMeters;
 use super::remote_call::{Attempted, RemoteCall};
 use super::replay_body::{AttemptBody, ReplayBody};
 use super::response::{self, CallerBody};
-use super::{fields, route};
 use crate::Shared;
-use crate::executor::{Answer, AnswerBody, InFlight, LocalExecutor, RETRY_DELAY, Ran, Witnesses};
+use crate::executor::{
+    Answer, AnswerBody, CRASH_STEP, InFlight, LocalExecutor, RETRY_DELAY, Ran, Witnesses,
+};
 use crate::peer::QuicPeers;
 
 /// What every request of an ingress needs.
@@ -119,7 +121,7 @@
                 &detail,
             )));
         }
-        let Some((name, route)) = route::find(view, parts.uri.path()) else {
+        let Some((name, route)) = view.route_for(parts.uri.path()) else {
             let refusal = Refusal::last(RefusalReason::NoRoute);
             return Err(Box::new(response::not_run(None, refusal, "")));
         };
@@ -218,6 +220,11 @@
                 Ran::Unknown(_) => (Outcome::Unknown, None),
             };
             record.finish(outcome, refusal.map(|refusal| refusal.reason));
+            let crashed = matches!(&attempted.ran, Ran::Unknown(step) if **step == *CRASH_STEP);
+            let ran = conclude(last.take(), attempted.ran);
+            if crashed || !call.body.is_replayable() {
+                return Ended::early(ran);
+            }
             let decision = self.decisions.decide(&Attempt {
                 number,
                 inherited,
@@ -227,8 +234,7 @@
                 keyed: false,
                 left: call.deadline.left(Instant::now()),
             });
-            let ran = conclude(last.take(), attempted.ran);
-            if decision == Decision::GiveUp || !call.body.is_replayable() {
+            if decision == Decision::GiveUp {
                 return Ended::early(ran);
             }
             tried.push(address);
