Take a backend server's word that it shed a request as not run

The backend server had shed it and said so with Load-Shed, and the executor passed that on as an answer, which is neither retried nor told as not run. Change: a 503 with Load-Shed is a refusal for overload. A key whose request was shed, or never handed on, is remembered as refused, where it was called unknown before. Conclusion: not-run where the executor holds proof, also after the witness was asked.

--- a/crates/marigold-request/src/once/executor_table.rs
+++ b/crates/marigold-request/src/once/executor_table.rs
@@ -66,6 +66,8 @@
     TooLarge,
     /// The backend server failed without a whole answer.
     Lost,
+    /// The backend server was not handed the request, or said that it had refused it unrun.
+    NotRun(Refusal),
 }
 
 /// Where the request of a key stands.
@@ -227,9 +229,10 @@
 
     /// Records how a run ended.
     pub fn finish(&mut self, id: EntryKey, finish: Finish) {
-        let kept = match finish {
-            Finish::Answered(answer) => self.keep(answer),
-            Finish::TooLarge | Finish::Lost => None,
+        let state = match finish {
+            Finish::Answered(answer) => self.keep(answer).map_or(State::Lost, State::Done),
+            Finish::TooLarge | Finish::Lost => State::Lost,
+            Finish::NotRun(refusal) => State::Refused(refusal),
         };
         let Some(entry) = self.entries.get_mut(&id) else {
             return;
@@ -237,10 +240,10 @@
         if entry.state != State::Running {
             return;
         }
-        if let Some(answer) = &kept {
+        if let State::Done(answer) = &state {
             self.bytes += cost(answer);
         }
-        entry.state = kept.map_or(State::Lost, State::Done);
+        entry.state = state;
     }
 
     /// Takes the uptime that `witness` gave, and forgets the keys that have expired by it.
--- a/crates/marigoldd/src/daemon.rs
+++ b/crates/marigoldd/src/daemon.rs
@@ -220,8 +220,7 @@
     /// Ends without a word, as a process that dies; for tests and stand-ins.
     pub fn abort(&self) {
         self.stop.cancel();
-        // The peers are gone for good either way.
-        let _ = self.peers.abort();
+        self.peers.abort();
     }
 
     fn run(
--- a/crates/marigoldd/src/executor/backend_call.rs
+++ b/crates/marigoldd/src/executor/backend_call.rs
@@ -6,7 +6,7 @@
 use http_body_util::BodyExt;
 use hyper::body::{Body, Incoming};
 use hyper::header::{self, HeaderName, HeaderValue};
-use hyper::{Method, Request, Response, Uri, Version};
+use hyper::{Method, Request, Response, StatusCode, Uri, Version};
 use marigold_request::deadline::Deadline;
 use marigold_request::{CallHead, Refusal, RefusalReason};
 use tokio::time::{Instant, timeout_at};
@@ -24,6 +24,9 @@
 const DEPTH_HEADER: HeaderName = HeaderName::from_static("marigold-depth");
 const ATTEMPT_HEADER: HeaderName = HeaderName::from_static("marigold-attempt");
 
+/// Set to `true` on a 503 by a backend server that refused the request before it ran.
+const SHED_HEADER: &str = "load-shed";
+
 /// Why no answer came.
 enum Failure {
     /// Nothing of the request was handed on.
@@ -53,6 +56,10 @@
             return Ran::unknown("deadline at the backend server");
         };
         match result {
+            Ok(answer) if is_shed(&answer) => Ran::NotRun(Refusal::after(
+                RefusalReason::Overloaded,
+                super::RETRY_DELAY,
+            )),
             Ok(answer) => Ran::Answered(answer),
             Err(Failure::NotSent) => Ran::NotRun(Refusal::after(
                 RefusalReason::NoConnection,
@@ -112,6 +119,12 @@
     }
 }
 
+/// Returns whether the backend server's own word is that it did not run the request.
+fn is_shed(answer: &Answer) -> bool {
+    let shed = |(name, value): &(Arc<str>, Vec<u8>)| **name == *SHED_HEADER && value == b"true";
+    answer.status == StatusCode::SERVICE_UNAVAILABLE.as_u16() && answer.fields.iter().any(shed)
+}
+
 /// Returns the HTTP request, or none when a part of it is malformed.
 fn build(head: &CallHead, body: RequestBody, deadline: Deadline) -> Option<Request<RequestBody>> {
     let mut request = Request::new(body);
--- a/crates/marigoldd/src/executor/local_executor.rs
+++ b/crates/marigoldd/src/executor/local_executor.rs
@@ -209,13 +209,17 @@
 
     /// Keeps the answer for repeats, as far as it is small enough.
     async fn keep(&self, id: EntryKey, ran: Ran, deadline: Deadline) -> Ran {
-        let Ran::Answered(answer) = ran else {
-            self.once.finish(id, Finish::Lost);
-            // The key was started: nothing after that is proof that it did not run.
-            return match ran {
-                Ran::NotRun(_) => Ran::unknown("connection to the backend server"),
-                other => other,
-            };
+        let answer = match ran {
+            Ran::Answered(answer) => answer,
+            Ran::NotRun(refusal) => {
+                // Nobody else may run the key, and the table remembers that this one did not.
+                self.once.finish(id, Finish::NotRun(refusal));
+                return Ran::NotRun(refusal);
+            }
+            Ran::Unknown(step) => {
+                self.once.finish(id, Finish::Lost);
+                return Ran::Unknown(step);
+            }
         };
         let limit = usize::try_from(ANSWER_BYTES.0).unwrap_or(usize::MAX);
         let collected = timeout_at(deadline.0, collect(answer.body, limit)).await;
--- a/crates/marigoldd/tests/failures.rs
+++ b/crates/marigoldd/tests/failures.rs
@@ -87,6 +87,22 @@
     }
 }
 
+#[tokio::test]
+async fn call_that_the_backend_server_sheds_is_not_run() {
+    let backend = Backend::start().await;
+    let mesh = Mesh::start(&[&backend], 1).await;
+    for (method, path) in [("GET", "/read/shed"), ("POST", "/write/shed")] {
+        let reply = http(mesh.daemons[1].caller, method, path, &[], "").await;
+        let reply = reply.unwrap();
+        assert_eq!(
+            (reply.status, reply.outcome()),
+            (503, "not-run"),
+            "{reply:?}"
+        );
+    }
+    assert_eq!(backend.total(), 0);
+}
+
 #[tokio::test]
 async fn write_that_kills_runs_once() {
     let (one, two) = (Backend::start().await, Backend::start().await);
--- a/crates/marigoldd/tests/once.rs
+++ b/crates/marigoldd/tests/once.rs
@@ -122,6 +122,22 @@
     assert_eq!(backend.runs("five"), 1);
 }
 
+#[tokio::test]
+async fn order_that_the_backend_server_sheds_is_not_run() {
+    let backend = Backend::start().await;
+    let mesh = start(&backend).await;
+    let key = key(mesh.daemons[1].caller).await;
+    for daemon in &mesh.daemons {
+        let reply = order(daemon.caller, "/write/shed", &key, "six").await;
+        assert_eq!(
+            (reply.outcome(), reply.reason()),
+            ("not-run", "overloaded"),
+            "{reply:?}"
+        );
+    }
+    assert_eq!(backend.total(), 0);
+}
+
 /// Two daemons with backend servers; the key names one and is witnessed by the other.
 async fn pair() -> (Backend, Backend, Mesh) {
     let (one, two) = (Backend::start().await, Backend::start().await);
--- a/crates/marigoldd/tests/support/backend.rs
+++ b/crates/marigoldd/tests/support/backend.rs
@@ -192,6 +192,10 @@
     } else {
         String::from_utf8_lossy(&body).into_owned()
     };
+    if kind == "shed" {
+        busy.ended = true;
+        return shed();
+    }
     count(&seen, &name);
     let response = match kind.as_str() {
         "hold" => {
@@ -230,6 +234,15 @@
     response
 }
 
+fn shed() -> Response<Body> {
+    let mut response = Response::new(whole(Bytes::new()));
+    *response.status_mut() = StatusCode::SERVICE_UNAVAILABLE;
+    response
+        .headers_mut()
+        .insert("load-shed", "true".parse().unwrap());
+    response
+}
+
 fn count(seen: &Seen, name: &str) {
     *seen
         .runs
