--- a/crates/marigold-standin/src/demo/report.rs
+++ b/crates/marigold-standin/src/demo/report.rs
@@ -3,6 +3,7 @@
 use std::time::Duration;
 
 use comfy_table::Table;
+use comfy_table::presets::UTF8_FULL_CONDENSED;
 use serde::{Deserialize, Serialize};
 
 use crate::fleet::Convergence;
@@ -73,6 +74,7 @@
     /// Prints the results of all meshes beside each other.
     pub fn print(reports: &[Self]) {
         let mut table = Table::new();
+        table.load_style(UTF8_FULL_CONDENSED);
         let names = reports.iter().map(|report| report.mesh.clone());
         table.set_header(std::iter::once(String::new()).chain(names));
         let mut row = |name: &str, value: &dyn Fn(&Self) -> String| {
--- a/crates/marigold-standin/src/fleet/mesh.rs
+++ b/crates/marigold-standin/src/fleet/mesh.rs
@@ -222,6 +222,13 @@
         Ok(())
     }
 
+    /// Ends every daemon at once, for a mesh that is no longer looked at.
+    pub fn abandon(mut self) {
+        for node in &mut self.nodes {
+            node.abort();
+        }
+    }
+
     fn versions(&self) -> Vec<Option<Version>> {
         self.nodes.iter().map(Node::version).collect()
     }
--- a/crates/marigold-standin/src/load/args.rs
+++ b/crates/marigold-standin/src/load/args.rs
@@ -6,6 +6,7 @@
 
 use clap::Args;
 use comfy_table::Table;
+use comfy_table::presets::UTF8_FULL_CONDENSED;
 use indicatif::ProgressBar;
 use marigold_types::{Interval, Rate};
 
@@ -130,6 +131,7 @@
 
 fn print(report: &LoadReport) {
     let mut table = Table::new();
+    table.load_style(UTF8_FULL_CONDENSED);
     table.set_header([
         "route", "answered", "failed", "not run", "unknown", "wrong", "p50 ms", "p99 ms",
         "p99.9 ms",
--- a/crates/marigold-standin/src/measure/args.rs
+++ b/crates/marigold-standin/src/measure/args.rs
@@ -37,7 +37,6 @@
     /// When a mesh does not start or a page cannot be written; pages written before stay.
     pub async fn run(self) -> Result<(), StandinError> {
         crate::quieten()?;
-        let machine = Machine::read()?;
         let parts = if self.parts.is_empty() {
             Part::value_variants().to_vec()
         } else {
@@ -45,7 +44,7 @@
         };
         let mut pages = Vec::new();
         for part in parts {
-            let page = measure(part, &machine).await?;
+            let page = measure(part).await?;
             page.write(&self.out)?;
             if !self.json {
                 page.print();
@@ -61,12 +60,13 @@
     }
 }
 
-async fn measure(part: Part, machine: &Machine) -> Result<Page, StandinError> {
+async fn measure(part: Part) -> Result<Page, StandinError> {
     let bar = ProgressBar::new_spinner();
     if let Ok(style) = ProgressStyle::with_template(BAR) {
         bar.set_style(style);
     }
     bar.enable_steady_tick(TICK);
+    let machine = Machine::read()?;
     let start = Instant::now();
     let findings = find(part, &Bench::new(bar.clone())).await?;
     bar.finish_and_clear();
@@ -77,7 +77,7 @@
             "cargo run --release --bin marigold-standin -- measure {}",
             part.name()
         ),
-        machine: machine.clone(),
+        machine,
         seconds: start.elapsed().as_secs_f64(),
         notes: findings.notes,
         figures: findings.figures,
--- a/crates/marigold-standin/src/measure/control.rs
+++ b/crates/marigold-standin/src/measure/control.rs
@@ -123,7 +123,7 @@
         .run(&state, CHANGES)
         .await?;
     row.idle = idle;
-    mesh.stop().await?;
+    mesh.abandon();
     Ok(row)
 }
 
--- a/crates/marigold-standin/src/measure/overload.rs
+++ b/crates/marigold-standin/src/measure/overload.rs
@@ -103,7 +103,7 @@
             })
             .collect(),
     });
-    mesh.stop().await?;
+    mesh.abandon();
     Ok(findings)
 }
 
--- a/crates/marigold-standin/src/measure/page.rs
+++ b/crates/marigold-standin/src/measure/page.rs
@@ -4,6 +4,7 @@
 use std::path::Path;
 
 use comfy_table::Table;
+use comfy_table::presets::UTF8_FULL_CONDENSED;
 use serde::{Deserialize, Serialize};
 
 use super::{Figure, Machine, Plot};
@@ -34,6 +35,7 @@
     /// Prints the table.
     pub fn print(&self) {
         let mut table = Table::new();
+        table.load_style(UTF8_FULL_CONDENSED);
         table.set_header(Figure::HEADINGS);
         for figure in &self.figures {
             table.add_row(figure.columns());
@@ -68,8 +70,13 @@
         let machine = &self.machine;
         let _ = writeln!(
             text,
-            "Made by `{}` in {:.0} s on {} cores, {} MB of memory, {}.\n",
-            self.command, self.seconds, machine.cores, machine.memory_mb, machine.processor
+            "Made by `{}` in {:.0} s on {} cores, {} MB of memory, {}; load average at the start {}.\n",
+            self.command,
+            self.seconds,
+            machine.cores,
+            machine.memory_mb,
+            machine.processor,
+            machine.load
         );
         for note in &self.notes {
             let _ = writeln!(text, "- {note}");
--- a/crates/marigold-standin/src/measure/recovery.rs
+++ b/crates/marigold-standin/src/measure/recovery.rs
@@ -127,7 +127,7 @@
     ));
 
     outage(bench, &mut mesh, &mut findings).await?;
-    mesh.stop().await?;
+    mesh.abandon();
     Ok(findings)
 }
 
