--- a/crates/marigold-request/src/admission.rs
+++ b/crates/marigold-request/src/admission.rs
@@ -3,6 +3,7 @@
 
 mod admit;
 mod gate;
+mod pace;
 mod service_time;
 mod solo;
 mod waiting_line;
--- a/crates/marigold-request/src/admission/gate.rs
+++ b/crates/marigold-request/src/admission/gate.rs
@@ -6,6 +6,7 @@
 use slotmap::SlotMap;
 use tokio::time::Instant;
 
+use crate::admission::pace::Pace;
 use crate::admission::solo::Solo;
 use crate::admission::waiting_line::{Waiting, WaitingLine};
 use crate::admission::{Admit, AdmitRequest, Dropped, Granted, Moves, Permit, ServiceTime, Ticket};
@@ -20,6 +21,8 @@
 const TURN: u32 = 16;
 /// When a request that could not run alone is asked to come back.
 const SOLO_RETRY: Interval = Interval::from_millis(1_000);
+/// The part of an estimated wait that must be left over, since estimates are averages.
+const MARGIN_PART: u32 = 2;
 /// The least time after which a refused caller is asked to come back.
 const MIN_RETRY: Duration = Duration::from_millis(50);
 
@@ -53,6 +56,7 @@
     lines: [WaitingLine; CLASSES],
     solo: Solo,
     times: [ServiceTime; CLASSES],
+    paces: [Pace; CLASSES],
     next_place: u64,
     turn: u32,
 }
@@ -71,6 +75,7 @@
             lines: Default::default(),
             solo: Solo::default(),
             times: [ServiceTime::default(); CLASSES],
+            paces: [Pace::default(); CLASSES],
             next_place: 0,
             turn: 0,
         }
@@ -152,14 +157,14 @@
 
     fn queue(&mut self, request: &AdmitRequest, now: Instant) -> Admit {
         let index = request.class.index();
-        let wait = self.wait(request.class);
+        let wait = self.wait(request.class, self.lines[index].len() + 1, now);
         let bound = self.slots.saturating_mul(self.depth);
         let is_full = self.lines[index].len() >= usize::try_from(bound).unwrap_or(usize::MAX);
         let until = request
             .deadline
             .checked_sub(self.times[index].mean())
             .unwrap_or(now);
-        if is_full || now + wait > until {
+        if is_full || now + wait + wait / MARGIN_PART > until {
             let delay = interval(wait.max(MIN_RETRY));
             return Admit::Refuse(Refusal::after(RefusalReason::Overloaded, delay));
         }
@@ -174,6 +179,7 @@
             alone: false,
         });
         self.lines[index].push(ticket, waiting);
+        self.paces[index].begin(now);
         Admit::Wait(ticket)
     }
 
@@ -202,8 +208,8 @@
         Admit::Wait(ticket)
     }
 
-    /// Estimates how long a request of `class` would wait behind those that go before it.
-    fn wait(&self, class: Class) -> Duration {
+    /// Estimates how long the request of `class` at `place` in its line, from 1, waits for a slot.
+    fn wait(&self, class: Class, place: usize, now: Instant) -> Duration {
         let before = Class::ALL.iter().filter(|other| **other <= class);
         let work: Duration = before
             .map(|other| {
@@ -211,7 +217,9 @@
                 self.times[other.index()].mean().saturating_mul(ahead)
             })
             .sum();
-        (work + self.times[class.index()].mean()) / self.room(class).max(1)
+        let own = class.index();
+        let usual = (work + self.times[own].mean()) / self.room(class).max(1);
+        usual.max(self.paces[own].wait(place, self.times[own].mean(), now))
     }
 
     /// Returns the slots that `class` may hold when no other runs.
@@ -266,23 +274,50 @@
         for class in Class::ALL {
             while let Some(ticket) = self.lines[class.index()].pop_ended(now) {
                 self.queued.remove(ticket);
-                let delay = interval(self.wait(class).max(MIN_RETRY));
+                let delay = interval(self.wait(class, 1, now).max(MIN_RETRY));
                 let refusal = Refusal::after(RefusalReason::Overloaded, delay);
                 moves.dropped.push(Dropped { ticket, refusal });
             }
         }
+        for class in Class::ALL {
+            self.shorten(class, &mut moves, now);
+        }
         self.advance_solo(&mut moves, now);
         while let Some(class) = self.next_class(now) {
             let Some(ticket) = self.lines[class.index()].pop() else {
                 break;
             };
             self.queued.remove(ticket);
+            self.paces[class.index()].moved(now);
             let permit = self.run(class, now);
             moves.granted.push(Granted { ticket, permit });
         }
+        for (line, pace) in self.lines.iter().zip(&mut self.paces) {
+            if line.len() == 0 {
+                pace.end();
+            }
+        }
         moves
     }
 
+    /// Gives up the last requests of a line that has slowed down too much for them.
+    fn shorten(&mut self, class: Class, moves: &mut Moves, now: Instant) {
+        let index = class.index();
+        while let Some(until) = self.lines[index].last_until() {
+            let usual = self.times[index].mean();
+            let wait = self.paces[index].wait(self.lines[index].len(), usual, now);
+            if now + wait <= until {
+                return;
+            }
+            let Some(ticket) = self.lines[index].pop_last() else {
+                return;
+            };
+            self.queued.remove(ticket);
+            let refusal = Refusal::after(RefusalReason::Overloaded, interval(wait));
+            moves.dropped.push(Dropped { ticket, refusal });
+        }
+    }
+
     /// Runs the first request that is to run alone, if it is time.
     fn advance_solo(&mut self, moves: &mut Moves, now: Instant) {
         let busy = self.running.len();
--- a/crates/marigold-request/src/admission/waiting_line.rs
+++ b/crates/marigold-request/src/admission/waiting_line.rs
@@ -41,6 +41,18 @@
         Some(ticket)
     }
 
+    /// Returns when the request that came last is given up.
+    pub fn last_until(&self) -> Option<Instant> {
+        self.by_place.last_key_value().map(|(_, (_, until))| *until)
+    }
+
+    /// Takes the request that came last.
+    pub fn pop_last(&mut self) -> Option<Ticket> {
+        let (place, (ticket, until)) = self.by_place.pop_last()?;
+        self.by_end.remove(&(until, place));
+        Some(ticket)
+    }
+
     /// Takes a request out of the line.
     pub fn remove(&mut self, waiting: Waiting) {
         self.by_place.remove(&waiting.place);
--- /dev/null
+++ b/crates/marigold-request/tests/burning.rs
@@ -0,0 +1,197 @@
+//! The report on service-level burn. See docs/design/burn.md.
+
+mod common;
+
+use std::time::Duration;
+
+use common::{SECOND, config, interval, ms, objective, service};
+use marigold_config::Config;
+use marigold_request::RefusalReason;
+use marigold_request::burn::{BurnCounters, BurnReport, CallEnd, Cause};
+use marigold_types::{Class, Outcome};
+use tokio::time::Instant;
+
+const HOUR: Duration = Duration::from_hours(1);
+
+/// 99 in 100 answered, 90 in 100 within 100 ms, over a day.
+fn declared() -> Config {
+    config(vec![objective(990_000, 900_000)])
+}
+
+fn counters(centre: &str, now: Instant) -> BurnCounters {
+    let mut counters = BurnCounters::new(centre.parse().unwrap(), now);
+    counters.set_config(&declared(), now);
+    counters
+}
+
+fn answered(elapsed: u64) -> CallEnd {
+    CallEnd {
+        outcome: Outcome::Answered,
+        status: Some(200),
+        refusal: None,
+        elapsed: ms(elapsed),
+    }
+}
+
+fn not_run(reason: RefusalReason) -> CallEnd {
+    CallEnd {
+        outcome: Outcome::NotRun,
+        status: None,
+        refusal: Some(reason),
+        elapsed: ms(1),
+    }
+}
+
+fn count(counters: &mut BurnCounters, times: u32, end: CallEnd, now: Instant) {
+    for _ in 0..times {
+        counters.count(&service(), Class::Interactive, &end, now);
+    }
+}
+
+fn near(left: Option<f64>, right: f64) -> bool {
+    left.is_some_and(|left| (left - right).abs() < 1e-6)
+}
+
+#[test]
+fn burn_is_a_multiple_of_the_budget() {
+    let now = Instant::now();
+    let mut counters = counters("depot", now);
+    count(&mut counters, 980, answered(5), now);
+    count(&mut counters, 20, not_run(RefusalReason::Overloaded), now);
+    let report = counters.report(now);
+    let burn = &report.services[0];
+    assert!(near(
+        burn.total.short.availability_rate(&burn.objective),
+        2.0
+    ));
+    assert!(near(burn.availability_left(), -1.0));
+    assert!(near(burn.latency_left(), 0.8));
+    assert_eq!(
+        burn.main_cause().unwrap().cause,
+        Cause::NotRun(RefusalReason::Overloaded)
+    );
+}
+
+macro_rules! counts {
+    ($($name:ident: $end:expr => $calls:literal $bad:literal $slow:literal;)*) => {$(
+        #[test]
+        fn $name() {
+            let now = Instant::now();
+            let mut counters = counters("depot", now);
+            count(&mut counters, 1, $end, now);
+            let tally = counters.report(now).services[0].total.whole;
+            assert_eq!((tally.calls, tally.bad, tally.slow), ($calls, $bad, $slow));
+        }
+    )*};
+}
+
+counts! {
+    fast_answer: answered(100) => 1 0 0;
+    slow_answer: answered(101) => 1 0 1;
+    callers_own_error: CallEnd { status: Some(404), ..answered(1) } => 1 0 0;
+    failed_answer: CallEnd { status: Some(500), ..answered(1) } => 1 1 1;
+    lost_answer: CallEnd { outcome: Outcome::Unknown, status: None, ..answered(1) } => 1 1 1;
+    refused: not_run(RefusalReason::NoBackendServer) => 1 1 1;
+    caller_left: not_run(RefusalReason::Cancelled) => 0 0 0;
+    wrong_key: not_run(RefusalReason::KeyInvalid) => 0 0 0;
+}
+
+#[test]
+fn windows_move() {
+    let now = Instant::now();
+    let mut counters = counters("depot", now);
+    count(&mut counters, 10, not_run(RefusalReason::Overloaded), now);
+    let tallies = |counters: &mut BurnCounters, after: Duration| {
+        let total = counters.report(now + after).services[0].total;
+        (total.short.bad, total.long.bad, total.whole.bad)
+    };
+    assert_eq!(tallies(&mut counters, SECOND), (10, 10, 10));
+    assert_eq!(tallies(&mut counters, 10 * 60 * SECOND), (0, 10, 10));
+    assert_eq!(tallies(&mut counters, 2 * HOUR), (0, 0, 10));
+    assert_eq!(tallies(&mut counters, 25 * HOUR), (0, 0, 0));
+    // A clock that jumps far ahead clears all and goes on.
+    let far = now + 1_000 * HOUR;
+    count(&mut counters, 3, answered(1), far);
+    assert_eq!(counters.report(far).services[0].total.short.calls, 3);
+}
+
+#[test]
+fn without_traffic_it_does_not_show_a_full_budget() {
+    let now = Instant::now();
+    let report = counters("depot", now).report(now + SECOND);
+    let burn = &report.services[0];
+    assert!(burn.has_no_traffic());
+    assert_eq!(burn.availability_left(), None);
+    assert_eq!(burn.latency_left(), None);
+    assert_eq!(burn.worst_centre(), None);
+}
+
+#[test]
+fn after_a_restart_it_says_how_much_was_counted() {
+    let now = Instant::now();
+    let mut counters = counters("depot", now);
+    let report = counters.report(now + 60 * SECOND);
+    assert!(report.services[0].is_partial());
+    assert_eq!(report.services[0].covered, interval(60_000));
+    assert_eq!(report.youngest, interval(60_000));
+    let report = counters.report(now + 24 * HOUR);
+    assert!(!report.services[0].is_partial());
+}
+
+#[test]
+fn daemons_add_up() {
+    let now = Instant::now();
+    let mut depot = counters("depot", now);
+    let mut yard = counters("yard", now + HOUR);
+    let later = now + 2 * HOUR;
+    count(&mut depot, 900, answered(1), later);
+    count(&mut yard, 80, answered(1), later);
+    count(&mut yard, 20, not_run(RefusalReason::Draining), later);
+    let mut all = BurnReport::default();
+    all.merge(&depot.report(later));
+    all.merge(&yard.report(later));
+    all.miss();
+    assert_eq!((all.daemons, all.missing), (2, 1));
+    assert_eq!(all.youngest, interval(3_600_000));
+    let burn = &all.services[0];
+    assert_eq!(burn.total.whole.calls, 1_000);
+    assert_eq!(burn.covered, interval(3_600_000));
+    let (worst, rate) = burn.worst_centre().unwrap();
+    assert_eq!(worst.as_str(), "yard");
+    assert!(near(Some(rate), 20.0), "{rate}");
+    assert_eq!(burn.classes[&Class::Interactive].whole.bad, 20);
+}
+
+#[test]
+fn counts_by_different_objectives_stand_apart() {
+    let now = Instant::now();
+    let mut one = counters("depot", now);
+    let mut other = BurnCounters::new("yard".parse().unwrap(), now);
+    other.set_config(&config(vec![objective(999_000, 900_000)]), now);
+    let mut all = one.report(now);
+    all.merge(&other.report(now));
+    assert_eq!(all.services.len(), 2);
+}
+
+#[test]
+fn only_declared_services_take_memory() {
+    let now = Instant::now();
+    let mut counters = counters("depot", now);
+    for number in 0..1_000 {
+        let name = format!("stray-{number}").parse().unwrap();
+        counters.count(&name, Class::Batch, &answered(1), now);
+    }
+    assert_eq!(counters.report(now).services.len(), 1);
+    counters.set_config(&config(vec![]), now);
+    assert!(counters.report(now).services.is_empty());
+}
+
+#[test]
+fn report_has_a_json_form() {
+    let now = Instant::now();
+    let mut counters = counters("depot", now);
+    count(&mut counters, 2, not_run(RefusalReason::Overloaded), now);
+    let report = counters.report(now);
+    let text = serde_json::to_string(&report).unwrap();
+    assert_eq!(serde_json::from_str::<BurnReport>(&text).unwrap(), report);
+}
--- a/crates/marigold-request/tests/common/mod.rs
+++ b/crates/marigold-request/tests/common/mod.rs
@@ -57,12 +57,8 @@
 }
 
 pub fn view(endpoints: Vec<Endpoint>, config: Config) -> View {
-    View {
-        local: instance(0, 1),
-        serving: true,
-        config: Arc::new(config),
-        endpoints: BTreeMap::from([(service(), Arc::from(endpoints))]),
-    }
+    let endpoints = BTreeMap::from([(service(), Arc::from(endpoints))]);
+    View::new(instance(0, 1), true, Arc::new(config), endpoints)
 }
 
 pub fn config(declarations: Vec<(Resource, Declaration)>) -> Config {
--- /dev/null
+++ b/crates/marigold-request/tests/key_tables.rs
@@ -0,0 +1,299 @@
+//! What an executor and a witness remember of keys. See docs/design/at-most-once.md.
+
+mod common;
+
+use common::{SECOND, instance, interval, ms, service};
+use marigold_request::once::{
+    Begin, EntryKey, ExecutorLimits, ExecutorTable, Finish, Nonce, RequestKey, Resolution, Start,
+    StoredAnswer, WitnessTable, Word,
+};
+use marigold_request::{Refusal, RefusalReason, WitnessAnswer};
+use marigold_types::{ByteSize, Digest};
+use tokio::time::Instant;
+
+const TTL_MS: u64 = 120_000;
+
+fn key(nonce: u128) -> RequestKey {
+    RequestKey {
+        executor: instance(1, 1),
+        witness: instance(2, 1),
+        service: service(),
+        expiry: TTL_MS,
+        nonce: Nonce(nonce),
+    }
+}
+
+fn digest() -> Digest {
+    Digest::of(b"order")
+}
+
+fn table(keys: usize) -> ExecutorTable {
+    let limits = ExecutorLimits {
+        keys,
+        bytes: ByteSize(1_000),
+        answer: ByteSize(400),
+    };
+    ExecutorTable::new(instance(1, 1), limits)
+}
+
+fn witness(capacity: usize) -> (WitnessTable, Instant) {
+    let now = Instant::now();
+    (
+        WitnessTable::new(instance(2, 1), interval(TTL_MS), capacity, now),
+        now,
+    )
+}
+
+fn begin(table: &mut ExecutorTable, key: &RequestKey) -> EntryKey {
+    match table.begin(key, digest()) {
+        Begin::Run(id) => id,
+        other => panic!("{other:?}"),
+    }
+}
+
+fn answer(bytes: usize) -> StoredAnswer {
+    StoredAnswer {
+        status: 201,
+        headers: Vec::new(),
+        body: vec![7; bytes].into(),
+    }
+}
+
+/// Runs the request of `key` to its end.
+fn run(table: &mut ExecutorTable, key: &RequestKey, finish: Finish) {
+    let id = begin(table, key);
+    assert_eq!(table.start(id, Some(&WitnessAnswer::Started)), Start::Run);
+    table.finish(id, finish);
+}
+
+#[test]
+fn repeat_gets_the_stored_answer() {
+    let mut table = table(10);
+    let id = begin(&mut table, &key(1));
+    assert_eq!(table.begin(&key(1), digest()), Begin::Wait(id));
+    assert_eq!(table.start(id, Some(&WitnessAnswer::Started)), Start::Run);
+    assert_eq!(table.begin(&key(1), digest()), Begin::Wait(id));
+    table.finish(id, Finish::Answered(answer(10)));
+    let Begin::Stored(stored) = table.begin(&key(1), digest()) else {
+        panic!("must be stored");
+    };
+    assert_eq!(*stored, answer(10));
+}
+
+#[test]
+fn key_is_not_used_for_another_request() {
+    let mut table = table(10);
+    run(&mut table, &key(1), Finish::Answered(answer(10)));
+    let begun = table.begin(&key(1), Digest::of(b"another order"));
+    assert_eq!(
+        begun,
+        Begin::NotRun(Refusal::last(RefusalReason::KeyReused))
+    );
+}
+
+macro_rules! does_not_start {
+    ($($name:ident: $answer:expr => $reason:ident;)*) => {$(
+        #[test]
+        fn $name() {
+            let mut table = table(10);
+            let id = begin(&mut table, &key(1));
+            let Start::NotRun(refusal) = table.start(id, $answer) else {
+                panic!("must not run");
+            };
+            assert_eq!(refusal.reason, RefusalReason::$reason);
+            // It stays so, whatever comes late.
+            assert_eq!(table.start(id, Some(&WitnessAnswer::Started)), Start::NotRun(refusal));
+            assert_eq!(table.begin(&key(1), digest()), Begin::NotRun(refusal));
+        }
+    )*};
+}
+
+does_not_start! {
+    sealed: Some(&WitnessAnswer::NeverStarted) => KeyRefused;
+    expired: Some(&WitnessAnswer::Expired) => KeyRefused;
+    witness_full: Some(&WitnessAnswer::Full) => KeysFull;
+    witness_restarted: Some(&WitnessAnswer::NotMine) => NoWitness;
+    witness_silent: None => NoWitness;
+}
+
+#[test]
+fn refused_key_stays_refused() {
+    let mut table = table(10);
+    let id = begin(&mut table, &key(1));
+    let refusal = Refusal::last(RefusalReason::Overloaded);
+    assert!(table.refuse(id, refusal));
+    assert_eq!(table.begin(&key(1), digest()), Begin::NotRun(refusal));
+    assert_eq!(
+        table.start(id, Some(&WitnessAnswer::Started)),
+        Start::NotRun(refusal)
+    );
+}
+
+#[test]
+fn what_runs_cannot_be_called_not_run() {
+    let mut table = table(10);
+    let id = begin(&mut table, &key(1));
+    table.start(id, Some(&WitnessAnswer::Started));
+    assert!(!table.refuse(id, Refusal::last(RefusalReason::Cancelled)));
+    table.finish(id, Finish::Lost);
+    assert!(matches!(table.begin(&key(1), digest()), Begin::Unknown(_)));
+    assert!(!table.refuse(id, Refusal::last(RefusalReason::Cancelled)));
+}
+
+#[test]
+fn another_life_does_not_know() {
+    let limits = ExecutorLimits {
+        keys: 1,
+        bytes: ByteSize(1),
+        answer: ByteSize(1),
+    };
+    let mut table = ExecutorTable::new(instance(1, 2), limits);
+    assert!(matches!(table.begin(&key(1), digest()), Begin::Unknown(_)));
+    assert!(table.is_empty());
+}
+
+#[test]
+fn full_table_evicts_nothing_and_says_unknown() {
+    let mut table = table(3);
+    for nonce in 0..3 {
+        run(&mut table, &key(nonce), Finish::Answered(answer(1)));
+    }
+    assert!(matches!(table.begin(&key(9), digest()), Begin::Unknown(_)));
+    assert!(matches!(table.begin(&key(0), digest()), Begin::Stored(_)));
+    assert_eq!(table.len(), 3);
+}
+
+#[test]
+fn answers_are_bounded_in_bytes() {
+    let mut table = table(100);
+    run(&mut table, &key(1), Finish::Answered(answer(401)));
+    assert!(matches!(table.begin(&key(1), digest()), Begin::Unknown(_)));
+    for nonce in 2..20 {
+        run(&mut table, &key(nonce), Finish::Answered(answer(300)));
+    }
+    assert_eq!(table.bytes(), ByteSize(900));
+    assert!(matches!(table.begin(&key(19), digest()), Begin::Unknown(_)));
+}
+
+#[test]
+fn forgets_on_the_witness_word_alone() {
+    let mut table = table(10);
+    run(&mut table, &key(1), Finish::Answered(answer(10)));
+    table.witness_uptime(&instance(2, 1), TTL_MS - 1);
+    assert_eq!(table.len(), 1);
+    table.witness_uptime(&instance(2, 2), TTL_MS);
+    assert_eq!(table.len(), 1);
+    table.witness_uptime(&instance(2, 1), TTL_MS);
+    assert!(table.is_empty());
+    assert_eq!(table.bytes(), ByteSize(0));
+    // A late repeat is not taken for new.
+    assert!(matches!(table.begin(&key(1), digest()), Begin::Unknown(_)));
+}
+
+#[test]
+fn closed_witness_begins_nothing_and_frees_the_table() {
+    let mut table = table(10);
+    let pending = begin(&mut table, &key(1));
+    run(&mut table, &key(2), Finish::Answered(answer(10)));
+    table.close(&instance(2, 1));
+    assert_eq!(table.len(), 1);
+    assert!(matches!(table.begin(&key(3), digest()), Begin::Unknown(_)));
+    // What was at work when it was closed still ends.
+    assert_eq!(
+        table.start(pending, Some(&WitnessAnswer::Started)),
+        Start::Run
+    );
+    table.finish(pending, Finish::Lost);
+}
+
+#[test]
+fn witness_decides_start_against_seal() {
+    let (mut witness, now) = witness(10);
+    assert_eq!(witness.start(&key(1), now), WitnessAnswer::Started);
+    assert_eq!(witness.start(&key(1), now), WitnessAnswer::MayHaveRun);
+    assert_eq!(witness.seal(&key(1), now), WitnessAnswer::MayHaveRun);
+    assert_eq!(witness.seal(&key(2), now), WitnessAnswer::NeverStarted);
+    assert_eq!(witness.seal(&key(2), now), WitnessAnswer::NeverStarted);
+    assert_eq!(witness.start(&key(2), now), WitnessAnswer::NeverStarted);
+}
+
+#[test]
+fn witness_judges_expiry_by_its_own_uptime() {
+    let (mut witness, now) = witness(10);
+    let almost = now + ms(TTL_MS - 1);
+    assert_eq!(witness.start(&key(1), almost), WitnessAnswer::Started);
+    assert_eq!(
+        witness.start(&key(2), almost + ms(1)),
+        WitnessAnswer::Expired
+    );
+    // For one more lifetime it still knows what became of an expired key.
+    let late = now + ms(2 * TTL_MS - 1);
+    assert_eq!(witness.seal(&key(1), late), WitnessAnswer::MayHaveRun);
+    assert_eq!(witness.seal(&key(2), late), WitnessAnswer::NeverStarted);
+    assert_eq!(witness.seal(&key(1), late + ms(1)), WitnessAnswer::Expired);
+    assert_eq!(witness.start(&key(1), late + ms(1)), WitnessAnswer::Expired);
+    assert!(witness.is_empty());
+}
+
+#[test]
+fn key_with_a_far_expiry_does_not_fill_the_witness() {
+    let (mut witness, now) = witness(10);
+    let far = RequestKey {
+        expiry: TTL_MS + 1,
+        ..key(1)
+    };
+    assert_eq!(witness.start(&far, now), WitnessAnswer::Expired);
+    assert!(witness.is_empty());
+}
+
+#[test]
+fn full_witness_refuses_and_evicts_nothing() {
+    let (mut witness, now) = witness(2);
+    assert_eq!(witness.reserve(3, now), WitnessAnswer::Full);
+    assert_eq!(witness.start(&key(1), now), WitnessAnswer::Started);
+    assert_eq!(witness.seal(&key(2), now), WitnessAnswer::NeverStarted);
+    assert_eq!(witness.start(&key(3), now), WitnessAnswer::Full);
+    assert_eq!(witness.seal(&key(3), now), WitnessAnswer::Full);
+    assert_eq!(witness.seal(&key(1), now), WitnessAnswer::MayHaveRun);
+    assert_eq!(
+        witness.reserve(1, now + 250 * SECOND),
+        WitnessAnswer::Reserved { uptime: 250_000 }
+    );
+}
+
+#[test]
+fn another_life_of_the_witness_is_not_it() {
+    let now = Instant::now();
+    let mut witness = WitnessTable::new(instance(2, 2), interval(TTL_MS), 10, now);
+    assert_eq!(witness.start(&key(1), now), WitnessAnswer::NotMine);
+    assert_eq!(witness.seal(&key(1), now), WitnessAnswer::NotMine);
+}
+
+macro_rules! resolves {
+    ($($name:ident: $answer:expr => $is_proof:literal;)*) => {$(
+        #[test]
+        fn $name() {
+            let resolution = Resolution::of_seal($answer, RefusalReason::Unreachable);
+            assert_eq!(matches!(resolution, Resolution::NotRun(_)), $is_proof);
+            assert_eq!(resolution == Resolution::Unknown, !$is_proof);
+        }
+    )*};
+}
+
+resolves! {
+    seal_never_started: Some(&WitnessAnswer::NeverStarted) => true;
+    seal_may_have_run: Some(&WitnessAnswer::MayHaveRun) => false;
+    seal_expired: Some(&WitnessAnswer::Expired) => false;
+    seal_full: Some(&WitnessAnswer::Full) => false;
+    seal_other_life: Some(&WitnessAnswer::NotMine) => false;
+    seal_unanswered: None => false;
+}
+
+#[test]
+fn own_failure_to_send_is_no_proof() {
+    let resolution = Resolution::of_word(Word::Silent(RefusalReason::Unreachable));
+    assert_eq!(
+        resolution,
+        Resolution::AskWitness(RefusalReason::Unreachable)
+    );
+}
