Let no daemon deny an earlier run of a key by its own refusal

Cause: a daemon that refused a request with a key before it had asked the key's executor (no route, not serving, leaving, a limit, a key of another service) said not run, although the request may have run through another daemon before.

Change: such a refusal goes to the key's witness for a seal first, as the decisions have it for a failed send; without its word the outcome is unknown. One test over real sockets shows both cases; before the change it could not pass, since no witness was asked.

Also drops a binding that no longer binds anything in the daemon's abort.

--- a/crates/marigoldd/src/caller/call_options.rs
+++ b/crates/marigoldd/src/caller/call_options.rs
@@ -68,6 +68,13 @@
     }
 }
 
+/// Returns the key of a request whose other headers have not been read.
+#[must_use]
+pub fn key(headers: &HeaderMap) -> Option<Arc<str>> {
+    let value = headers.get(KEY_HEADER)?.to_str().ok()?;
+    Some(Arc::from(value))
+}
+
 fn read<T, E: ToString>(
     headers: &HeaderMap,
     name: &'static str,
--- a/crates/marigoldd/src/caller/ingress.rs
+++ b/crates/marigoldd/src/caller/ingress.rs
@@ -14,7 +14,7 @@
 
 use super::answer_stream::{AnswerStream, Records, WholeAnswer};
 use super::attempt_record::AttemptRecord;
-use super::call_options::CallOptions;
+use super::call_options::{self, CallOptions};
 use super::call_record::CallRecord;
 use super::decisions::Decisions;
 use super::fields;
@@ -67,18 +67,23 @@
         if let Some(refusal) = refuse_form(&request) {
             return refusal;
         }
+        let key = call_options::key(request.headers());
         let Some(counted) = self.in_flight.start() else {
             let refusal = Refusal::after(RefusalReason::Draining, RETRY_DELAY);
-            return response::not_run(None, refusal, "");
+            return self.refuse_early(key, refusal).await;
         };
         let view = self.shared.view.load_full();
         if !view.serving {
             let refusal = Refusal::after(RefusalReason::NotServing, RETRY_DELAY);
-            return response::not_run(None, refusal, "");
+            return self.refuse_early(key, refusal).await;
         }
         if request.uri().path() == KEYS_PATH {
             return self.keys.handle(self, &view, &request).await;
         }
+        if view.route_for(request.uri().path()).is_none() {
+            let refusal = Refusal::last(RefusalReason::NoRoute);
+            return self.refuse_early(key, refusal).await;
+        }
         let call = match self.read(&view, request, start) {
             Ok(call) => call,
             Err(refusal) => return *refusal,
@@ -94,6 +99,14 @@
         self.serve(&view, call, record).await
     }
 
+    /// Answers a request that is refused before it is read.
+    async fn refuse_early(&self, key: Option<Arc<str>>, refusal: Refusal) -> Response<CallerBody> {
+        match self.refuse(key.as_ref(), refusal).await {
+            Ran::Unknown(step) => response::unknown(RequestId::random(), &step),
+            Ran::NotRun(_) | Ran::Answered(_) => response::not_run(None, refusal, ""),
+        }
+    }
+
     /// Reads the head of a request and finds its route.
     fn read(
         &self,
@@ -152,16 +165,21 @@
 
     async fn serve(&self, view: &View, call: Call, record: CallRecord) -> Response<CallerBody> {
         let (id, deadline, body) = (call.head.id, call.deadline, call.body.clone());
+        let key = call.head.key.clone();
         let allowed = self
             .decisions
             .allow(&call.head.service, call.head.caller.as_ref());
         let ended = match allowed {
-            Err(refusal) => Ended::early(Ran::NotRun(refusal)),
+            Err(refusal) => Ended::early(self.refuse(call.head.key.as_ref(), refusal).await),
             Ok(()) if call.head.key.is_some() => match self.run_keyed(view, call).await {
                 Ok(ended) => ended,
                 Err(error) => {
-                    record.finish(Outcome::NotRun, Some(RefusalReason::KeyInvalid));
                     let refusal = Refusal::last(RefusalReason::KeyInvalid);
+                    if let Ran::Unknown(step) = self.refuse(key.as_ref(), refusal).await {
+                        record.finish(Outcome::Unknown, None);
+                        return response::unknown(id, &step);
+                    }
+                    record.finish(Outcome::NotRun, Some(RefusalReason::KeyInvalid));
                     return response::not_run(Some(id), refusal, &error.to_string());
                 }
             },
--- a/crates/marigoldd/src/caller/keyed.rs
+++ b/crates/marigoldd/src/caller/keyed.rs
@@ -1,10 +1,11 @@
 //! A request that runs at most once. See docs/design/at-most-once.md.
 
+use std::sync::Arc;
 use std::time::Duration;
 
 use marigold_control::View;
 use marigold_request::once::{KeyError, RequestKey, Resolution, Word};
-use marigold_request::{RefusalReason, WitnessRequest};
+use marigold_request::{Refusal, RefusalReason, WitnessRequest};
 use marigold_types::Outcome;
 use tokio::time::Instant;
 
@@ -63,6 +64,24 @@
         ))
     }
 
+    /// Refuses a request here, before its executor is asked.
+    ///
+    /// One with a key may have run through another daemon before, so that only its witness can show
+    /// that it did not.
+    pub(super) async fn refuse(&self, key: Option<&Arc<str>>, refusal: Refusal) -> Ran {
+        let text = key.cloned().unwrap_or_default();
+        let Ok(key) = RequestKey::open(&text, &self.shared.mesh_key) else {
+            return Ran::NotRun(refusal);
+        };
+        let request = WitnessRequest::Seal { key: text };
+        let until = Instant::now() + SEAL_TIMEOUT;
+        let answer = self.witnesses.ask(key.witness.address, request, until);
+        match Resolution::of_seal(answer.await.as_ref(), refusal.reason) {
+            Resolution::NotRun(_) => Ran::NotRun(refusal),
+            _ => Ran::unknown("refused by this daemon, and it may have run before"),
+        }
+    }
+
     /// Says the last word, after the witness where the executor gave none.
     async fn resolve(&self, call: &Call, key: &RequestKey, word: Word, ran: Ran) -> Ran {
         let resolution = match Resolution::of_word(word) {
--- a/crates/marigoldd/src/daemon.rs
+++ b/crates/marigoldd/src/daemon.rs
@@ -221,7 +221,7 @@
     pub fn abort(&self) {
         self.stop.cancel();
         // The peers are gone for good either way.
-        let _ = self.peers.abort();
+        self.peers.abort();
     }
 
     fn run(
--- a/crates/marigoldd/tests/once.rs
+++ b/crates/marigoldd/tests/once.rs
@@ -232,3 +232,28 @@
     assert_eq!(json["keys"].as_array().unwrap().len(), 64);
     assert_eq!(json["service"], SERVICE);
 }
+
+#[tokio::test]
+async fn refusal_before_the_executor_is_asked_does_not_deny_an_earlier_run() {
+    let backend = Backend::start().await;
+    let mesh = start(&backend).await;
+    let (used, fresh) = (
+        key(mesh.daemons[1].caller).await,
+        key(mesh.daemons[1].caller).await,
+    );
+    order(mesh.daemons[1].caller, "/write/x", &used, "nine").await;
+    // No route takes the path; for a key that has run, that is no proof that it did not.
+    let late = order(mesh.daemons[2].caller, "/nowhere", &used, "nine").await;
+    assert_eq!(late.outcome(), "unknown", "{late:?}");
+    let early = order(mesh.daemons[2].caller, "/nowhere", &fresh, "ten").await;
+    assert_eq!(
+        (early.status, early.outcome()),
+        (404, "not-run"),
+        "{early:?}"
+    );
+    // What was called not run stays so.
+    let again = order(mesh.daemons[1].caller, "/write/x", &fresh, "ten").await;
+    assert_eq!(again.outcome(), "not-run", "{again:?}");
+    assert_eq!(backend.runs("nine"), 1);
+    assert_eq!(backend.runs("ten"), 0);
+}
