Parse rules once for a plan, and refuse rules whose operator is not declared

Judging a plan parsed every rule's patterns for each of its changes, so that a large plan under many rules could have held up every reader of the log. A rule for an operator that is not declared let nobody in and was most likely a misspelling: it is a fault now, as a route without its service is.

--- a/crates/marigold-config/src/authority.rs
+++ b/crates/marigold-config/src/authority.rs
@@ -5,7 +5,8 @@
 use marigold_auth::PublicKey;
 use marigold_types::{OperatorName, RecordTime};
 
-use crate::{Config, Declaration, Pattern, Plan, Reason, Resource, Rule, Trust, Window};
+use crate::grant::Grant;
+use crate::{Config, Declaration, Plan, Reason, Resource, Trust};
 
 /// The most windows that a rejection names.
 const MAX_WINDOWS: usize = 8;
@@ -48,15 +49,7 @@
     ///
     /// [`Reason::NotAllowed`] with the first resource that no rule covers.
     pub fn check_scope(&self, operator: &OperatorName, plan: &Plan) -> Result<(), Reason> {
-        for change in &plan.changes {
-            if !self.is_root(operator) && self.rules(operator, &change.resource).next().is_none() {
-                return Err(Reason::NotAllowed {
-                    operator: operator.clone(),
-                    resource: change.resource.clone(),
-                });
-            }
-        }
-        Ok(())
+        self.check(operator, plan, |_| true)
     }
 
     /// Checks that `operator` may make the changes of `plan` at `time`.
@@ -70,55 +63,37 @@
         plan: &Plan,
         time: RecordTime,
     ) -> Result<(), Reason> {
-        self.check_scope(operator, plan)?;
-        if self.is_root(operator) {
+        self.check(operator, plan, |grant| grant.is_open(time))
+    }
+
+    /// Checks that each change is covered by a grant, and by one that `holds`.
+    fn check(
+        &self,
+        operator: &OperatorName,
+        plan: &Plan,
+        holds: impl Fn(&Grant) -> bool,
+    ) -> Result<(), Reason> {
+        if *operator == self.trust.operator {
             return Ok(());
         }
+        let grants = Grant::list(self.config, operator);
         for change in &plan.changes {
-            let open = self.rules(operator, &change.resource).any(|rule| {
-                rule.window
-                    .parse::<Window>()
-                    .is_ok_and(|w| w.contains(time))
-            });
-            if !open {
-                return Err(self.outside_window(operator, &change.resource));
+            let covering = grants.iter().filter(|grant| grant.covers(&change.resource));
+            if covering.clone().any(&holds) {
+                continue;
             }
+            let (operator, resource) = (operator.clone(), change.resource.clone());
+            let windows: Vec<&str> = covering.take(MAX_WINDOWS).map(Grant::window).collect();
+            return Err(if windows.is_empty() {
+                Reason::NotAllowed { operator, resource }
+            } else {
+                Reason::OutsideWindow {
+                    operator,
+                    resource,
+                    windows: Arc::from(windows.join(" or ")),
+                }
+            });
         }
         Ok(())
     }
-
-    fn is_root(&self, operator: &OperatorName) -> bool {
-        *operator == self.trust.operator
-    }
-
-    /// Returns the rules that let `operator` change `resource`.
-    fn rules(
-        &self,
-        operator: &OperatorName,
-        resource: &Resource,
-    ) -> impl Iterator<Item = &'a Rule> {
-        let covers = |rule: &Rule| {
-            let mut patterns = rule.resources.iter();
-            patterns.any(|text| {
-                text.parse::<Pattern>()
-                    .is_ok_and(|pattern| pattern.matches(resource))
-            })
-        };
-        let declarations = self.config.declarations().values();
-        declarations.filter_map(move |declaration| match declaration.as_ref() {
-            Declaration::Rule(rule) if rule.operator == *operator && covers(rule) => Some(rule),
-            _ => None,
-        })
-    }
-
-    fn outside_window(&self, operator: &OperatorName, resource: &Resource) -> Reason {
-        let rules = self.rules(operator, resource).take(MAX_WINDOWS);
-        let windows = rules.map(|rule| &*rule.window);
-        let windows: Vec<&str> = windows.collect();
-        Reason::OutsideWindow {
-            operator: operator.clone(),
-            resource: resource.clone(),
-            windows: Arc::from(windows.join(" or ")),
-        }
-    }
 }
--- a/crates/marigold-config/src/check.rs
+++ b/crates/marigold-config/src/check.rs
@@ -7,7 +7,7 @@
 use std::sync::Arc;
 
 use marigold_auth::PublicKey;
-use marigold_types::{Interval, Rate, RouteName, ServiceName, SlotCount};
+use marigold_types::{Interval, Rate, RouteName, SlotCount};
 
 use crate::{Declaration, Invalid, Pattern, Resource, Share, Window};
 
@@ -22,6 +22,7 @@
 const PATH_ALLOWED: &str = "a path that starts with `/`, of printable ASCII without space, `?` \
     and `#`, of at most 1024 bytes";
 const SERVICE_ALLOWED: &str = "a service declared in the same configuration";
+const OPERATOR_ALLOWED: &str = "an operator declared in the same configuration";
 const SHARE_ALLOWED: &str = "from 0% to below 100%";
 const SLOTS: RangeInclusive<SlotCount> = SlotCount(1)..=SlotCount(100_000);
 const CONNECTIONS: RangeInclusive<u32> = 1..=1_000_000;
@@ -148,11 +149,16 @@
             resource,
             list: &mut list,
         };
-        if let Some(service) = service_of(resource, declaration)
-            && !declarations.contains_key(&Resource::Service(service.clone()))
+        if let Some(needed) = needed_by(resource, declaration)
+            && !declarations.contains_key(&needed)
         {
-            let problem = format!("service `{service}` is not declared");
-            checker.add("service", &problem, SERVICE_ALLOWED);
+            let (kind, name) = (needed.kind(), needed.name());
+            let problem = format!("{kind} `{name}` is not declared");
+            let allowed = match needed {
+                Resource::Operator(_) => OPERATOR_ALLOWED,
+                _ => SERVICE_ALLOWED,
+            };
+            checker.add(kind, &problem, allowed);
         }
         if let Declaration::Route(route) = declaration.as_ref() {
             // `/orders` and `/orders/` take the same requests.
@@ -174,15 +180,14 @@
     declarations.len() > MAX_DECLARATIONS || bytes > MAX_CONFIG_BYTES
 }
 
-/// Returns the service that a declaration cannot stand without.
-pub fn service_of<'a>(
-    resource: &'a Resource,
-    declaration: &'a Declaration,
-) -> Option<&'a ServiceName> {
+/// Returns the resource that a declaration cannot stand without: the service of a route, limit or
+/// objective, the operator of a rule.
+pub fn needed_by(resource: &Resource, declaration: &Declaration) -> Option<Resource> {
     match (resource, declaration) {
-        (_, Declaration::Route(route)) => Some(&route.service),
-        (_, Declaration::Limit(limit)) => Some(&limit.service),
-        (Resource::Objective(service), _) => Some(service),
+        (_, Declaration::Route(route)) => Some(Resource::Service(route.service.clone())),
+        (_, Declaration::Limit(limit)) => Some(Resource::Service(limit.service.clone())),
+        (_, Declaration::Rule(rule)) => Some(Resource::Operator(rule.operator.clone())),
+        (Resource::Objective(service), _) => Some(Resource::Service(service.clone())),
         _ => None,
     }
 }
--- a/crates/marigold-config/src/intent.rs
+++ b/crates/marigold-config/src/intent.rs
@@ -6,7 +6,7 @@
 use marigold_ini::{Document, Faults, Section};
 use marigold_types::Version;
 
-use crate::check::{check_declaration, check_whole};
+use crate::check::{check_declaration, check_whole, needed_by};
 use crate::{Config, Declaration, Invalid, Resource};
 
 mod sections;
@@ -52,7 +52,7 @@
 
         // What stands between sections.
         let mut whole = check_whole(&declarations);
-        whole.retain(|invalid| !is_broken_service(invalid, &declarations, &places));
+        whole.retain(|invalid| !follows_from_another(invalid, &declarations, &places));
         report(&whole, &places, &mut faults);
 
         faults.into_result(Self { declarations })
@@ -71,20 +71,18 @@
     }
 }
 
-/// Returns whether a fault only follows from a service's section being at fault itself.
-fn is_broken_service(
+/// Returns whether a fault only follows from the section of what is needed being at fault itself.
+fn follows_from_another(
     invalid: &Invalid,
     declarations: &BTreeMap<Resource, Arc<Declaration>>,
     places: &BTreeMap<Resource, &Section>,
 ) -> bool {
-    let service = declarations
-        .get(&invalid.resource)
-        .and_then(|declaration| crate::check::service_of(&invalid.resource, declaration));
-    let stands = service.is_some_and(|service| {
-        let service = Resource::Service(service.clone());
-        places.contains_key(&service) && !declarations.contains_key(&service)
-    });
-    stands && &*invalid.field == "service"
+    let declaration = declarations.get(&invalid.resource);
+    let needed = declaration.and_then(|declaration| needed_by(&invalid.resource, declaration));
+    needed.is_some_and(|needed| {
+        let broken = places.contains_key(&needed) && !declarations.contains_key(&needed);
+        broken && *invalid.field == *needed.kind()
+    })
 }
 
 /// Turns faults of declarations into faults of the file.
--- a/crates/marigold-config/src/lib.rs
+++ b/crates/marigold-config/src/lib.rs
@@ -11,6 +11,7 @@
 mod decision;
 mod declaration;
 mod delta;
+mod grant;
 mod history;
 mod intent;
 mod invalid;
--- a/crates/marigold-config/src/plan.rs
+++ b/crates/marigold-config/src/plan.rs
@@ -5,8 +5,8 @@
 use marigold_types::{Digest, OperatorName, RecordTime, Version};
 use serde::{Deserialize, Serialize};
 
-use crate::check::{MAX_DECLARATIONS, service_of};
-use crate::{Change, Config, Declaration, PlanId, Resource};
+use crate::check::{MAX_DECLARATIONS, needed_by};
+use crate::{Change, Config, PlanId, Resource};
 
 /// The content that a plan was made against, for one resource.
 #[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
@@ -106,12 +106,7 @@
     let mut set = BTreeSet::new();
     for change in changes {
         let after = change.after.as_ref();
-        if let Some(service) = after.and_then(|after| service_of(&change.resource, after)) {
-            set.insert(Resource::Service(service.clone()));
-        }
-        if let Some(Declaration::Rule(rule)) = after {
-            set.insert(Resource::Operator(rule.operator.clone()));
-        }
+        set.extend(after.and_then(|after| needed_by(&change.resource, after)));
         set.insert(change.resource.clone());
     }
     set
--- a/crates/marigold-config/tests/intent.rs
+++ b/crates/marigold-config/tests/intent.rs
@@ -65,6 +65,7 @@
     short_key: "[operator b]\nkey = 00\n" => "64 hexadecimal digits";
     wrong_pattern: "[rule b]\noperator = ann\nresources = routes:*\n" => "not a valid resource pattern";
     wrong_window: "[rule b]\noperator = ann\nresources = *\nwindow = mon 25:00-26:00\n" => "not a valid time window";
+    rule_for_nobody: "[rule b]\noperator = nobody\nresources = *\n" => "mesh.ini:31: [rule b] operator: operator `nobody` is not declared";
     zero_rate: "[limit b]\nservice = dispatch-desk\nrate = 0/s\n" => "out of range";
 }
 
@@ -100,6 +101,13 @@
     assert_eq!(faults.list().len(), 5, "{faults}");
 }
 
+#[test]
+fn broken_operator_is_named_once() {
+    let text = "[operator a]\n[rule r]\noperator = a\nresources = *\n";
+    let faults = Intent::parse("mesh.ini", text).unwrap_err();
+    assert_eq!(faults.list().len(), 1, "{faults}");
+}
+
 #[test]
 fn broken_service_is_named_once() {
     let text = "[service a]\nslots = many\n[route r]\npath = /r\nservice = a\n";
