--- a/crates/marigoldctl/src/cli.rs
+++ b/crates/marigoldctl/src/cli.rs
@@ -83,7 +83,11 @@
         plan: PlanId,
     },
     /// Show who holds which version; the exit code tells whether the mesh has converged.
-    Status,
+    Status {
+        /// Show only the daemons that do not hold the latest version.
+        #[arg(long)]
+        lagging: bool,
+    },
     /// Show the last confirmations and what became of them.
     History,
     /// Show how an intent differs from the configuration in force; the exit code tells whether.
--- a/crates/marigoldctl/src/commands.rs
+++ b/crates/marigoldctl/src/commands.rs
@@ -41,7 +41,7 @@
             timeout,
         } => confirm::run(&client(arguments)?, *plan, wait.then_some(*timeout), json),
         Command::Show { plan } => show::run(&client(arguments)?, *plan, json),
-        Command::Status => status::run(&client(arguments)?, json),
+        Command::Status { lagging } => status::run(&client(arguments)?, *lagging, json),
         Command::History => history::run(&client(arguments)?, json),
         Command::Diff { file } => diff::run(&client(arguments)?, file, json),
         Command::Drain => drain::run(&client(arguments)?, json),
--- a/crates/marigoldctl/src/commands/status.rs
+++ b/crates/marigoldctl/src/commands/status.rs
@@ -15,16 +15,28 @@
 }
 
 /// Prints who holds which version.
-pub fn run(client: &Client, json: bool) -> Result<Outcome, CtlError> {
+pub fn run(client: &Client, lagging: bool, json: bool) -> Result<Outcome, CtlError> {
     let status: Status = client.get("/v1/status")?.body;
     let converged = status.is_converged();
+    let (all, holding) = (status.daemons.len(), status.count_holding(status.latest));
+    let mut shown = status;
+    shown
+        .daemons
+        .retain(|row| !lagging || row.version < shown.latest);
     if json {
         print_json(&Report {
             converged,
-            status: &status,
+            status: &shown,
         })?;
     } else {
-        print_status(&status);
+        print_status(&shown);
+        let verdict = if converged {
+            "converged"
+        } else {
+            "not converged"
+        };
+        let latest = shown.latest;
+        say!("{verdict}: {holding} of {all} daemons hold version {latest}");
     }
     Ok(if converged {
         Outcome::Done
@@ -57,17 +69,6 @@
             );
         }
     }
-    let all = status.daemons.len();
-    let holding = status.count_holding(status.latest);
-    let verdict = if status.is_converged() {
-        "converged"
-    } else {
-        "not converged"
-    };
-    say!(
-        "{verdict}: {holding} of {all} daemons hold version {}",
-        status.latest
-    );
 }
 
 fn cells(row: &DaemonRow) -> [String; 7] {
--- a/crates/marigoldctl/tests/commands.rs
+++ b/crates/marigoldctl/tests/commands.rs
@@ -147,6 +147,9 @@
             .out
             .contains("not converged: 1 of 2 daemons hold version 3")
     );
+    let lagging = json(&bench.run(&["--json", "status", "--lagging"]).out);
+    assert_eq!(lagging["daemons"].as_array().unwrap().len(), 1);
+    assert_eq!(lagging["daemons"][0]["version"], 2);
     let status = json(&bench.run(&["--json", "status"]).out);
     assert_eq!(
         (&status["converged"], &status["latest"]),
--- a/crates/marigoldd/src/admin/log_session.rs
+++ b/crates/marigoldd/src/admin/log_session.rs
@@ -4,8 +4,8 @@
 use std::time::Duration;
 
 use marigold_config::{
-    Config, Confirmation, Decided, Decision, LogReader, PlanId, Reason, Record, SignedConfirm,
-    SignedPlan, State, Trust, Verdict,
+    Confirmation, Decided, Decision, LogReader, PlanId, Reason, Record, SignedConfirm, SignedPlan,
+    State, Trust, Verdict,
 };
 use marigold_log::{LogFailure, PlatformLog, StreamName};
 use marigold_types::{LogOffset, RecordTime};
@@ -144,11 +144,6 @@
         append.run(&mut reader, "confirm", find).await
     }
 
-    /// Tells the reader of a configuration that the daemon holds, so that it never shows less.
-    pub async fn hold(&self, config: &Arc<Config>) {
-        self.reader.lock().await.hold(config);
-    }
-
     async fn lock(
         &self,
         step: &'static str,
