--- a/crates/marigold-control/src/message.rs
+++ b/crates/marigold-control/src/message.rs
@@ -8,7 +8,7 @@
 use crate::{Mark, Member, Summary};
 
 /// The longest message that is decoded, in bytes.
-pub const MAX_MESSAGE_BYTES: usize = 4 << 20;
+pub const MAX_MESSAGE_BYTES: usize = 2 << 20;
 /// The most members that one message carries.
 pub const MAX_MEMBERS: usize = 512;
 /// The most data centres that a member may call unreachable.
--- a/crates/marigold-control/tests/common/mod.rs
+++ b/crates/marigold-control/tests/common/mod.rs
@@ -65,7 +65,6 @@
 
     pub fn restart(&mut self, address: Address) {
         self.mesh.restart(address);
-        self.announce(address, "desk", true);
     }
 
     pub fn announce(&mut self, address: Address, name: &str, healthy: bool) {
--- a/crates/marigold-scenarios/src/control/mesh.rs
+++ b/crates/marigold-scenarios/src/control/mesh.rs
@@ -136,17 +136,12 @@
         }
     }
 
-    /// Starts the daemon at `address` again, in its data centre.
+    /// Starts the daemon at `address` again; its backend server announces itself as before.
     pub fn restart(&mut self, address: Address) {
         let node = &self.nodes[&address];
         let (data_centre, region) = (node.data_centre.clone(), node.region.clone());
+        let announced = node.announced.clone();
         self.start(address, &data_centre, &region);
-    }
-
-    /// Starts the daemon at `address` again; its backend server announces itself as before.
-    pub fn restart_announced(&mut self, address: Address) {
-        let announced = self.nodes[&address].announced.clone();
-        self.restart(address);
         if let Some(announced) = announced {
             self.handle(address, &announced);
         }
--- a/crates/marigold-scenarios/src/control/runner.rs
+++ b/crates/marigold-scenarios/src/control/runner.rs
@@ -306,7 +306,7 @@
             } => self.announce(names, service, *healthy),
             C::Drain { names } => self.each(names, |mesh, at| mesh.handle(at, &Event::Draining)),
             C::Crash { names } => self.each(names, Mesh::crash),
-            C::Restart { names } => self.each(names, Mesh::restart_announced),
+            C::Restart { names } => self.each(names, Mesh::restart),
             C::Pause { names } => self.each(names, Mesh::pause),
             C::Resume { names } => self.each(names, Mesh::resume),
             C::Cut { centres } => {
