Reach a data centre without the log within the target in both profiles

Cause: with few bytes favoured, followers probed the other data centres each 15 s; a data centre whose followers cannot reach the log learns of a version only that way, and one change in the new test took more than 11 s.

Change: the other data centres are probed each 5 s at the least, whatever the profile.

Tests: data_centre_without_the_log in both profiles (red for few bytes without the change; a first form with three data centres did not show it, since the others' probes came often enough).

--- a/crates/marigold-control/src/controllers/remote.rs
+++ b/crates/marigold-control/src/controllers/remote.rs
@@ -1,6 +1,7 @@
 //! Keeps in touch with the other data centres.
 
 use std::collections::BTreeMap;
+use std::time::Duration;
 
 use marigold_types::{Address, DataCentre};
 use rand::RngExt;
@@ -12,6 +13,9 @@
 use crate::controllers::gossip::remote_links;
 use crate::{Board, Event, Message, Outbox};
 
+/// A data centre is probed at least so often, also where bytes are favoured: it may be the only way
+/// to a new version when this data centre's followers cannot reach the log.
+const MAX_PERIOD: Duration = Duration::from_secs(5);
 /// A data centre is held unreachable after so many intervals without a sign from it.
 const MISSED_ROUNDS: u32 = 3;
 
@@ -75,7 +79,7 @@
     }
 
     fn probe(&mut self, board: &mut Board, name: &DataCentre, now: Instant, out: &mut Outbox) {
-        let period = board.options.compare;
+        let period = board.options.compare.min(MAX_PERIOD);
         let spread = period.mul_f64(self.rng.random_range(0.8..1.2));
         let link = self.links.entry(name.clone()).or_insert(Link {
             heard: now,
--- a/crates/marigold-control/tests/configuration.rs
+++ b/crates/marigold-control/tests/configuration.rs
@@ -360,3 +360,45 @@
         assert_eq!(board.config, held);
     }
 }
+
+macro_rules! blind_data_centre_follows_the_others {
+    ($($name:ident: $options:expr;)*) => {$(
+        #[test]
+        fn $name() {
+            let mut fixture = Fixture::new($options, &[12, 12], 18);
+            fixture.publish_route(1);
+            fixture.mesh.advance(30 * SECOND);
+            fixture.mesh.blind = ["dc1".parse().expect("a name")].into();
+            for number in 2..12 {
+                let version = fixture.publish_route(number);
+                fixture.mesh.advance(11 * SECOND);
+                assert_eq!(fixture.versions(), BTreeSet::from([version]));
+            }
+        }
+    )*};
+}
+
+blind_data_centre_follows_the_others! {
+    data_centre_without_the_log_in_time: ControlOptions::time();
+    data_centre_without_the_log_in_few_bytes: ControlOptions::bytes();
+}
+
+#[test]
+fn operators_learn_of_a_lone_data_centre_that_reaches_the_log() {
+    let mut fixture = Fixture::new(ControlOptions::time(), &[8, 8, 8], 19);
+    fixture.publish_route(1);
+    fixture.mesh.advance(10 * SECOND);
+    let blind = ["dc0", "dc2"].map(|name| name.parse().expect("a name"));
+    fixture.mesh.blind = blind.into();
+    let version = fixture.publish_route(2);
+    fixture.mesh.advance(11 * SECOND);
+    assert_eq!(fixture.versions(), BTreeSet::from([version]));
+    fixture.mesh.advance(5 * SECOND);
+    let status = fixture.mesh.plane(address(0, 5)).status(fixture.mesh.now);
+    assert!(
+        status
+            .members
+            .iter()
+            .all(|member| member.held == Some(version))
+    );
+}
--- a/crates/marigold-scenarios/src/control/fake_log.rs
+++ b/crates/marigold-scenarios/src/control/fake_log.rs
@@ -87,7 +87,8 @@
     }
 }
 
-fn unavailable(step: &'static str) -> LogError {
+/// Returns the error of a log that cannot be reached.
+pub fn unavailable(step: &'static str) -> LogError {
     let reason = Arc::from("the log is down");
     failed(step, LogFailure::Unavailable { reason })
 }
--- a/crates/marigold-scenarios/src/control/mesh.rs
+++ b/crates/marigold-scenarios/src/control/mesh.rs
@@ -13,6 +13,7 @@
 use tokio::time::Instant;
 
 use super::FakeLog;
+use super::fake_log::unavailable;
 
 /// How often each control plane hears that time has passed.
 const TICK: Duration = Duration::from_millis(100);
@@ -55,6 +56,8 @@
     pub seeds: Vec<Address>,
     /// The data centres that are cut off from all others, each group by itself.
     pub cut: Vec<BTreeSet<DataCentre>>,
+    /// The data centres from which the log cannot be reached.
+    pub blind: BTreeSet<DataCentre>,
     /// The daemons that a broken switch cuts off from all others, each group by itself.
     pub split: Vec<BTreeSet<Address>>,
     /// Of a million messages, how many are lost.
@@ -87,6 +90,7 @@
             seeds: Vec::new(),
             cut: Vec::new(),
             split: Vec::new(),
+            blind: BTreeSet::new(),
             loss: 0,
             deaf: BTreeMap::new(),
             refuses: true,
@@ -243,11 +247,19 @@
                 from: offset,
                 limit,
             } => {
-                let result = self.log.read(stream, offset, limit);
+                let result = if self.is_blind(from) {
+                    Err(unavailable("read"))
+                } else {
+                    self.log.read(stream, offset, limit)
+                };
                 self.post(from, Parcel::Event(Event::LogRead { stream, result }));
             }
             Action::AppendLog { stream, data } => {
-                let result = self.log.append(stream, data, time);
+                let result = if self.is_blind(from) {
+                    Err(unavailable("append"))
+                } else {
+                    self.log.append(stream, data, time)
+                };
                 self.post(from, Parcel::Event(Event::LogAppended { stream, result }));
             }
         }
@@ -260,6 +272,11 @@
         self.queue.insert(key, (to, parcel));
     }
 
+    fn is_blind(&self, address: Address) -> bool {
+        let node = self.nodes.get(&address);
+        node.is_some_and(|node| self.blind.contains(&node.data_centre))
+    }
+
     fn is_lost(&mut self, from: Address, to: Address) -> bool {
         let group = |address: Address| {
             let centre = self.nodes.get(&address).map(|node| &node.data_centre);
