--- a/crates/marigoldd/src/caller.rs
+++ b/crates/marigoldd/src/caller.rs
@@ -15,15 +15,16 @@
 mod ingress;
 mod key_desk;
 mod keyed;
+mod limit_exchange;
 mod meters;
 mod peer_body;
 mod remote_call;
 mod replay_body;
-mod route;
 
 pub use decisions::Decisions;
 pub use guarded_io::GuardedIo;
 pub use http_server::serve;
 pub use ingress::Ingress;
 pub use key_desk::{KEYS_PATH, KeyDesk};
+pub use limit_exchange::share_limits;
 pub use meters::CallMeters;
