--- a/crates/marigoldd/src/caller/ingress.rs
+++ b/crates/marigoldd/src/caller/ingress.rs
@@ -24,7 +24,9 @@
 use super::replay_body::{AttemptBody, ReplayBody};
 use super::response::{self, CallerBody};
 use crate::Shared;
-use crate::executor::{Answer, AnswerBody, InFlight, LocalExecutor, RETRY_DELAY, Ran, Witnesses};
+use crate::executor::{
+    Answer, AnswerBody, CRASH_STEP, InFlight, LocalExecutor, RETRY_DELAY, Ran, Witnesses,
+};
 use crate::peer::QuicPeers;
 
 /// What every request of an ingress needs.
@@ -236,6 +238,11 @@
                 Ran::Unknown(_) => (Outcome::Unknown, None),
             };
             record.finish(outcome, refusal.map(|refusal| refusal.reason));
+            let crashed = matches!(&attempted.ran, Ran::Unknown(step) if **step == *CRASH_STEP);
+            let ran = conclude(last.take(), attempted.ran);
+            if crashed || !call.body.is_replayable() {
+                return Ended::early(ran);
+            }
             let decision = self.decisions.decide(&Attempt {
                 number,
                 inherited,
@@ -245,8 +252,7 @@
                 keyed: false,
                 left: call.deadline.left(Instant::now()),
             });
-            let ran = conclude(last.take(), attempted.ran);
-            if decision == Decision::GiveUp || !call.body.is_replayable() {
+            if decision == Decision::GiveUp {
                 return Ended::early(ran);
             }
             tried.push(address);
--- a/crates/marigoldd/src/daemon.rs
+++ b/crates/marigoldd/src/daemon.rs
@@ -220,7 +220,6 @@
     /// Ends without a word, as a process that dies; for tests and stand-ins.
     pub fn abort(&self) {
         self.stop.cancel();
-        // The peers are gone for good either way.
         self.peers.abort();
     }
 
