Leave the witness time for its word when an executor stays silent

Cause: an attempt at the key's executor might use the whole deadline, so that nothing was left for the seal, and a request that had never started was told as unknown. Change: the attempt leaves a quarter of the time, a second at most; the reason of an unknown says which of executor and witness gave no word.

--- a/crates/marigold-request/src/deadline.rs
+++ b/crates/marigold-request/src/deadline.rs
@@ -40,6 +40,14 @@
         Interval::from_millis(u64::try_from(left).unwrap_or(u64::MAX))
     }
 
+    /// Returns the deadline of a step that must leave time for one more after it: a quarter of what
+    /// is left at `now`, and never more than `most`.
+    #[must_use]
+    pub fn before(self, most: Duration, now: Instant) -> Self {
+        let left = self.0.saturating_duration_since(now);
+        Self(self.0 - most.min(left / 4))
+    }
+
     /// Returns whether less than a millisecond is left.
     #[must_use]
     pub fn has_passed(self, now: Instant) -> bool {
--- a/crates/marigold-request/tests/deadlines.rs
+++ b/crates/marigold-request/tests/deadlines.rs
@@ -57,3 +57,16 @@
 fn reads_header() {
     assert_eq!(Deadline::parse_header(" 250 ").unwrap(), interval(250));
 }
+
+#[test]
+fn step_leaves_time_for_the_next() {
+    let now = Instant::now();
+    let left = |left, most| {
+        let deadline = Deadline::after(interval(left), now);
+        deadline.before(ms(most), now).left(now)
+    };
+    assert_eq!(left(4_000, 1_000), interval(3_000));
+    assert_eq!(left(400, 1_000), interval(300));
+    assert_eq!(left(40_000, 1_000), interval(39_000));
+    assert_eq!(left(0, 1_000), interval(0));
+}
--- a/crates/marigoldd/src/caller/keyed.rs
+++ b/crates/marigoldd/src/caller/keyed.rs
@@ -5,7 +5,7 @@
 
 use marigold_control::View;
 use marigold_request::once::{KeyError, RequestKey, Resolution, Word};
-use marigold_request::{Refusal, RefusalReason, WitnessRequest};
+use marigold_request::{Refusal, RefusalReason, WitnessAnswer, WitnessRequest};
 use marigold_types::Outcome;
 use tokio::time::Instant;
 
@@ -32,7 +32,12 @@
         });
         self.meters.count_attempt(0);
         let body = call.body.attempt();
+        // An executor that says nothing must leave the witness time for its word.
+        let last = call.deadline;
+        call.deadline = last.before(SEAL_TIMEOUT, Instant::now());
+        call.head.left = call.deadline.left(Instant::now());
         let attempted = self.attempt(address, &mut call, body).await;
+        call.deadline = last;
         if let Some(record) = &mut record {
             record.load = attempted.load;
         }
@@ -84,23 +89,32 @@
 
     /// Says the last word, after the witness where the executor gave none.
     async fn resolve(&self, call: &Call, key: &RequestKey, word: Word, ran: Ran) -> Ran {
-        let resolution = match Resolution::of_word(word) {
-            Resolution::AskWitness(reason) => {
-                let text = call.head.key.clone().unwrap_or_default();
-                let request = WitnessRequest::Seal { key: text };
-                let until = call.deadline.0.min(Instant::now() + SEAL_TIMEOUT);
-                let witness = key.witness.address;
-                let answer = self.witnesses.ask(witness, request, until).await;
-                Resolution::of_seal(answer.as_ref(), reason)
-            }
-            other => other,
+        let reason = match Resolution::of_word(word) {
+            Resolution::AskWitness(reason) => reason,
+            Resolution::NotRun(refusal) => return Ran::NotRun(refusal),
+            Resolution::Answered | Resolution::Unknown => return ran,
         };
-        match resolution {
-            Resolution::NotRun(refusal) => Ran::NotRun(refusal),
-            _ => match ran {
-                Ran::Unknown(step) => Ran::Unknown(step),
-                _ => Ran::unknown("the executor of the key gave no word"),
-            },
+        let text = call.head.key.clone().unwrap_or_default();
+        let request = WitnessRequest::Seal { key: text };
+        let until = call.deadline.0.min(Instant::now() + SEAL_TIMEOUT);
+        let answer = self
+            .witnesses
+            .ask(key.witness.address, request, until)
+            .await;
+        match (Resolution::of_seal(answer.as_ref(), reason), ran) {
+            (Resolution::NotRun(refusal), _) => Ran::NotRun(refusal),
+            (_, Ran::Unknown(step)) => Ran::Unknown(step),
+            _ => Ran::unknown(doubt_of(answer.as_ref())),
         }
     }
 }
+
+/// Says why it is not known whether the request of an unreachable executor ran.
+fn doubt_of(answer: Option<&WitnessAnswer>) -> &'static str {
+    match answer {
+        Some(WitnessAnswer::MayHaveRun) => "the executor of the key is gone and had begun",
+        Some(WitnessAnswer::Expired) => "the executor of the key is gone and the key has expired",
+        Some(_) => "the executor and the witness of the key are gone",
+        None => "neither the executor nor the witness of the key gave a word",
+    }
+}
--- a/crates/marigoldd/tests/once.rs
+++ b/crates/marigoldd/tests/once.rs
@@ -5,6 +5,7 @@
 use std::net::SocketAddr;
 use std::sync::atomic::Ordering;
 
+use marigold_types::Interval;
 use support::mesh::SERVICE;
 use support::{Backend, Mesh, Reply, http};
 
@@ -169,6 +170,28 @@
     assert_eq!(one.total() + two.total(), 0);
 }
 
+#[tokio::test]
+async fn executor_that_stays_silent_leaves_time_for_the_seal() {
+    let (one, two) = (Backend::start().await, Backend::start().await);
+    let mut mesh = Mesh::new();
+    // The silence is noticed only after the deadline.
+    mesh.settings.request.silence = Interval::from_millis(30_000);
+    mesh.add_all(&[&one, &two], 1).await;
+    let to = mesh.daemons[2].caller;
+    let key = key(to).await;
+    // A connection that carried an answer is there when the daemon dies.
+    let mut first = http(to, "GET", "/read/a", &[], "").await.unwrap();
+    for _ in 0..20 {
+        first = http(to, "GET", "/read/a", &[], "").await.unwrap();
+    }
+    assert_eq!(first.outcome(), "answered");
+    mesh.daemons[executor(&mesh, &key)].kill();
+    let headers = [("idempotency-key", &*key), ("marigold-deadline-ms", "4000")];
+    let reply = http(to, "POST", "/write/x", &headers, "six").await.unwrap();
+    assert_eq!(reply.outcome(), "not-run", "{reply:?}");
+    assert_eq!(one.runs("six") + two.runs("six"), 0);
+}
+
 #[tokio::test]
 async fn executor_that_dies_during_the_run_is_unknown() {
     let (one, two, mesh) = pair().await;
