--- a/crates/marigoldctl/src/clock.rs
+++ b/crates/marigoldctl/src/clock.rs
@@ -20,6 +20,12 @@
     RecordTime(time.0.saturating_add(millis))
 }
 
+/// Returns a length of time as operators read it, in whole seconds.
+pub fn display_span(span: Interval) -> String {
+    let seconds = span.duration().as_secs();
+    humantime::format_duration(Duration::from_secs(seconds)).to_string()
+}
+
 /// Returns a time as operators read it, in UTC.
 pub fn display(time: RecordTime) -> String {
     if time.0 > LAST_MILLIS {
--- a/crates/marigoldctl/src/commands/status.rs
+++ b/crates/marigoldctl/src/commands/status.rs
@@ -4,7 +4,7 @@
 use serde::Serialize;
 
 use crate::output::{print_json, say, table};
-use crate::{Client, CtlError, Outcome};
+use crate::{Client, CtlError, Outcome, clock};
 
 /// The status, as JSON.
 #[derive(Serialize)]
@@ -83,6 +83,6 @@
         row.state.to_string(),
         row.version.to_string(),
         row.lag.to_string(),
-        row.since.to_string(),
+        clock::display_span(row.since),
     ]
 }
