--- a/crates/marigold-config/tests/reader.rs
+++ b/crates/marigold-config/tests/reader.rs
@@ -399,3 +399,21 @@
     assert!(reader.is_caught_up());
     assert_eq!(reader.config(), held);
 }
+
+/// The confirmation of the version held is still in the log: restoring does not judge it again.
+#[test]
+fn restored_version_is_not_judged_again() {
+    let mut mesh = Mesh::started();
+    let intent = mesh.base_intent("[route late]\npath = /late\nservice = desk\n");
+    let plan = mesh.plan(&mesh.ann, &mesh.config(), &intent);
+    let place = mesh.confirm(&plan);
+    let held = mesh.reader(100).config();
+    mesh.earliest = place.0;
+    let mut reader = mesh.reader(100);
+    assert!(reader.is_lost());
+    reader.hold(&held);
+    mesh.append(reader.to_restoration().unwrap().to_string());
+    mesh.read(&mut reader, 10);
+    assert_eq!(*reader.state().config(), *held);
+    assert_eq!(reader.state().find_verdict(&plan.plan.id()), None);
+}
