Let a returning herd find the mesh sooner, and stagger its reads of the log

Cause: at 400 daemons it took 7 s until half a data centre served again: a daemon that got only the table of one as new as itself waited its whole round; and all of a herd would have read the members stream at one moment.

Change: such a daemon asks again within a second; each draws its own time, between 2 s and 6 s after its start, from which it reads the log as well.

--- a/crates/marigold-control/src/controllers/join.rs
+++ b/crates/marigold-control/src/controllers/join.rs
@@ -1,5 +1,6 @@
 //! Finds the mesh after a start.
 
+use std::ops::Range;
 use std::time::Duration;
 
 use marigold_log::{Batch, LogError, LogFailure, StreamName};
@@ -20,8 +21,9 @@
 const RETRY: Duration = Duration::from_millis(250);
 /// The longest wait between two rounds.
 const MAX_WAIT: Duration = Duration::from_secs(5);
-/// After so many rounds without an answer the log's members stream is read, too.
-const ROUNDS_BEFORE_LOG: u32 = 2;
+/// A daemon that has not found the mesh by then reads the log's members stream, too; each draws its
+/// own time, so that a herd whose first members have found it by then does not read as one.
+const LOG_AFTER: Range<Duration> = Duration::from_secs(2)..Duration::from_secs(6);
 /// After so long the table of a daemon that has just started itself is enough.
 const PARTIAL_AFTER: Duration = Duration::from_secs(3);
 /// After so long without an answer a daemon that could read the log holds itself alone.
@@ -49,6 +51,7 @@
     seeds: Vec<Address>,
     candidates: Vec<Address>,
     began: Option<Instant>,
+    log_at: Option<Instant>,
     next: Option<Instant>,
     rounds: u32,
     reading: Reading,
@@ -84,6 +87,7 @@
             seeds,
             candidates: Vec::new(),
             began: None,
+            log_at: None,
             next: None,
             rounds: 0,
             reading: Reading::Unread,
@@ -108,7 +112,9 @@
         if let Some(peer) = known.choose(&mut self.rng) {
             ask(board, *peer, out);
         }
-        if self.rounds > ROUNDS_BEFORE_LOG || known.is_empty() {
+        let log_after = self.rng.random_range(LOG_AFTER);
+        let log_at = *self.log_at.get_or_insert(began + log_after);
+        if now >= log_at || known.is_empty() {
             self.read(out);
         }
         let nobody = known.is_empty() || now.duration_since(began) >= ALONE_AFTER;
@@ -206,6 +212,10 @@
                     let waited = self.began.map(|began| now.duration_since(began));
                     let enough = *joined || waited >= Some(PARTIAL_AFTER);
                     finish(board, from, enough, out);
+                    if !enough {
+                        let spread = self.rng.random_range(0.5..1.0);
+                        self.next = Some(now + PATIENCE.mul_f64(spread));
+                    }
                 }
             }
             Message::Busy {
