--- a/crates/marigold-control/src/status.rs
+++ b/crates/marigold-control/src/status.rs
@@ -1,5 +1,6 @@
 //! What operators are told.
 
+use std::collections::BTreeSet;
 use std::time::Duration;
 
 use marigold_types::{
@@ -69,7 +70,7 @@
     pub service: Option<ServiceName>,
     /// The backend server's slots.
     pub slots: SlotCount,
-    /// What is held of it.
+    /// What is held of it; a member of a data centre that cannot be reached is suspected.
     pub standing: Standing,
     /// Whether its backend server answers its health probes.
     pub healthy: bool,
@@ -89,6 +90,7 @@
     /// Gathers the status from the board.
     #[must_use]
     pub fn new(board: &Board, counters: &Counters, now: Instant) -> Self {
+        let cut = board.cut();
         let members = board.members.iter();
         Self {
             local: board.local.instance,
@@ -100,9 +102,9 @@
             follower: board.topology.is_follower,
             log_read: board.log.fresh.map(|at| to_interval(now - at)),
             newest: board.newest(),
-            data_centres: centres(board),
+            data_centres: centres(board, &cut),
             members: members
-                .map(|entry| member_status(board, entry, now))
+                .map(|entry| member_status(board, &cut, entry, now))
                 .collect(),
             counters: counters.clone(),
             fetch_peak: board.limiter.peak(),
@@ -110,8 +112,7 @@
     }
 }
 
-fn centres(board: &Board) -> Vec<CentreStatus> {
-    let cut = board.cut();
+fn centres(board: &Board, cut: &BTreeSet<DataCentre>) -> Vec<CentreStatus> {
     let newest = board.newest();
     let mut names = board.topology.centres.clone();
     names.insert(board.local.data_centre.clone());
@@ -130,9 +131,20 @@
     names.iter().map(status).collect()
 }
 
-fn member_status(board: &Board, entry: &Entry, now: Instant) -> MemberStatus {
+fn member_status(
+    board: &Board,
+    cut: &BTreeSet<DataCentre>,
+    entry: &Entry,
+    now: Instant,
+) -> MemberStatus {
     let member = &entry.member;
     let followers = board.followers_of(&member.data_centre);
+    let is_cut = cut.contains(&member.data_centre);
+    let standing = if is_cut {
+        member.standing.max(Standing::Suspect)
+    } else {
+        member.standing
+    };
     let (held, since) = held_by(board, entry);
     MemberStatus {
         instance: member.instance,
@@ -140,7 +152,7 @@
         region: member.region.clone(),
         service: member.service.clone(),
         slots: member.slots,
-        standing: member.standing,
+        standing,
         healthy: member.healthy,
         draining: member.draining,
         since: to_interval(now.duration_since(entry.changed)),
