Drop daemons away from the runtime's threads

Cause: the operators' server joins its threads when it is dropped, about 0.6 s each, which held the runtime and made the control part pass its time.

--- a/crates/marigold-standin/src/fleet/node.rs
+++ b/crates/marigold-standin/src/fleet/node.rs
@@ -152,6 +152,11 @@
         }
         if let Some(daemon) = self.daemon.take() {
             daemon.stop().await;
+            // The operators' server ends with a join of its threads, which would hold the runtime.
+            let dropped = tokio::task::spawn_blocking(move || drop(daemon)).await;
+            dropped.map_err(|error| {
+                StandinError::new("stop", &self.settings.daemon.address, &error)
+            })?;
         }
         Ok(())
     }
@@ -160,6 +165,7 @@
     pub fn abort(&mut self) {
         if let Some(daemon) = self.daemon.take() {
             daemon.abort();
+            tokio::task::spawn_blocking(move || drop(daemon));
         }
         if let Some(backend) = &mut self.backend {
             backend.fall_silent();
--- a/crates/marigold-standin/src/measure/bench.rs
+++ b/crates/marigold-standin/src/measure/bench.rs
@@ -46,6 +46,10 @@
     pub fn step(&self, what: &str) {
         self.bar.inc(1);
         self.bar.set_message(what.to_owned());
+        // Without a terminal the bar is not drawn, and the steps are lines.
+        if self.bar.is_hidden() {
+            eprintln!("{:.1} s: {what}", self.bar.elapsed().as_secs_f64());
+        }
     }
 
     /// Starts a mesh under `intent` and waits until every daemon serves it.
