--- a/crates/marigold-control/tests/configuration.rs
+++ b/crates/marigold-control/tests/configuration.rs
@@ -3,6 +3,7 @@
 mod common;
 
 use std::collections::{BTreeMap, BTreeSet};
+use std::sync::Arc;
 
 use common::{Fixture, SECOND, address, set_service};
 use marigold_config::Config;
@@ -331,3 +332,73 @@
     assert_eq!((member.held, status.newest), (Some(first), newer));
     assert!(member.lag.is_some());
 }
+
+#[test]
+fn status_keeps_what_was_known_of_a_silent_daemon() {
+    let mut fixture = Fixture::new(ControlOptions::time(), &[8, 8], 16);
+    let version = fixture.publish_route(1);
+    fixture.mesh.advance(15 * SECOND);
+    fixture.mesh.crash(address(0, 3));
+    fixture.mesh.advance(3 * SECOND);
+    let status = fixture.mesh.plane(address(1, 5)).status(fixture.mesh.now);
+    assert_eq!(status.members.len(), 16);
+    for member in &status.members {
+        assert_eq!(member.held, Some(version), "{}", member.instance);
+    }
+}
+
+#[test]
+fn board_takes_no_older_configuration() {
+    let mut fixture = Fixture::new(ControlOptions::time(), &[3], 17);
+    fixture.publish_route(1);
+    fixture.mesh.advance(5 * SECOND);
+    let mut board = fixture.mesh.plane(address(0, 0)).board().clone();
+    let held = Arc::clone(&board.config);
+    for version in [0, held.version.0 - 1, held.version.0] {
+        let other = held.with(&[set_service("other")], Version(version));
+        assert!(!board.replace_config(Arc::new(other)));
+        assert_eq!(board.config, held);
+    }
+}
+
+macro_rules! blind_data_centre_follows_the_others {
+    ($($name:ident: $options:expr;)*) => {$(
+        #[test]
+        fn $name() {
+            let mut fixture = Fixture::new($options, &[12, 12], 18);
+            fixture.publish_route(1);
+            fixture.mesh.advance(30 * SECOND);
+            fixture.mesh.blind = ["dc1".parse().expect("a name")].into();
+            for number in 2..12 {
+                let version = fixture.publish_route(number);
+                fixture.mesh.advance(11 * SECOND);
+                assert_eq!(fixture.versions(), BTreeSet::from([version]));
+            }
+        }
+    )*};
+}
+
+blind_data_centre_follows_the_others! {
+    data_centre_without_the_log_in_time: ControlOptions::time();
+    data_centre_without_the_log_in_few_bytes: ControlOptions::bytes();
+}
+
+#[test]
+fn operators_learn_of_a_lone_data_centre_that_reaches_the_log() {
+    let mut fixture = Fixture::new(ControlOptions::time(), &[8, 8, 8], 19);
+    fixture.publish_route(1);
+    fixture.mesh.advance(10 * SECOND);
+    let blind = ["dc0", "dc2"].map(|name| name.parse().expect("a name"));
+    fixture.mesh.blind = blind.into();
+    let version = fixture.publish_route(2);
+    fixture.mesh.advance(11 * SECOND);
+    assert_eq!(fixture.versions(), BTreeSet::from([version]));
+    fixture.mesh.advance(5 * SECOND);
+    let status = fixture.mesh.plane(address(0, 5)).status(fixture.mesh.now);
+    assert!(
+        status
+            .members
+            .iter()
+            .all(|member| member.held == Some(version))
+    );
+}
--- a/crates/marigold-scenarios/src/control/runner.rs
+++ b/crates/marigold-scenarios/src/control/runner.rs
@@ -306,7 +306,7 @@
             } => self.announce(names, service, *healthy),
             C::Drain { names } => self.each(names, |mesh, at| mesh.handle(at, &Event::Draining)),
             C::Crash { names } => self.each(names, Mesh::crash),
-            C::Restart { names } => self.each(names, Mesh::restart_announced),
+            C::Restart { names } => self.each(names, Mesh::restart),
             C::Pause { names } => self.each(names, Mesh::pause),
             C::Resume { names } => self.each(names, Mesh::resume),
             C::Cut { centres } => {
@@ -314,8 +314,14 @@
                 self.mesh.cut.push(group.into_iter().collect());
                 Ok(String::new())
             }
+            C::Split { names } => {
+                let group = self.addresses(names)?;
+                self.mesh.split.push(group.into_iter().collect());
+                Ok(String::new())
+            }
             C::Heal => {
                 self.mesh.cut.clear();
+                self.mesh.split.clear();
                 Ok(String::new())
             }
             C::Log { change } => self.change_log(change),
--- a/crates/marigoldd/src/caller/ingress.rs
+++ b/crates/marigoldd/src/caller/ingress.rs
@@ -14,17 +14,19 @@
 
 use super::answer_stream::{AnswerStream, Records, WholeAnswer};
 use super::attempt_record::AttemptRecord;
-use super::call_options::CallOptions;
+use super::call_options::{self, CallOptions};
 use super::call_record::CallRecord;
 use super::decisions::Decisions;
+use super::fields;
 use super::key_desk::{KEYS_PATH, KeyDesk};
 use super::meters::CallMeters;
 use super::remote_call::{Attempted, RemoteCall};
 use super::replay_body::{AttemptBody, ReplayBody};
 use super::response::{self, CallerBody};
-use super::{fields, route};
 use crate::Shared;
-use crate::executor::{Answer, AnswerBody, InFlight, LocalExecutor, RETRY_DELAY, Ran, Witnesses};
+use crate::executor::{
+    Answer, AnswerBody, CRASH_STEP, InFlight, LocalExecutor, RETRY_DELAY, Ran, Witnesses,
+};
 use crate::peer::QuicPeers;
 
 /// What every request of an ingress needs.
@@ -67,18 +69,23 @@
         if let Some(refusal) = refuse_form(&request) {
             return refusal;
         }
+        let key = call_options::key(request.headers());
         let Some(counted) = self.in_flight.start() else {
             let refusal = Refusal::after(RefusalReason::Draining, RETRY_DELAY);
-            return response::not_run(None, refusal, "");
+            return self.refuse_early(key, refusal).await;
         };
         let view = self.shared.view.load_full();
         if !view.serving {
             let refusal = Refusal::after(RefusalReason::NotServing, RETRY_DELAY);
-            return response::not_run(None, refusal, "");
+            return self.refuse_early(key, refusal).await;
         }
         if request.uri().path() == KEYS_PATH {
             return self.keys.handle(self, &view, &request).await;
         }
+        if view.route_for(request.uri().path()).is_none() {
+            let refusal = Refusal::last(RefusalReason::NoRoute);
+            return self.refuse_early(key, refusal).await;
+        }
         let call = match self.read(&view, request, start) {
             Ok(call) => call,
             Err(refusal) => return *refusal,
@@ -94,6 +101,14 @@
         self.serve(&view, call, record).await
     }
 
+    /// Answers a request that is refused before it is read.
+    async fn refuse_early(&self, key: Option<Arc<str>>, refusal: Refusal) -> Response<CallerBody> {
+        match self.refuse(key.as_ref(), refusal).await {
+            Ran::Unknown(step) => response::unknown(RequestId::random(), &step),
+            Ran::NotRun(_) | Ran::Answered(_) => response::not_run(None, refusal, ""),
+        }
+    }
+
     /// Reads the head of a request and finds its route.
     fn read(
         &self,
@@ -119,7 +134,7 @@
                 &detail,
             )));
         }
-        let Some((name, route)) = route::find(view, parts.uri.path()) else {
+        let Some((name, route)) = view.route_for(parts.uri.path()) else {
             let refusal = Refusal::last(RefusalReason::NoRoute);
             return Err(Box::new(response::not_run(None, refusal, "")));
         };
@@ -152,16 +167,21 @@
 
     async fn serve(&self, view: &View, call: Call, record: CallRecord) -> Response<CallerBody> {
         let (id, deadline, body) = (call.head.id, call.deadline, call.body.clone());
+        let key = call.head.key.clone();
         let allowed = self
             .decisions
             .allow(&call.head.service, call.head.caller.as_ref());
         let ended = match allowed {
-            Err(refusal) => Ended::early(Ran::NotRun(refusal)),
+            Err(refusal) => Ended::early(self.refuse(call.head.key.as_ref(), refusal).await),
             Ok(()) if call.head.key.is_some() => match self.run_keyed(view, call).await {
                 Ok(ended) => ended,
                 Err(error) => {
-                    record.finish(Outcome::NotRun, Some(RefusalReason::KeyInvalid));
                     let refusal = Refusal::last(RefusalReason::KeyInvalid);
+                    if let Ran::Unknown(step) = self.refuse(key.as_ref(), refusal).await {
+                        record.finish(Outcome::Unknown, None);
+                        return response::unknown(id, &step);
+                    }
+                    record.finish(Outcome::NotRun, Some(RefusalReason::KeyInvalid));
                     return response::not_run(Some(id), refusal, &error.to_string());
                 }
             },
@@ -218,6 +238,11 @@
                 Ran::Unknown(_) => (Outcome::Unknown, None),
             };
             record.finish(outcome, refusal.map(|refusal| refusal.reason));
+            let crashed = matches!(&attempted.ran, Ran::Unknown(step) if **step == *CRASH_STEP);
+            let ran = conclude(last.take(), attempted.ran);
+            if crashed || !call.body.is_replayable() {
+                return Ended::early(ran);
+            }
             let decision = self.decisions.decide(&Attempt {
                 number,
                 inherited,
@@ -227,8 +252,7 @@
                 keyed: false,
                 left: call.deadline.left(Instant::now()),
             });
-            let ran = conclude(last.take(), attempted.ran);
-            if decision == Decision::GiveUp || !call.body.is_replayable() {
+            if decision == Decision::GiveUp {
                 return Ended::early(ran);
             }
             tried.push(address);
