Tell the runs of a backend server's lives apart

Cause: the late end of a run that a crash had ended already was taken for the end of another run of the same request, so that a second crash could miss it.

Change: Quarantine::started returns a Run that its end names; the daemon's watch and the scenarios hand it back. A test brings it about.

--- a/crates/marigold-request/src/quarantine.rs
+++ b/crates/marigold-request/src/quarantine.rs
@@ -2,8 +2,10 @@
 
 mod fingerprint;
 mod guard;
+mod run;
 mod sentence;
 
 pub use fingerprint::Fingerprint;
 pub use guard::{Quarantine, Standing};
+pub use run::Run;
 pub use sentence::{Crash, Sentence};
--- a/crates/marigold-request/src/quarantine/guard.rs
+++ b/crates/marigold-request/src/quarantine/guard.rs
@@ -6,7 +6,7 @@
 use marigold_types::{InstanceId, Interval};
 use tokio::time::Instant;
 
-use crate::quarantine::{Crash, Fingerprint, Sentence};
+use crate::quarantine::{Crash, Fingerprint, Run, Sentence};
 use crate::{Refusal, RefusalReason};
 
 /// The most requests that are remembered.
@@ -91,28 +91,37 @@
     }
 
     /// Counts a request that is handed to the backend server.
-    pub fn started(&mut self, print: Fingerprint) {
+    #[must_use]
+    pub fn started(&mut self, print: Fingerprint) -> Run {
         *self.running.entry(print).or_default() += 1;
+        Run {
+            fingerprint: print,
+            crashes: self.crashes,
+        }
     }
 
     /// Counts a request that the backend server has answered, which clears it of its crashes.
-    pub fn answered(&mut self, print: &Fingerprint, now: Instant) {
-        self.ended(print);
+    pub fn answered(&mut self, run: Run, now: Instant) {
+        self.ended(run);
         self.expire(now);
-        if let Some(entry) = self.entries.get_mut(print)
+        if let Some(entry) = self.entries.get_mut(&run.fingerprint)
             && entry.sentence.is_suspect()
         {
             entry.sentence.cleared = true;
-            self.tell(*print);
+            self.tell(run.fingerprint);
         }
     }
 
     /// Counts a request that ended without an answer and without a crash.
-    pub fn ended(&mut self, print: &Fingerprint) {
-        if let Some(count) = self.running.get_mut(print) {
+    pub fn ended(&mut self, run: Run) {
+        // The crash has ended the runs of earlier lives already.
+        if run.crashes != self.crashes {
+            return;
+        }
+        if let Some(count) = self.running.get_mut(&run.fingerprint) {
             *count -= 1;
             if *count == 0 {
-                self.running.remove(print);
+                self.running.remove(&run.fingerprint);
             }
         }
     }
--- a/crates/marigold-request/tests/crashing_requests.rs
+++ b/crates/marigold-request/tests/crashing_requests.rs
@@ -42,10 +42,10 @@
                 assert!(refusal.retry_after.is_some());
                 continue;
             }
-            Standing::Free => daemons[at].started(innocent),
+            Standing::Free => drop(daemons[at].started(innocent)),
             Standing::Suspect => {}
         }
-        daemons[at].started(killer);
+        let _ = daemons[at].started(killer);
         daemons[at].crashed(now);
         crashes += 1;
         let news = daemons[at].take_news(now);
@@ -56,8 +56,8 @@
     assert_eq!(crashes, 2);
     // The one beside it at the first crash runs alone and is cleared everywhere.
     assert_eq!(daemons[3].standing(&innocent, now), Standing::Suspect);
-    daemons[3].started(innocent);
-    daemons[3].answered(&innocent, now);
+    let run = daemons[3].started(innocent);
+    daemons[3].answered(run, now);
     let news = daemons[3].take_news(now);
     for daemon in &mut daemons {
         daemon.receive(&news, now);
@@ -74,7 +74,7 @@
     let now = Instant::now();
     let mut daemon = quarantine(1);
     for _ in 0..2 {
-        daemon.started(print(1));
+        let _ = daemon.started(print(1));
         daemon.crashed(now);
     }
     assert!(matches!(
@@ -108,12 +108,12 @@
 fn another_crash_outweighs_a_clearance() {
     let now = Instant::now();
     let mut daemon = quarantine(1);
-    daemon.started(print(1));
+    let _ = daemon.started(print(1));
     daemon.crashed(now);
-    daemon.started(print(1));
-    daemon.answered(&print(1), now);
+    let run = daemon.started(print(1));
+    daemon.answered(run, now);
     assert_eq!(daemon.standing(&print(1), now), Standing::Free);
-    daemon.started(print(1));
+    let _ = daemon.started(print(1));
     daemon.crashed(now);
     assert!(matches!(
         daemon.standing(&print(1), now),
@@ -125,11 +125,9 @@
 fn only_what_was_in_flight_is_suspected() {
     let now = Instant::now();
     let mut daemon = quarantine(1);
-    for number in 1..=3 {
-        daemon.started(print(number));
-    }
-    daemon.ended(&print(1));
-    daemon.answered(&print(2), now);
+    let runs = [1, 2, 3].map(|number| daemon.started(print(number)));
+    daemon.ended(runs[0]);
+    daemon.answered(runs[1], now);
     daemon.crashed(now);
     let standings = [1, 2, 3].map(|number| daemon.standing(&print(number), now));
     assert_eq!(
@@ -143,11 +141,11 @@
     let now = Instant::now();
     let mut daemon = quarantine(1);
     for _ in 0..2 {
-        daemon.started(print(0));
+        let _ = daemon.started(print(0));
         daemon.crashed(now);
     }
     for number in 0..5_000_u128 {
-        daemon.started(Fingerprint((number + 1).to_be_bytes()));
+        let _ = daemon.started(Fingerprint((number + 1).to_be_bytes()));
         daemon.crashed(now + ms(1));
     }
     assert!(daemon.len() <= 1_024, "{}", daemon.len());
@@ -162,7 +160,7 @@
 fn late_news_does_not_extend_a_term() {
     let now = Instant::now();
     let (mut one, mut other) = (quarantine(1), quarantine(2));
-    one.started(print(1));
+    let _ = one.started(print(1));
     one.crashed(now);
     let old = one.take_news(now);
     other.receive(&old, now);
@@ -210,3 +208,18 @@
         assert_eq!(first.crashes, second.crashes, "{news:?}");
     }
 }
+
+#[test]
+fn late_end_of_an_earlier_life_is_not_taken_for_another_run() {
+    let now = Instant::now();
+    let mut daemon = quarantine(1);
+    let first = daemon.started(print(1));
+    daemon.crashed(now);
+    let _ = daemon.started(print(1));
+    daemon.ended(first);
+    daemon.crashed(now);
+    assert!(matches!(
+        daemon.standing(&print(1), now),
+        Standing::Refused(_)
+    ));
+}
--- a/crates/marigold-scenarios/src/request/executor.rs
+++ b/crates/marigold-scenarios/src/request/executor.rs
@@ -35,7 +35,7 @@
             entry: None,
             ticket: None,
             permit: None,
-            is_running: false,
+            run: None,
             request,
         };
         let key = job.request.key.clone();
@@ -169,7 +169,7 @@
     /// Takes in that no answer came.
     pub fn start_late(&mut self, at: NodeId, id: AttemptId) {
         let job = self.nodes[at].jobs.get(&id);
-        if job.is_some_and(|job| !job.is_running) {
+        if job.is_some_and(|job| job.run.is_none()) {
             self.decide_start(at, id, None);
         }
     }
@@ -202,8 +202,7 @@
             }
             return;
         }
-        job.is_running = true;
-        node.quarantine.started(job.print);
+        job.run = Some(node.quarantine.started(job.print));
         node.server
             .running
             .insert(id, Arc::clone(&job.request.name));
@@ -233,14 +232,17 @@
             return;
         }
         node.server.running.remove(&id);
-        let Some(job) = node.jobs.get(&id).filter(|job| job.is_running) else {
+        let Some(job) = node.jobs.get(&id) else {
+            return;
+        };
+        let Some(run) = job.run else {
             return;
         };
         if &*job.request.body == POISON {
             self.crash_server(at);
             return;
         }
-        let (entry, print) = (job.entry, job.print);
+        let entry = job.entry;
         let body: Arc<str> = Arc::from(format!("{} done", job.request.name));
         let (ran, finish) = match node.server.mode {
             Mode::Works => (Ran::Answered(200, Arc::clone(&body)), Some(200)),
@@ -248,8 +250,8 @@
             Mode::Cut => (Ran::Unknown("answer cut off"), None),
         };
         match finish {
-            Some(_) => node.quarantine.answered(&print, now),
-            None => node.quarantine.ended(&print),
+            Some(_) => node.quarantine.answered(run, now),
+            None => node.quarantine.ended(run),
         }
         if let Some(entry) = entry {
             let finish = finish.map_or(Finish::Lost, |status| {
@@ -272,7 +274,7 @@
         let now = self.now;
         let node = &mut self.nodes[at];
         node.quarantine.crashed(now);
-        let running = node.jobs.iter().filter(|(_, job)| job.is_running);
+        let running = node.jobs.iter().filter(|(_, job)| job.run.is_some());
         let ids: Vec<_> = running.map(|(id, _)| *id).collect();
         for id in ids {
             let node = &mut self.nodes[at];
--- a/crates/marigold-scenarios/src/request/node.rs
+++ b/crates/marigold-scenarios/src/request/node.rs
@@ -8,7 +8,7 @@
 use marigold_request::drain::{Drain, Phase};
 use marigold_request::limits::Limiter;
 use marigold_request::once::{EntryKey, ExecutorLimits, ExecutorTable, KeyMint, WitnessTable};
-use marigold_request::quarantine::{Fingerprint, Quarantine};
+use marigold_request::quarantine::{Fingerprint, Quarantine, Run};
 use marigold_request::retry::RetryPolicy;
 use marigold_request::router::Router;
 use marigold_types::{Address, ByteSize, DataCentre, Incarnation, InstanceId, Interval, SlotCount};
@@ -59,8 +59,8 @@
     pub ticket: Option<Ticket>,
     /// Its slot.
     pub permit: Option<Permit>,
-    /// Whether it was handed to the backend server.
-    pub is_running: bool,
+    /// Its run, once it was handed to the backend server.
+    pub run: Option<Run>,
 }
 
 /// A daemon with its backend server.
--- a/crates/marigoldd/src/executor/crash_watch.rs
+++ b/crates/marigoldd/src/executor/crash_watch.rs
@@ -3,7 +3,7 @@
 
 use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
 
-use marigold_request::quarantine::{Fingerprint, Quarantine, Sentence, Standing};
+use marigold_request::quarantine::{Fingerprint, Quarantine, Run, Sentence, Standing};
 use marigold_types::{InstanceId, Interval};
 use tokio::sync::Notify;
 use tokio::time::Instant;
@@ -17,7 +17,7 @@
 /// A request that the backend server runs, until its end is known.
 pub struct Watched {
     watch: Arc<CrashWatch>,
-    print: Fingerprint,
+    run: Run,
     done: bool,
 }
 
@@ -39,10 +39,10 @@
     /// Counts a request that is handed to the backend server.
     #[must_use]
     pub fn start(self: &Arc<Self>, print: Fingerprint) -> Watched {
-        self.lock().started(print);
+        let run = self.lock().started(print);
         Watched {
             watch: self.clone(),
-            print,
+            run,
             done: false,
         }
     }
@@ -82,7 +82,7 @@
     /// Notes that the request was answered, which clears it of its crashes.
     pub fn answered(mut self) {
         self.done = true;
-        self.watch.lock().answered(&self.print, Instant::now());
+        self.watch.lock().answered(self.run, Instant::now());
         self.watch.news.notify_one();
     }
 }
@@ -90,7 +90,7 @@
 impl Drop for Watched {
     fn drop(&mut self) {
         if !self.done {
-            self.watch.lock().ended(&self.print);
+            self.watch.lock().ended(self.run);
         }
     }
 }
