--- a/crates/marigold-scenarios/src/request/mesh.rs
+++ b/crates/marigold-scenarios/src/request/mesh.rs
@@ -136,6 +136,9 @@
 
     /// Starts a daemon again, with nothing kept.
     pub fn restart(&mut self, id: NodeId) {
+        if self.nodes[id].process != Process::Down {
+            self.stop(id);
+        }
         let old = &self.nodes[id];
         let life = old.instance.incarnation.0 + 1;
         let (centre, slots) = (old.data_centre.clone(), old.slots);
