--- a/crates/marigoldd/src/executor/crash_watch.rs
+++ b/crates/marigoldd/src/executor/crash_watch.rs
@@ -1,5 +1,5 @@
 //! Watches which requests are in flight when the backend server crashes. See
-//! docs/design/quarantine.md.
+//! docs/design/crashing-requests.md.
 
 use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
 
