Let the lease of a share grow with its users, and back off from a silent keeper

Cause: a limit that all 3,200 daemons use would have asked its keeper 1,600 times a second, and a silent keeper five times a second from each.

Change: the lease grows by 6 s with each 500 users and is asked again after a third; without a share, questions without an answer double their gap up to two seconds. The keeper found for a limit is kept until the members change.

--- a/crates/marigold-request/src/limits.rs
+++ b/crates/marigold-request/src/limits.rs
@@ -9,6 +9,6 @@
 
 pub use bucket::TokenBucket;
 pub use fraction::MilliRate;
-pub use keeper::Keeper;
+pub use keeper::{Given, Keeper};
 pub use limiter::Limiter;
 pub use message::{Demand, Grant};
--- a/crates/marigold-request/src/limits/keeper.rs
+++ b/crates/marigold-request/src/limits/keeper.rs
@@ -8,8 +8,10 @@
 
 use crate::limits::MilliRate;
 
-/// How long a share is out.
+/// How long a share is out while few daemons use the limit.
 const LEASE: Duration = Duration::from_secs(6);
+/// The daemons for which that lease lasts; more make it longer, so that their questions stay few.
+const LEASE_USERS: usize = 500;
 /// The most daemons that shares are out to.
 const MAX_USERS: usize = 8192;
 /// What a daemon gets above its demand while there is enough for all, in hundredths of the demand.
@@ -23,6 +25,15 @@
     until: Instant,
 }
 
+/// What a daemon gets.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub struct Given {
+    /// Its share of the limit.
+    pub rate: MilliRate,
+    /// How long it is out.
+    pub lease: Duration,
+}
+
 /// Divides one limit among the daemons that ask, so that what is out never adds up to more.
 ///
 /// Every operation takes logarithmic time.
@@ -37,15 +48,19 @@
 }
 
 impl Keeper {
-    /// How long a share is out.
-    pub const LEASE: Duration = LEASE;
+    /// Returns how long a share is out when `users` daemons use the limit.
+    #[must_use]
+    pub fn lease(users: usize) -> Duration {
+        let times = users.div_ceil(LEASE_USERS).max(1);
+        LEASE * u32::try_from(times).unwrap_or(u32::MAX)
+    }
 
-    /// Builds the keeper of a limit, which this daemon has been since `settled` by the members that
+    /// Builds the keeper of a limit, which this daemon has been since `settled` by the `members` that
     /// it sees.
     #[must_use]
-    pub fn new(settled: Instant) -> Self {
+    pub fn new(settled: Instant, members: usize) -> Self {
         Self {
-            opens: settled + LEASE,
+            opens: settled + Self::lease(members),
             shares: BTreeMap::new(),
             ends: BTreeSet::new(),
             demand: 0,
@@ -65,18 +80,22 @@
         self.ends.last().is_none_or(|(until, _)| *until <= now) && self.opens <= now
     }
 
-    /// Gives `user`, which asks for `demand`, its share of `total`.
+    /// Gives `user`, which asks for `demand`, its share of `total`, and says for how long.
     pub fn grant(
         &mut self,
         user: Address,
         demand: MilliRate,
         total: MilliRate,
         now: Instant,
-    ) -> MilliRate {
+    ) -> Given {
         self.expire(now);
         self.remove(user);
+        let lease = Self::lease(self.shares.len() + 1);
         if now < self.opens || self.shares.len() >= MAX_USERS {
-            return MilliRate(0);
+            return Given {
+                rate: MilliRate(0),
+                lease,
+            };
         }
         let all = self.demand.saturating_add(demand.0);
         let fair = if all > total.0 {
@@ -88,10 +107,13 @@
         let share = Share {
             demand: demand.0,
             granted: fair.0.min(free),
-            until: now + LEASE,
+            until: now + lease,
         };
         self.insert(user, share);
-        MilliRate(share.granted)
+        Given {
+            rate: MilliRate(share.granted),
+            lease,
+        }
     }
 
     fn insert(&mut self, user: Address, share: Share) {
--- a/crates/marigold-request/src/limits/limiter.rs
+++ b/crates/marigold-request/src/limits/limiter.rs
@@ -44,6 +44,8 @@
     largest: (usize, Instant),
     users: BTreeMap<Arc<str>, User>,
     keepers: BTreeMap<Arc<str>, Keeper>,
+    /// The keeper of each limit that is used, for the present members.
+    found: BTreeMap<Arc<str>, Address>,
     /// When the members last changed.
     settled: Instant,
 }
@@ -61,6 +63,7 @@
             largest: (1, now),
             users: BTreeMap::new(),
             keepers: BTreeMap::new(),
+            found: BTreeMap::new(),
             settled: now,
         }
     }
@@ -80,12 +83,14 @@
         }
         if members != self.members {
             self.members = members;
+            self.found.clear();
             self.settled = now;
         }
         if self.version != Some(view.config.version) {
             self.version = Some(view.config.version);
             self.read_rules(&view.config);
         }
+        self.found.retain(|name, _| self.rates.contains_key(name));
         let rates = &self.rates;
         self.users.retain(|name, _| rates.contains_key(name));
         self.keepers.retain(|name, _| rates.contains_key(name));
@@ -133,7 +138,9 @@
                 continue;
             };
             let limit = Arc::clone(name);
-            let keeper = keeper_of(name, &self.members).unwrap_or(self.local);
+            let found = self.found.entry(Arc::clone(name));
+            let find = || keeper_of(name, &self.members).unwrap_or(self.local);
+            let keeper = *found.or_insert_with(find);
             questions
                 .entry(keeper)
                 .or_default()
@@ -165,13 +172,13 @@
         // A side of a partition gives out only its own part of the limit.
         let total = rate.share(100 - FLOOR, 100).share(seen, largest);
         let keeper = self.keepers.entry(Arc::clone(&demand.limit));
-        let keeper = keeper.or_insert_with(|| Keeper::new(self.settled));
+        let keeper = keeper.or_insert_with(|| Keeper::new(self.settled, self.largest.0));
+        let given = keeper.grant(from, demand.rate, total, now);
+        let lease = u64::try_from(given.lease.as_millis()).unwrap_or(u64::MAX);
         Some(Grant {
             limit: Arc::clone(&demand.limit),
-            rate: keeper.grant(from, demand.rate, total, now),
-            lease: Interval::from_millis(
-                u64::try_from(Keeper::LEASE.as_millis()).unwrap_or(u64::MAX),
-            ),
+            rate: given.rate,
+            lease: Interval::from_millis(lease),
         })
     }
 
--- a/crates/marigold-request/src/limits/user.rs
+++ b/crates/marigold-request/src/limits/user.rs
@@ -7,10 +7,13 @@
 
 use crate::limits::{MilliRate, TokenBucket};
 
-/// How often the keeper is asked.
+/// How often the keeper is asked until it has given a share.
 const PERIOD: Duration = Duration::from_secs(2);
-/// How often the keeper is asked while calls are refused.
+/// How soon the keeper is asked for a first share when a call is refused; each question without an
+/// answer doubles it.
 const HURRY: Duration = Duration::from_millis(200);
+/// The part of a lease after which the keeper is asked again.
+const PERIOD_PART: u32 = 3;
 /// The weight of the time since the last measure, as a part of the whole.
 const NEWEST_PART: u64 = 2;
 /// The demand below which a limit counts as unused, in thousandths of a call a second.
@@ -27,6 +30,10 @@
     asked: u64,
     since: Instant,
     demand: MilliRate,
+    /// How often the keeper is asked.
+    period: Duration,
+    /// Questions since the keeper last answered.
+    unanswered: u32,
     /// Whether a call was refused since the keeper was asked.
     refused: bool,
     /// When the keeper was asked last.
@@ -43,6 +50,8 @@
             asked: 0,
             since: now,
             demand: MilliRate(0),
+            period: PERIOD,
+            unanswered: 0,
             refused: false,
             sent: None,
         }
@@ -69,8 +78,7 @@
     /// Measures the demand and returns it if the keeper is to be asked now.
     pub fn ask(&mut self, now: Instant) -> Option<MilliRate> {
         let passed = now.saturating_duration_since(self.since);
-        let is_due = passed >= PERIOD || self.refused && passed >= HURRY;
-        if !is_due {
+        if passed < self.wait() {
             return None;
         }
         let millis = u64::try_from(passed.as_millis()).unwrap_or(u64::MAX).max(1);
@@ -78,8 +86,9 @@
         let older = self.demand.0 - self.demand.0 / NEWEST_PART;
         self.demand = MilliRate(older + newest / NEWEST_PART);
         self.asked = 0;
-        self.refused = false;
         self.since = now;
+        self.refused = false;
+        self.unanswered += 1;
         self.sent = Some(now);
         (self.demand.0 >= MIN_DEMAND).then_some(self.demand)
     }
@@ -89,6 +98,8 @@
         let Some(sent) = self.sent else {
             return;
         };
+        self.unanswered = 0;
+        self.period = (lease / PERIOD_PART).max(PERIOD);
         self.share = (sent + lease > now).then_some((rate, sent + lease));
         self.refill(now);
     }
@@ -99,6 +110,15 @@
         is_over && self.asked == 0 && self.demand.0 < MIN_DEMAND
     }
 
+    /// Returns how long to wait after a question before the next one.
+    fn wait(&self) -> Duration {
+        if self.share.is_some() || !self.refused {
+            return self.period;
+        }
+        let hurry = HURRY * 2_u32.pow(self.unanswered.min(8));
+        hurry.min(self.period)
+    }
+
     fn refill(&mut self, now: Instant) {
         let share = self.share.map_or(0, |(rate, _)| rate.0);
         let rate = MilliRate(self.floor.0.saturating_add(share));
--- a/crates/marigold-request/tests/limiting.rs
+++ b/crates/marigold-request/tests/limiting.rs
@@ -7,7 +7,7 @@
 use common::{SECOND, address, config, endpoint, limit, ms, service, view};
 use marigold_control::View;
 use marigold_request::RefusalReason;
-use marigold_request::limits::{Keeper, Limiter, MilliRate, TokenBucket};
+use marigold_request::limits::{Demand, Grant, Keeper, Limiter, MilliRate, TokenBucket};
 use marigold_types::{Address, CallerName};
 use tokio::time::Instant;
 
@@ -202,10 +202,13 @@
 #[test]
 fn keeper_never_has_more_out_than_the_limit() {
     let start = Instant::now();
-    let mut keeper = Keeper::new(start);
+    let mut keeper = Keeper::new(start, 13);
     let total = MilliRate(10_000);
-    assert_eq!(keeper.grant(address(1), total, total, start), MilliRate(0));
-    let mut now = start + Keeper::LEASE;
+    assert_eq!(
+        keeper.grant(address(1), total, total, start).rate,
+        MilliRate(0)
+    );
+    let mut now = start + Keeper::lease(13);
     for step in 0..1_000_u64 {
         let host = u16::try_from(step * 7 % 13).unwrap();
         let demand = MilliRate(step * 977 % 9_000);
@@ -213,7 +216,7 @@
         assert!(keeper.granted() <= total, "{}", keeper.granted());
         now += ms(step % 400);
     }
-    assert!(keeper.is_idle(now + Keeper::LEASE));
+    assert!(keeper.is_idle(now + Keeper::lease(13)));
 }
 
 #[test]
@@ -228,3 +231,56 @@
     assert!(stopped.take(start).is_ok());
     assert_eq!(stopped.take(start + 9 * SECOND), Err(None));
 }
+
+/// The control bytes that a daemon may spend in a second.
+const CONTROL_BYTES: u128 = 26 * 1024;
+
+#[test]
+fn keeper_of_the_whole_mesh_stays_within_the_control_bytes() {
+    let start = Instant::now();
+    let mut keeper = Keeper::new(start, 3_200);
+    let now = start + Keeper::lease(3_200);
+    let total = MilliRate(3_200_000);
+    let mut lease = Duration::ZERO;
+    for host in 0..3_200 {
+        lease = keeper
+            .grant(address(host), MilliRate(2_000), total, now)
+            .lease;
+    }
+    assert!(keeper.granted() <= total);
+    let demand = Demand {
+        limit: "desk-of-drivers".into(),
+        rate: MilliRate(2_000),
+    };
+    let limit = demand.limit.clone();
+    let grant = Grant {
+        limit,
+        rate: MilliRate(2_000),
+        lease: common::interval(60_000),
+    };
+    let bytes = postcard::to_allocvec(&vec![demand]).unwrap().len()
+        + postcard::to_allocvec(&vec![grant]).unwrap().len();
+    // Each asks again after a third of its lease.
+    let each_second = 3_200 * bytes as u128 * 3_000 / lease.as_millis();
+    println!("{bytes} bytes a question, {each_second} bytes a second");
+    assert!(each_second <= CONTROL_BYTES, "{each_second}");
+}
+
+#[test]
+fn silent_keeper_is_not_asked_ever_faster() {
+    let now = Instant::now();
+    let list = vec![endpoint(1, "depot", now), endpoint(2, "depot", now)];
+    let declared = config(vec![limit("desk", None, 10)]);
+    let mut limiter = Limiter::new(address(1), now);
+    limiter.refresh(&view(list, declared), now);
+    let mut questions = 0;
+    for step in 0..600 {
+        let now = now + ms(step * 100);
+        for _ in 0..5 {
+            let _ = limiter.allow(&service(), None, now);
+        }
+        questions += limiter.tick(now).len();
+    }
+    // A minute of questions, one each two seconds and a few in the first hurry.
+    assert!((25..=40).contains(&questions), "{questions}");
+}
