--- a/crates/marigold-request/tests/overload.rs
+++ b/crates/marigold-request/tests/overload.rs
@@ -185,6 +185,47 @@
     tally
 }
 
+/// How long requests may wait before the way below begins to drop.
+const TARGET: Duration = Duration::from_millis(20);
+/// How long they must have waited that long.
+const INTERVAL: Duration = Duration::from_millis(100);
+
+/// The alternative: one line that drops by how long its requests have waited, as `CoDel` does
+/// (Nichols, Jacobson, 2012).
+fn by_waiting_time(requests: &[Request]) -> Tally {
+    let mut tally = Tally::default();
+    let mut free: BinaryHeap<Reverse<Instant>> =
+        (0..SLOTS).map(|_| Reverse(requests[0].at)).collect();
+    let end = requests[0].at + LENGTH;
+    let mut above: Option<Instant> = None;
+    let mut dropped = 0_u32;
+    let mut next_drop: Option<Instant> = None;
+    for request in requests {
+        *tally.offered.entry(request.class).or_default() += 1;
+        let Reverse(slot) = free.pop().unwrap();
+        let begun = slot.max(request.at);
+        if begun - request.at < TARGET {
+            above = None;
+            next_drop = None;
+        } else {
+            let since = *above.get_or_insert(begun);
+            let due = next_drop.unwrap_or(since + INTERVAL);
+            if begun >= due {
+                dropped = if next_drop.is_some() { dropped + 1 } else { 1 };
+                next_drop = Some(due + INTERVAL.div_f64(f64::from(dropped).sqrt()));
+                tally.refuse(request, begun);
+                free.push(Reverse(slot));
+                continue;
+            }
+        }
+        if begun < end {
+            tally.end(request, begun + request.time);
+        }
+        free.push(Reverse(begun + request.time));
+    }
+    tally
+}
+
 macro_rules! overloads {
     ($($name:ident: $times:literal;)*) => {$(
         #[test]
@@ -192,18 +233,21 @@
             for seed in 1..=3 {
                 let requests = load($times, seed);
                 let baseline = one_line(&requests);
+                let dropping = by_waiting_time(&requests);
                 let tally = gated(requests);
                 println!(
-                    "{} times, seed {seed}: useful {} % (one line {} %), in time by class {:?}, {} of {} refused late",
+                    "{} times, seed {seed}: useful {} % (one line {} %, by waiting time {} %), in time by class {:?}, {} of {} refused late",
                     $times,
                     tally.useful_part(),
                     baseline.useful_part(),
+                    dropping.useful_part(),
                     Class::ALL.map(|class| tally.class_part(class)),
                     tally.held,
                     tally.refused,
                 );
                 assert!(tally.useful_part() >= 90, "{tally:?}");
                 assert!(tally.class_part(Class::Critical) >= 99, "{tally:?}");
+                assert!(tally.useful_part() > dropping.useful_part(), "{dropping:?}");
                 // What is given up is told so at once and not held until near its deadline.
                 assert!(tally.held * 100 <= tally.refused, "{tally:?}");
                 // Even then the last class is not starved.
