--- /dev/null
+++ b/crates/marigoldd/src/executor/keyed_run.rs
@@ -0,0 +1,163 @@
+//! A request that runs at most once here. See docs/design/at-most-once.md.
+
+use std::sync::Arc;
+
+use marigold_request::deadline::Deadline;
+use marigold_request::once::{Begin, EntryKey, Finish, RequestKey, Start, StoredAnswer};
+use marigold_request::quarantine::Fingerprint;
+use marigold_request::{CallHead, Refusal, RefusalReason, WitnessRequest};
+use marigold_types::Digest;
+use tokio::time::{Instant, timeout_at};
+
+use super::collect::{Collected, collect};
+use super::local_executor::LocalExecutor;
+use super::once::ANSWER_BYTES;
+use super::{Answer, AnswerBody, Ran, RequestBody};
+use crate::peer::CutError;
+
+/// A request under a key that is new here.
+struct NewRun {
+    id: EntryKey,
+    key: RequestKey,
+    text: Arc<str>,
+    print: Fingerprint,
+}
+
+impl LocalExecutor {
+    /// Runs a request at most once; what has begun goes on without its caller, so that a repeat
+    /// gets the answer.
+    pub(super) async fn run_keyed(
+        self: &Arc<Self>,
+        head: CallHead,
+        key: &Arc<str>,
+        print: Fingerprint,
+        body: RequestBody,
+        deadline: Deadline,
+    ) -> Ran {
+        let opened = RequestKey::open_for(key, &head.service, &self.shared.mesh_key);
+        let Ok(opened) = opened else {
+            return Ran::NotRun(Refusal::last(RefusalReason::KeyInvalid));
+        };
+        let begin = self.once.begin(&opened, digest(&head), deadline.0).await;
+        let id = match begin {
+            Some(Begin::Run(id)) => id,
+            Some(Begin::Stored(answer)) => return Ran::Answered(stored(&answer)),
+            Some(Begin::NotRun(refusal)) => return Ran::NotRun(refusal),
+            Some(Begin::Unknown(step)) => return Ran::unknown(step),
+            Some(Begin::Wait(_)) | None => return Ran::unknown("deadline during an earlier run"),
+        };
+        let executor = self.clone();
+        let new = NewRun {
+            id,
+            key: opened,
+            text: key.clone(),
+            print,
+        };
+        let run = async move { executor.run_new(new, &head, body, deadline).await };
+        let joined = tokio::spawn(run).await;
+        joined.unwrap_or_else(|_| Ran::unknown("executor"))
+    }
+
+    /// Runs a request whose key is new here.
+    async fn run_new(
+        &self,
+        new: NewRun,
+        head: &CallHead,
+        body: RequestBody,
+        deadline: Deadline,
+    ) -> Ran {
+        let id = new.id;
+        let admitted = match self.admit(head, new.print, deadline).await {
+            Ok(admitted) => admitted,
+            Err(refusal) => return self.refuse(id, refusal),
+        };
+        let request = WitnessRequest::Start { key: new.text };
+        let witness = new.key.witness.address;
+        let answer = self.witnesses.ask(witness, request, deadline.0).await;
+        if deadline.has_passed(Instant::now()) {
+            return self.refuse(id, Refusal::last(RefusalReason::Deadline));
+        }
+        match self.once.start(id, answer.as_ref()) {
+            Start::Run => {}
+            Start::NotRun(refusal) => return Ran::NotRun(refusal),
+            Start::Ignore => return Ran::unknown("the run of the key has ended already"),
+        }
+        let ran = self.hand_on(admitted, head, body, deadline).await;
+        self.keep(id, ran, deadline).await
+    }
+
+    /// Says that a request with a key did not run, if the table agrees.
+    fn refuse(&self, id: EntryKey, refusal: Refusal) -> Ran {
+        if self.once.refuse(id, refusal) {
+            Ran::NotRun(refusal)
+        } else {
+            Ran::unknown("the run of the key has begun already")
+        }
+    }
+
+    /// Keeps the answer for repeats, as far as it is small enough.
+    async fn keep(&self, id: EntryKey, ran: Ran, deadline: Deadline) -> Ran {
+        let answer = match ran {
+            Ran::Answered(answer) => answer,
+            Ran::NotRun(refusal) => {
+                // Nobody else may run the key, and the table remembers that this one did not.
+                self.once.finish(id, Finish::NotRun(refusal));
+                return Ran::NotRun(refusal);
+            }
+            Ran::Unknown(step) => {
+                self.once.finish(id, Finish::Lost);
+                return Ran::Unknown(step);
+            }
+        };
+        let limit = usize::try_from(ANSWER_BYTES.0).unwrap_or(usize::MAX);
+        let collected = timeout_at(deadline.0, collect(answer.body, limit)).await;
+        match collected.unwrap_or_else(|_| Err(CutError::new(&"deadline"))) {
+            Ok(Collected::Whole(bytes)) => {
+                let kept = StoredAnswer {
+                    status: answer.status,
+                    headers: answer.fields.clone(),
+                    body: Arc::from(bytes.as_ref()),
+                };
+                self.once.finish(id, Finish::Answered(kept));
+                Ran::Answered(Answer {
+                    body: AnswerBody::Whole(bytes),
+                    ..answer
+                })
+            }
+            Ok(Collected::More(body)) => {
+                self.once.finish(id, Finish::TooLarge);
+                Ran::Answered(Answer {
+                    body: AnswerBody::Stream(body),
+                    ..answer
+                })
+            }
+            Err(_) => {
+                self.once.finish(id, Finish::Lost);
+                Ran::unknown("answer of the backend server cut off")
+            }
+        }
+    }
+}
+
+fn stored(answer: &StoredAnswer) -> Answer {
+    Answer {
+        status: answer.status,
+        fields: answer.headers.clone(),
+        stored: true,
+        body: AnswerBody::Whole(bytes::Bytes::copy_from_slice(&answer.body)),
+    }
+}
+
+/// Tells requests apart that carry one key; bodies are told apart by their length and type.
+fn digest(head: &CallHead) -> Digest {
+    let mut text = format!("{} {}\n", head.method, head.target).into_bytes();
+    for (name, value) in &head.headers {
+        if matches!(&**name, "content-length" | "content-type") {
+            text.extend_from_slice(name.as_bytes());
+            text.push(b':');
+            text.extend_from_slice(value);
+            text.push(b'\n');
+        }
+    }
+    Digest::of(&text)
+}
