Bound slots by the declaration, and give slow readers their time

The user timeout of TCP also ends a connection whose other end reads nothing, so that 2 s cut slow callers and uploads off; it is now write_timeout for callers and 10 s for the backend server. A shutdown lets the callers' connections send what they hold.

--- a/crates/marigoldd/src/caller/http_server.rs
+++ b/crates/marigoldd/src/caller/http_server.rs
@@ -30,9 +30,9 @@
             tokio::time::sleep(ACCEPT_DELAY).await;
             continue;
         };
-        let (ingress, phase) = (ingress.clone(), phase.clone());
-        tokio::spawn(async move {
-            serve_connection(stream, ingress, phase).await;
+        let (served, phase) = (ingress.clone(), phase.clone());
+        ingress.connections.spawn(async move {
+            serve_connection(stream, served, phase).await;
             drop(permit);
         });
     }
@@ -43,11 +43,12 @@
     ingress: Arc<Ingress>,
     mut phase: watch::Receiver<Phase>,
 ) {
-    if prepare(&stream).is_err() {
+    let settings = ingress.shared.settings.caller.clone();
+    let patience = settings.write_timeout.duration();
+    if prepare(&stream, patience).is_err() {
         return;
     }
-    let settings = ingress.shared.settings.caller.clone();
-    let io = TokioIo::new(GuardedIo::new(stream, settings.write_timeout.duration()));
+    let io = TokioIo::new(GuardedIo::new(stream, patience));
     let service = service_fn(move |request| {
         let ingress = ingress.clone();
         async move { Ok::<_, Infallible>(ingress.handle(request).await) }
--- a/crates/marigoldd/src/caller/ingress.rs
+++ b/crates/marigoldd/src/caller/ingress.rs
@@ -11,6 +11,7 @@
 use marigold_request::{CallHead, Refusal, RefusalReason, StreamOpen};
 use marigold_types::{Address, Outcome, RequestId};
 use tokio::time::{Instant, timeout_at};
+use tokio_util::task::TaskTracker;
 
 use super::answer_stream::{AnswerStream, Records, WholeAnswer};
 use super::attempt_record::AttemptRecord;
@@ -47,6 +48,8 @@
     pub in_flight: Arc<InFlight>,
     /// Makes keys.
     pub keys: KeyDesk,
+    /// The callers' connections, which a shutdown lets send what they hold.
+    pub connections: TaskTracker,
 }
 
 /// A request that has been read and may run.
--- a/crates/marigoldd/src/executor/backend_pool.rs
+++ b/crates/marigoldd/src/executor/backend_pool.rs
@@ -22,8 +22,11 @@
 const CONNECT_TIMEOUT: Duration = Duration::from_secs(1);
 /// How long a connection that has just answered may take to be ready again.
 const READY_TIMEOUT: Duration = Duration::from_millis(20);
-/// How long sent bytes may stay unacknowledged before the connection counts as silent.
-const SILENCE: Duration = Duration::from_secs(2);
+/// How long sent bytes may stay unacknowledged, or unread with nothing more taken, before the
+/// connection counts as silent.
+const SILENCE: Duration = Duration::from_secs(10);
+/// How often a quiet connection is probed.
+const KEEPALIVE: Duration = Duration::from_secs(3);
 
 /// An open connection that nothing runs on.
 pub struct BackendConnection {
@@ -95,7 +98,7 @@
         };
         let until = deadline.min(Instant::now() + CONNECT_TIMEOUT);
         let stream = timeout_at(until, TcpStream::connect(self.address)).await??;
-        prepare(&stream)?;
+        prepare(&stream, SILENCE)?;
         let handshake = http1::handshake::<_, RequestBody>(TokioIo::new(stream));
         let (sender, connection) = handshake.await.map_err(io::Error::other)?;
         // The task ends when the sender is dropped or the backend server closes.
@@ -147,14 +150,15 @@
     }
 }
 
-/// Makes the system close a connection of which the other end has gone without a word.
-pub(crate) fn prepare(stream: &TcpStream) -> io::Result<()> {
+/// Makes the system close a connection of which the other end has gone without a word, or has taken
+/// nothing for `silence`.
+pub(crate) fn prepare(stream: &TcpStream, silence: Duration) -> io::Result<()> {
     stream.set_nodelay(true)?;
     let socket = SockRef::from(stream);
     let keepalive = TcpKeepalive::new()
-        .with_time(SILENCE)
-        .with_interval(SILENCE)
+        .with_time(KEEPALIVE)
+        .with_interval(KEEPALIVE)
         .with_retries(2);
     socket.set_tcp_keepalive(&keepalive)?;
-    socket.set_tcp_user_timeout(Some(SILENCE))
+    socket.set_tcp_user_timeout(Some(silence))
 }
--- a/crates/marigoldd/src/executor/upkeep.rs
+++ b/crates/marigoldd/src/executor/upkeep.rs
@@ -15,6 +15,8 @@
 use super::prober::Prober;
 use crate::BackendServer;
 
+/// How often the declaration of the service is looked at.
+const DECLARED: Duration = Duration::from_millis(250);
 /// How often witnesses are asked for their time, so that expired keys can be forgotten.
 const FORGET: Duration = Duration::from_secs(10);
 /// How long a witness may take to answer.
@@ -31,15 +33,22 @@
     );
 }
 
-/// Takes each announcement in.
+/// Takes each announcement in, and what the configuration declares of its service.
 async fn follow(executor: &LocalExecutor) {
     let mut server = executor.shared.server.subscribe();
+    let mut ticks = interval(DECLARED);
+    ticks.set_missed_tick_behavior(MissedTickBehavior::Delay);
     loop {
-        let current = server.borrow_and_update().clone();
-        executor.take_server(current);
-        if server.changed().await.is_err() {
-            return;
+        tokio::select! {
+            _ = ticks.tick() => {}
+            changed = server.changed() => {
+                if changed.is_err() {
+                    return;
+                }
+            }
         }
+        let current = server.borrow_and_update().clone();
+        executor.take_server(current.map(|server| executor.bound(server)));
     }
 }
 
@@ -99,6 +108,19 @@
         futures_util::future::join_all(others.map(tell)).await;
     }
 
+    /// Returns `server` with no more slots and connections than its service declares.
+    fn bound(&self, server: BackendServer) -> BackendServer {
+        let view = self.shared.view.load();
+        let Some(declared) = view.config.service(&server.service) else {
+            return server;
+        };
+        BackendServer {
+            slots: server.slots.min(declared.slots),
+            connections: server.connections.min(declared.connections),
+            ..server
+        }
+    }
+
     /// Turns to the backend server that announced itself, or to none.
     fn take_server(&self, server: Option<BackendServer>) {
         let Some(server) = server else {
--- a/crates/marigoldd/src/request_side.rs
+++ b/crates/marigoldd/src/request_side.rs
@@ -6,7 +6,8 @@
 use marigold_request::burn::BurnReport;
 use marigold_request::drain::ExitCode;
 use tokio::net::TcpListener;
-use tokio::time::{MissedTickBehavior, interval};
+use tokio::time::{MissedTickBehavior, interval, timeout};
+use tokio_util::task::TaskTracker;
 
 use crate::Shared;
 use crate::caller::{self, CallMeters, Decisions, Ingress, KeyDesk};
@@ -15,6 +16,8 @@
 
 /// How often the limits and objectives of the published view are taken in.
 const REFRESH: Duration = Duration::from_millis(250);
+/// How long a shutdown waits for the callers' connections to send what they hold.
+const FLUSH_TIMEOUT: Duration = Duration::from_secs(1);
 
 /// Joins ingress, executor and witness of one daemon.
 pub struct RequestSide {
@@ -53,6 +56,7 @@
             executor: executor.clone(),
             in_flight: in_flight.clone(),
             keys: KeyDesk,
+            connections: TaskTracker::new(),
             witnesses,
             peers,
         });
@@ -104,9 +108,16 @@
 
     /// Leads a shutdown after the first signal: what is in flight ends, nothing new begins.
     ///
-    /// It returns within the setting `drain`, counted from the first signal.
+    /// It returns within the setting `drain` and one second, counted from the first signal.
     pub async fn drain(&self) -> ExitCode {
-        self.in_flight.finish().await
+        let code = self.in_flight.finish().await;
+        if code == ExitCode::Clean {
+            // The last answers may still be on their way into the callers' sockets.
+            let connections = &self.ingress.connections;
+            connections.close();
+            let _ = timeout(FLUSH_TIMEOUT, connections.wait()).await;
+        }
+        code
     }
 
     async fn refresh(&self) {
--- a/crates/marigoldd/tests/callers.rs
+++ b/crates/marigoldd/tests/callers.rs
@@ -99,6 +99,26 @@
     }
 }
 
+#[tokio::test]
+async fn caller_that_stops_reading_is_given_up() {
+    let backend = Backend::start().await;
+    let mut mesh = Mesh::new();
+    mesh.settings.caller.write_timeout = marigold_types::Interval::from_millis(200);
+    mesh.add_all(&[&backend], 1).await;
+    let mut streams = Vec::new();
+    for daemon in &mesh.daemons {
+        let mut stream = TcpStream::connect(daemon.caller).await.unwrap();
+        let head = b"GET /read/endless HTTP/1.1\r\nhost: t\r\n\r\n";
+        stream.write_all(head).await.unwrap();
+        // It stays open and nobody reads it.
+        streams.push(stream);
+        let count = streams.len();
+        backend
+            .wait(|seen| seen.cancelled.load(Ordering::SeqCst) == count)
+            .await;
+    }
+}
+
 #[tokio::test]
 async fn deadline_of_the_caller_is_kept_and_handed_on() {
     let backend = Backend::start().await;
--- a/crates/marigoldd/tests/failures.rs
+++ b/crates/marigoldd/tests/failures.rs
@@ -140,7 +140,8 @@
             }
         }
     }
-    assert!(held.len() <= 16);
+    // The backend server announces 16 slots, and its service declares 8.
+    assert!(held.len() <= 8, "{} at once", held.len());
     assert_eq!(backend.total(), held.len());
     backend.release();
     for call in held {
--- a/crates/marigoldd/tests/support/backend.rs
+++ b/crates/marigoldd/tests/support/backend.rs
@@ -227,6 +227,15 @@
             response
         }
         "cut-chunked" => Response::new(parts(3, Some(closing))),
+        "endless" => {
+            let part = Bytes::from(vec![b'x'; PART]);
+            // The body holds the request as busy until its connection is closed.
+            let parts = stream::unfold(busy, move |busy| {
+                let part = part.clone();
+                async move { Some((Ok(Frame::data(part)), busy)) }
+            });
+            return Response::new(StreamBody::new(parts).boxed_unsync());
+        }
         "large" => Response::new(parts(LARGE / PART, None)),
         _ => Response::new(whole(body)),
     };
