Break the callers' connections of a daemon that ends without a word

The daemon that the demonstration drops lived on for the callers that were connected to it, with its connections to other daemons gone. Change: dropping a daemon breaks its callers' connections, as the end of a process does. Conclusion: the stand-in was wrong, not the mesh.

--- a/crates/marigoldd/src/caller/http_server.rs
+++ b/crates/marigoldd/src/caller/http_server.rs
@@ -32,7 +32,9 @@
         };
         let (served, phase) = (ingress.clone(), phase.clone());
         ingress.connections.spawn(async move {
-            serve_connection(stream, served, phase).await;
+            let dead = served.dead.clone();
+            let connection = serve_connection(stream, served, phase);
+            dead.run_until_cancelled(connection).await;
             drop(permit);
         });
     }
--- a/crates/marigoldd/src/caller/ingress.rs
+++ b/crates/marigoldd/src/caller/ingress.rs
@@ -11,6 +11,7 @@
 use marigold_request::{CallHead, Refusal, RefusalReason, StreamOpen};
 use marigold_types::{Address, Outcome, RequestId};
 use tokio::time::{Instant, timeout_at};
+use tokio_util::sync::CancellationToken;
 use tokio_util::task::TaskTracker;
 
 use super::answer_stream::{AnswerStream, Records, WholeAnswer};
@@ -50,6 +51,8 @@
     pub keys: KeyDesk,
     /// The callers' connections, which a shutdown lets send what they hold.
     pub connections: TaskTracker,
+    /// Cancelled when the daemon ends without a word, which breaks the callers' connections.
+    pub dead: CancellationToken,
 }
 
 /// A request that has been read and may run.
--- a/crates/marigoldd/src/daemon.rs
+++ b/crates/marigoldd/src/daemon.rs
@@ -220,6 +220,7 @@
     /// Ends without a word, as a process that dies; for tests and stand-ins.
     pub fn abort(&self) {
         self.stop.cancel();
+        self.requests.abort();
         self.admin.close();
         self.peers.abort();
     }
--- a/crates/marigoldd/src/request_side.rs
+++ b/crates/marigoldd/src/request_side.rs
@@ -7,6 +7,7 @@
 use marigold_request::drain::ExitCode;
 use tokio::net::TcpListener;
 use tokio::time::{MissedTickBehavior, interval, timeout};
+use tokio_util::sync::CancellationToken;
 use tokio_util::task::TaskTracker;
 
 use crate::Shared;
@@ -57,6 +58,7 @@
             in_flight: in_flight.clone(),
             keys: KeyDesk,
             connections: TaskTracker::new(),
+            dead: CancellationToken::new(),
             witnesses,
             peers,
         });
@@ -100,6 +102,11 @@
         self.shared.draining.send_replace(true);
     }
 
+    /// Breaks the callers' connections, as a process that dies does; for tests and stand-ins.
+    pub fn abort(&self) {
+        self.ingress.dead.cancel();
+    }
+
     /// Returns whether a shutdown has begun.
     #[must_use]
     pub fn is_draining(&self) -> bool {
