Bring about connections that go silent while new ones work

A relay in the tests loses track of the flows that it has seen: control, calls and an answer on its way each find it out, and new ones pass.

--- a/crates/marigoldd/tests/peers.rs
+++ b/crates/marigoldd/tests/peers.rs
@@ -4,11 +4,13 @@
 
 use std::net::UdpSocket;
 
+use http_body_util::{BodyExt, Empty};
 use marigold_auth::{Authority, daemon_name};
 use marigold_control::Event;
 use marigold_types::{Address, Interval};
 use marigoldd::peer::{LinkKind, PeerSender, PeerTls, QuicPeers, codec};
 use quinn::Endpoint;
+use support::http::send;
 use support::{Backend, Daemon, Mesh, http};
 use tokio::sync::mpsc;
 
@@ -269,3 +271,73 @@
     assert_eq!((reply.status, reply.outcome()), (502, "unknown"));
     assert_eq!(one.runs("w") + two.runs("w"), 1);
 }
+
+#[tokio::test]
+async fn control_finds_its_way_when_the_connection_goes_silent() {
+    let mut mesh = Mesh::new();
+    mesh.add("hall-a", None).await;
+    let relay = mesh.add_behind_relay("hall-b", None).await;
+    let to = mesh.daemons[1].address;
+    let first = mesh.daemons[0].peers.send(to, "test", vec![1]);
+    first.await.unwrap();
+    let received = mesh.daemons[1].events.recv().await.unwrap();
+    assert!(matches!(received, Event::Received { .. }));
+    relay.lose_track();
+    // It is sent until it arrives, as gossip does.
+    loop {
+        mesh.daemons[0]
+            .peers
+            .send(to, "test", vec![2])
+            .await
+            .unwrap();
+        let wait = tokio::time::Duration::from_millis(100);
+        let event = tokio::time::timeout(wait, mesh.daemons[1].events.recv()).await;
+        if let Ok(Some(Event::Received { message, .. })) = event {
+            assert_eq!(message, vec![2]);
+            return;
+        }
+    }
+}
+
+#[tokio::test]
+async fn calls_find_their_way_when_the_connection_goes_silent() {
+    let backend = Backend::start().await;
+    let mut mesh = Mesh::new();
+    let relay = mesh.add_behind_relay("hall-a", Some(backend.address)).await;
+    mesh.add("hall-b", None).await;
+    mesh.publish();
+    mesh.daemons[0].wait_healthy().await;
+    let caller = mesh.daemons[1].caller;
+    let first = http(caller, "POST", "/write/x", &[], "one").await.unwrap();
+    assert_eq!(first.outcome(), "answered");
+
+    // What is under way when the connection goes silent is unknown, and not sent again.
+    let call = tokio::spawn(async move { http(caller, "POST", "/write/hold", &[], "two").await });
+    backend.wait_busy(1).await;
+    relay.lose_track();
+    assert_eq!(call.await.unwrap().unwrap().outcome(), "unknown");
+    backend.release();
+
+    // What comes after goes over a new connection.
+    let next = http(caller, "POST", "/write/x", &[], "three")
+        .await
+        .unwrap();
+    assert_eq!(next.outcome(), "answered", "{next:?}");
+    assert_eq!((backend.runs("two"), backend.runs("three")), (1, 1));
+}
+
+#[tokio::test]
+async fn answer_in_parts_is_cut_when_the_connection_goes_silent() {
+    let backend = Backend::start().await;
+    let mut mesh = Mesh::new();
+    let relay = mesh.add_behind_relay("hall-a", Some(backend.address)).await;
+    mesh.add("hall-b", None).await;
+    mesh.publish();
+    mesh.daemons[0].wait_healthy().await;
+    let caller = mesh.daemons[1].caller;
+    let nothing = Empty::new().map_err(|never| match never {}).boxed_unsync();
+    let response = send(caller, "GET", "/read/endless", &[], nothing).await;
+    let body = response.unwrap().into_body();
+    relay.lose_track();
+    assert!(body.collect().await.is_err());
+}
--- a/crates/marigoldd/tests/support/mesh.rs
+++ b/crates/marigoldd/tests/support/mesh.rs
@@ -21,7 +21,7 @@
 use tokio::sync::{mpsc, watch};
 use tokio::time::Instant;
 
-use super::Backend;
+use super::{Backend, Relay};
 
 pub const SERVICE: &str = "desk";
 const MESH_KEY: [u8; 32] = [7; 32];
@@ -111,6 +111,27 @@
         incarnation: u64,
     ) {
         let address = Address(socket.local_addr().unwrap());
+        self.add_known_as(address, centre, server, socket, incarnation)
+            .await;
+    }
+
+    /// Adds a daemon that the others reach through a relay.
+    pub async fn add_behind_relay(&mut self, centre: &str, server: Option<SocketAddr>) -> Relay {
+        let socket = UdpSocket::bind("127.0.0.1:0").unwrap();
+        let relay = Relay::start(socket.local_addr().unwrap()).await;
+        self.add_known_as(Address(relay.address), centre, server, socket, 1)
+            .await;
+        relay
+    }
+
+    async fn add_known_as(
+        &mut self,
+        address: Address,
+        centre: &str,
+        server: Option<SocketAddr>,
+        socket: UdpSocket,
+        incarnation: u64,
+    ) {
         let credentials = self.authority.issue(address).unwrap();
         let authority = self.authority.to_credentials().certificate;
         let tls =
--- a/crates/marigoldd/tests/support/mod.rs
+++ b/crates/marigoldd/tests/support/mod.rs
@@ -4,7 +4,9 @@
 pub mod backend;
 pub mod http;
 pub mod mesh;
+pub mod relay;
 
 pub use backend::Backend;
 pub use http::{Reply, http};
 pub use mesh::{Daemon, Mesh};
+pub use relay::Relay;
