--- a/crates/marigold-control/examples/spread.rs
+++ b/crates/marigold-control/examples/spread.rs
@@ -10,7 +10,7 @@
 use std::time::{Duration, Instant};
 
 use common::{Fixture, SECOND, address};
-use marigold_control::{ControlOptions, Message, Traffic};
+use marigold_control::{ControlOptions, MAX_MEMBERS, Member, MemberTable, Message, Traffic};
 use marigold_types::{Address, Version};
 
 /// How long each kind of traffic is watched, in seconds.
@@ -23,6 +23,8 @@
 const LIMIT: Duration = Duration::from_mins(1);
 /// How exactly convergence is timed.
 const STEP: Duration = Duration::from_millis(10);
+/// How many members tables are held at once to weigh one.
+const COPIES: usize = 16;
 /// The number of data centres.
 const CENTRES: usize = 3;
 
@@ -44,6 +46,11 @@
             measure(name, &options, *size);
         }
     }
+    print_full_size();
+}
+
+/// Prints what one daemon keeps at the size in two years.
+fn print_full_size() {
     let table = common::table(3_200, 9);
     for (name, options) in [
         ("time", ControlOptions::time()),
@@ -57,6 +64,48 @@
             links[links.len() - 1]
         );
     }
+    // As they come from the network: each record has names of its own.
+    let members: Vec<Member> = table.iter().map(|entry| entry.member.clone()).collect();
+    let encoded: Vec<Vec<u8>> = members
+        .chunks(MAX_MEMBERS)
+        .map(|part| {
+            let (members, last, joined) = (part.to_vec(), true, true);
+            Message::Table {
+                members,
+                last,
+                joined,
+            }
+            .encode()
+        })
+        .collect();
+    let before = resident();
+    let now = tokio::time::Instant::now();
+    let copies: Vec<MemberTable> = (0..COPIES).map(|_| decode_table(&encoded, now)).collect();
+    println!(
+        "members table of 3,200: {} KiB resident, {} bytes on the wire",
+        (resident() - before) / copies.len() as u64,
+        encoded.iter().map(Vec::len).sum::<usize>()
+    );
+}
+
+fn decode_table(encoded: &[Vec<u8>], now: tokio::time::Instant) -> MemberTable {
+    let mut table = MemberTable::new();
+    for part in encoded {
+        if let Ok(Message::Table { members, .. }) = Message::decode(part) {
+            for member in members {
+                table.merge(&member, now);
+            }
+        }
+    }
+    table
+}
+
+/// Returns the resident memory of this process in KiB.
+fn resident() -> u64 {
+    let status = std::fs::read_to_string("/proc/self/status").unwrap_or_default();
+    let line = status.lines().find_map(|line| line.strip_prefix("VmRSS:"));
+    let number = line.and_then(|line| line.split_whitespace().next());
+    number.and_then(|number| number.parse().ok()).unwrap_or(0)
 }
 
 /// The counters at one moment.
