Do not flood what is news only to a daemon that has just come

A probe of a life that has been replaced, or one whose target has spoken meanwhile, raises no suspicion.

--- a/crates/marigold-control/src/controllers/anti_entropy.rs
+++ b/crates/marigold-control/src/controllers/anti_entropy.rs
@@ -39,7 +39,10 @@
                 self.early = EARLY;
             }
             Input::Event(_) => {}
-            Input::Message { from, message } => hear(board, from, message, now, out),
+            Input::Message { from, message } => {
+                let is_new = self.early > 0;
+                hear(board, from, message, is_new, now, out);
+            }
         }
     }
 }
@@ -78,7 +81,14 @@
     }
 }
 
-fn hear(board: &mut Board, from: Address, message: &Message, now: Instant, out: &mut Outbox) {
+fn hear(
+    board: &mut Board,
+    from: Address,
+    message: &Message,
+    is_new: bool,
+    now: Instant,
+    out: &mut Outbox,
+) {
     match message {
         Message::Compare { mark } => compare(board, from, *mark, out),
         Message::Buckets { digests } => {
@@ -92,7 +102,12 @@
         Message::Records { wanted, members } => {
             answer_records(board, from, *wanted, members, out);
             for member in members {
-                board.learn(member, Some(from), now);
+                // What is news to a daemon that has just come is none to the others.
+                if is_new {
+                    board.import(member, now);
+                } else {
+                    board.learn(member, Some(from), now);
+                }
             }
         }
         _ => {}
--- a/crates/marigold-control/src/controllers/detector.rs
+++ b/crates/marigold-control/src/controllers/detector.rs
@@ -2,7 +2,7 @@
 
 use std::collections::BTreeMap;
 
-use marigold_types::Address;
+use marigold_types::{Address, Incarnation};
 use rand::RngExt;
 use rand::seq::IndexedRandom;
 use rand_chacha::ChaCha8Rng;
@@ -23,6 +23,8 @@
 #[derive(Debug, Clone, Copy)]
 struct Pending {
     target: Address,
+    /// The life that was probed; absent if that was held silent already.
+    life: Option<Incarnation>,
     sent: Instant,
     relayed: bool,
 }
@@ -84,7 +86,7 @@
         }
         self.next = Some(now + spread);
         if let Some(target) = self.pick(board) {
-            self.probe(board.mark(), target, now, out);
+            self.probe(board, target, now, out);
         }
     }
 
@@ -115,16 +117,17 @@
         near.get(place).copied()
     }
 
-    fn probe(&mut self, mark: Mark, target: Address, now: Instant, out: &mut Outbox) -> u64 {
+    fn probe(&mut self, board: &Board, target: Address, now: Instant, out: &mut Outbox) {
         let nonce = self.rng.random();
+        let mark = board.mark();
         let pending = Pending {
             target,
+            life: live_incarnation(board, target),
             sent: now,
             relayed: false,
         };
         self.pending.insert(nonce, pending);
         out.send(target, &Message::Probe { nonce, mark });
-        nonce
     }
 
     /// Asks others about those that have not answered, and suspects those nobody reaches.
@@ -140,7 +143,12 @@
             .collect();
         for (nonce, pending) in overdue {
             self.pending.remove(&nonce);
-            if pending.relayed || !is_alive(board, pending.target) {
+            // Another life has come meanwhile, or the silence is known.
+            let life = live_incarnation(board, pending.target);
+            if life.is_none() || life != pending.life {
+                continue;
+            }
+            if pending.relayed {
                 suspect(board, pending.target, now);
                 continue;
             }
@@ -176,6 +184,8 @@
         now: Instant,
         out: &mut Outbox,
     ) {
+        // Whatever it says, it lives.
+        self.pending.retain(|_, pending| pending.target != from);
         match message {
             Message::Probe { nonce, .. } => {
                 let mark = board.mark();
@@ -216,9 +226,10 @@
     }
 }
 
-fn is_alive(board: &Board, address: Address) -> bool {
-    let entry = board.members.get(address);
-    entry.is_some_and(|entry| entry.member.standing == Standing::Alive)
+/// Returns the life of the daemon at `address`, unless it is held silent.
+fn live_incarnation(board: &Board, address: Address) -> Option<Incarnation> {
+    let member = &board.members.get(address)?.member;
+    (member.standing == Standing::Alive).then_some(member.instance.incarnation)
 }
 
 /// Tells a daemon that speaks although it is held silent, so that it refutes.
--- a/crates/marigold-control/src/controllers/report.rs
+++ b/crates/marigold-control/src/controllers/report.rs
@@ -95,14 +95,21 @@
         });
     }
 
-    /// Returns whether a change is so new that most of those below are just about to tell.
+    /// Returns whether a follower had better wait before it tells everybody: most of those below
+    /// are just about to tell of a new version, or it has told a moment ago and only the count of
+    /// daemons has changed, as it does all the time while a herd returns.
     fn expects_more(&mut self, board: &Board, summary: &Summary, now: Instant) -> bool {
         let newest = self
             .newest
             .filter(|(version, _)| *version == summary.newest);
         let (_, since) = *self.newest.insert(newest.unwrap_or((summary.newest, now)));
         let grace = board.options.report * LAG_GRACE;
-        summary.holders < summary.total && now.duration_since(since) < grace
+        let last = self.last.as_ref();
+        let told = last.is_some_and(|last| now.duration_since(last.at) < grace);
+        if summary.holders < summary.total {
+            return told || now.duration_since(since) < grace;
+        }
+        told && last.is_some_and(|last| last.summary.newest == summary.newest)
     }
 
     fn count(&self, board: &Board) -> Summary {
--- a/crates/marigold-control/tests/membership.rs
+++ b/crates/marigold-control/tests/membership.rs
@@ -240,3 +240,27 @@
         assert_eq!(fixture.count(own, EndpointState::Ready), 10, "at {own}");
     }
 }
+
+#[test]
+fn returning_herd_is_not_suspected_for_its_former_silence() {
+    let mut fixture = Fixture::new(ControlOptions::time(), &[30, 30], 13);
+    fixture.publish_route(1);
+    fixture.mesh.advance(5 * SECOND);
+    for number in 0..15 {
+        fixture.mesh.crash(address(0, number));
+    }
+    fixture.mesh.advance(30 * SECOND);
+    for number in 0..15 {
+        fixture.restart(address(0, number));
+    }
+    for _ in 0..200 {
+        fixture.mesh.advance(SECOND / 10);
+        for plane in fixture.mesh.planes() {
+            for entry in plane.board().members.iter() {
+                let member = &entry.member;
+                let is_new = member.instance.incarnation.0 == 2;
+                assert!(!is_new || member.standing == Standing::Alive, "{member:?}");
+            }
+        }
+    }
+}
