--- a/crates/marigold-standin/src/fleet.rs
+++ b/crates/marigold-standin/src/fleet.rs
@@ -9,6 +9,7 @@
 mod node;
 mod node_plan;
 mod operator;
+mod sightings;
 
 pub use convergence::Convergence;
 pub use customer::Customer;
--- a/crates/marigold-standin/src/measure.rs
+++ b/crates/marigold-standin/src/measure.rs
@@ -4,6 +4,7 @@
 mod bench;
 mod calls;
 mod control;
+mod fault;
 mod faults;
 mod figure;
 mod findings;
--- /dev/null
+++ b/crates/marigold-standin/src/measure/fault.rs
@@ -0,0 +1,334 @@
+//! The faults that are brought about under load.
+
+use std::time::Duration;
+
+use marigold_config::Intent;
+use tokio::time::{Instant, sleep};
+
+use super::Figure;
+use crate::StandinError;
+use crate::backend::{BackendControl, BackendState, HealthMode};
+use crate::fleet::{Mesh, Node};
+use crate::load::{CallEnd, Caller, LoadRoute};
+use crate::log::LogControl;
+
+const INTENT: &str = "[service orders]\nslots = 15\nconnections = 120\nwarmup = 0ms\n\
+    [route read]\npath = /read\nservice = orders\nidempotent = yes\ndeadline = 2s\n\
+    [route once]\npath = /once\nservice = orders\nidempotent = no\ndeadline = 2s\n";
+/// The daemons of the mesh.
+pub const DAEMONS: usize = 9;
+/// The fault lasts so long, where it can be mended.
+const LASTS: Duration = Duration::from_secs(3);
+const CALLER_TIMEOUT: Duration = Duration::from_secs(5);
+/// How often the caller of the request that crashes backend servers sends it.
+const POISON_SENDS: u32 = 6;
+const HANG_MS: u64 = 600_000;
+
+/// A fault that is brought about under load.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum Fault {
+    /// None, for comparison.
+    None,
+    /// A daemon stops as an operator would have it.
+    GracefulStop,
+    /// A daemon goes silent at once.
+    Death,
+    /// A third of the daemons go silent at once.
+    Herd,
+    /// A request crashes each backend server that runs it, and its caller repeats it.
+    Poison,
+    /// The open connections of a backend server go silent, new ones work.
+    SilentConnections,
+    /// A backend server takes its announcement back.
+    BackendLeaves,
+    /// A backend server never answers, but says that it is well.
+    BackendHangs,
+    /// A backend server is gone without a word.
+    BackendCrashes,
+    /// Every backend server says that it is ill, but works.
+    HealthLies,
+    /// The log refuses everything.
+    LogDown,
+    /// The log takes two seconds over everything.
+    LogSlow,
+    /// A confirmation is written, but its answer is lost.
+    LostAnswer,
+}
+
+impl Fault {
+    /// Every fault, the absence of any first.
+    pub const ALL: [Self; 13] = [
+        Self::None,
+        Self::GracefulStop,
+        Self::Death,
+        Self::Herd,
+        Self::Poison,
+        Self::SilentConnections,
+        Self::BackendLeaves,
+        Self::BackendHangs,
+        Self::BackendCrashes,
+        Self::HealthLies,
+        Self::LogDown,
+        Self::LogSlow,
+        Self::LostAnswer,
+    ];
+
+    /// Names it in the figures.
+    pub const fn name(self) -> &'static str {
+        match self {
+            Self::None => "no fault",
+            Self::GracefulStop => "a daemon stops gracefully",
+            Self::Death => "a daemon dies",
+            Self::Herd => "a third of the daemons die at once",
+            Self::Poison => "a request crashes each backend server that runs it",
+            Self::SilentConnections => "a backend server's connections go silent",
+            Self::BackendLeaves => "a backend server leaves",
+            Self::BackendHangs => "a backend server hangs, its health says well",
+            Self::BackendCrashes => "a backend server is gone without a word",
+            Self::HealthLies => "health says ill of every backend server",
+            Self::LogDown => "the log is down",
+            Self::LogSlow => "the log is slow (2 s)",
+            Self::LostAnswer => "the answer to a confirmation is lost",
+        }
+    }
+
+    /// Brings it about on a mesh under load and returns what is to be said of it besides the calls.
+    ///
+    /// # Errors
+    ///
+    /// When a step cannot be taken.
+    pub async fn bring_about(self, mesh: &mut Mesh) -> Result<Vec<Figure>, StandinError> {
+        let name = self.name();
+        match self {
+            Self::None => {}
+            Self::GracefulStop => mesh.nodes_mut()[0].stop().await?,
+            Self::Death => mesh.nodes_mut()[0].abort(),
+            Self::Herd => {
+                for node in mesh.nodes_mut().iter_mut().take(DAEMONS / 3) {
+                    node.abort();
+                }
+            }
+            Self::Poison => return Ok(poison(mesh, name).await),
+            Self::SilentConnections => control(
+                &mesh.nodes()[0],
+                &BackendControl {
+                    silence: true,
+                    ..BackendControl::default()
+                },
+            ),
+            Self::HealthLies => return lie(mesh).await,
+            Self::BackendLeaves => {
+                if let Some(backend) = mesh.nodes_mut()[0].backend_mut() {
+                    backend.withdraw().await?;
+                }
+                return Ok(work_stops(&mesh.nodes()[0], name, "at most a few s").await);
+            }
+            Self::BackendHangs => {
+                control(
+                    &mesh.nodes()[0],
+                    &BackendControl {
+                        extra_ms: Some(HANG_MS),
+                        ..BackendControl::default()
+                    },
+                );
+                return Ok(work_stops(&mesh.nodes()[0], name, "-").await);
+            }
+            Self::BackendCrashes => {
+                if let Some(backend) = mesh.nodes()[0].backend() {
+                    backend.state().crash();
+                }
+            }
+            Self::LogDown => {
+                return log_fault(
+                    mesh,
+                    name,
+                    &LogControl {
+                        down: Some(true),
+                        ..LogControl::default()
+                    },
+                    &LogControl {
+                        down: Some(false),
+                        ..LogControl::default()
+                    },
+                )
+                .await;
+            }
+            Self::LogSlow => {
+                return log_fault(
+                    mesh,
+                    name,
+                    &LogControl {
+                        slow_ms: Some(2_000),
+                        ..LogControl::default()
+                    },
+                    &LogControl {
+                        slow_ms: Some(0),
+                        ..LogControl::default()
+                    },
+                )
+                .await;
+            }
+            Self::LostAnswer => return lost_answer(mesh, name).await,
+        }
+        Ok(Vec::new())
+    }
+}
+
+fn control(node: &Node, order: &BackendControl) {
+    if let Some(backend) = node.backend() {
+        backend.state().control(order);
+    }
+}
+
+/// Sends a request that crashes whatever runs it, again and again.
+async fn poison(mesh: &Mesh, case: &str) -> Vec<Figure> {
+    let caller = Caller::new(true, false, CALLER_TIMEOUT);
+    let route = LoadRoute::repeatable("/read/crash");
+    let targets = mesh.callers();
+    let mut refused = 0;
+    for send in 0..POISON_SENDS {
+        let target = targets[send as usize % targets.len()];
+        let word = caller.call(target, &route, "poison", None).await;
+        refused += u32::from(word.end == CallEnd::NotRun);
+        sleep(Duration::from_millis(300)).await;
+    }
+    let backends = mesh.nodes().iter().filter_map(Node::backend);
+    let crashes: u64 = backends.map(|b| b.state().crash_count()).sum();
+    let name = format!("backend servers crashed by {POISON_SENDS} sends");
+    vec![
+        Figure::new(case, &name, count(crashes), "crashes").target("at most 2"),
+        Figure::new(
+            case,
+            "sends refused as not run",
+            f64::from(refused),
+            "sends",
+        ),
+    ]
+}
+
+async fn lie(mesh: &Mesh) -> Result<Vec<Figure>, StandinError> {
+    let say = |mode| {
+        for node in mesh.nodes() {
+            control(
+                node,
+                &BackendControl {
+                    health: Some(mode),
+                    ..BackendControl::default()
+                },
+            );
+        }
+    };
+    say(HealthMode::AlwaysIll);
+    sleep(LASTS).await;
+    say(HealthMode::Honest);
+    Ok(Vec::new())
+}
+
+/// Watches how long a backend server still gets work.
+async fn work_stops(node: &Node, case: &str, target: &str) -> Vec<Figure> {
+    let start = Instant::now();
+    let Some(backend) = node.backend() else {
+        return Vec::new();
+    };
+    let state: &BackendState = backend.state();
+    let before = state.arrivals();
+    sleep(LASTS).await;
+    let early = state.arrivals();
+    sleep(LASTS).await;
+    let last = state
+        .last_arrival()
+        .map(|at| at.saturating_duration_since(start));
+    let last = last.unwrap_or_default().as_secs_f64();
+    vec![
+        Figure::new(case, "last work after", last, "s").target(target),
+        Figure::new(
+            case,
+            "calls given to it within 3 s",
+            count(early - before),
+            "calls",
+        ),
+        Figure::new(
+            case,
+            "calls given to it from 3 s to 6 s",
+            count(state.arrivals() - early),
+            "calls",
+        ),
+    ]
+}
+
+/// Tries a change while the log is at fault, and again when it is mended.
+async fn log_fault(
+    mesh: &Mesh,
+    case: &str,
+    fault: &LogControl,
+    mend: &LogControl,
+) -> Result<Vec<Figure>, StandinError> {
+    let set = |order: &LogControl| {
+        mesh.log()
+            .control(order)
+            .map_err(|error| StandinError::new("control", &"log", &error))
+    };
+    let planned = mesh.plan(&intent(1)?).await?;
+    set(fault)?;
+    let start = Instant::now();
+    let confirming = async {
+        let confirmed = mesh.confirm(&planned, CALLER_TIMEOUT).await;
+        (confirmed.is_ok(), start.elapsed())
+    };
+    let mending = async {
+        sleep(LASTS).await;
+        set(mend)
+    };
+    let ((accepted, told), mended) = tokio::join!(confirming, mending);
+    mended?;
+    let start = Instant::now();
+    // What came of the first confirmation is learned by sending it again.
+    let after = mesh.confirm(&planned, CALLER_TIMEOUT).await?;
+    let again = start.elapsed().as_secs_f64();
+    let new = |name: &str, value: f64, unit: &str| Figure::new(case, name, value, unit);
+    Ok(vec![
+        new("a confirmation is answered after", told.as_secs_f64(), "s"),
+        new("it was accepted", f64::from(u8::from(accepted)), "0 or 1"),
+        new("confirmed again and held everywhere after", again, "s"),
+        new("daemons without it", count(after.missing as u64), "daemons").target("0"),
+    ])
+}
+
+async fn lost_answer(mesh: &Mesh, case: &str) -> Result<Vec<Figure>, StandinError> {
+    let planned = mesh.plan(&intent(1)?).await?;
+    let lose = LogControl {
+        lose: Some(1),
+        ..LogControl::default()
+    };
+    mesh.log()
+        .control(&lose)
+        .map_err(|error| StandinError::new("control", &"log", &error))?;
+    let convergence = mesh.confirm(&planned, CALLER_TIMEOUT).await?;
+    let last = convergence.quantile(1.0).as_secs_f64();
+    let missing = count(convergence.missing as u64);
+    Ok(vec![
+        Figure::new(case, "in force everywhere after", last, "s"),
+        Figure::new(case, "daemons without it", missing, "daemons").target("0"),
+    ])
+}
+
+/// Returns the intent; `edition` tells one from the next.
+///
+/// # Errors
+///
+/// When it has a mistake.
+pub fn intent(edition: u64) -> Result<Intent, StandinError> {
+    let text = format!(
+        "{INTENT}[route edition]\npath = /edition\nservice = orders\nidempotent = yes\n\
+         deadline = {}ms\n",
+        1_000 + edition
+    );
+    Intent::parse("measure", &text)
+        .map_err(|faults| StandinError::new("read intent", &"measure", &faults))
+}
+
+/// Counts are far below 2^52, so that the conversion is exact.
+#[expect(clippy::cast_precision_loss, reason = "far below 2^52")]
+pub fn count(count: u64) -> f64 {
+    count as f64
+}
