Close the life of a witness that has been silent for hours

Change: a witness that has not told its time for four hours is closed, which is safe, since nothing begins under its keys afterwards; a region that is cut off for an hour is not.

--- a/crates/marigold-api/src/daemon_row.rs
+++ b/crates/marigold-api/src/daemon_row.rs
@@ -54,7 +54,7 @@
     pub version: Version,
     /// How many log records that version is behind the latest known one; zero when it holds it.
     pub lag: u64,
-    /// How long it has been behind, or at this version when it is not behind.
+    /// How long it has been behind, or in this state when it is not behind.
     pub since: Interval,
     /// Its control bytes by kind; known of the answering daemon only, else empty.
     pub bytes: Vec<KindBytes>,
--- a/crates/marigold-request/src/once.rs
+++ b/crates/marigold-request/src/once.rs
@@ -5,6 +5,7 @@
 mod key_mint;
 mod request_key;
 mod resolution;
+mod silent_witnesses;
 mod stored_answer;
 mod witness_table;
 
@@ -13,5 +14,6 @@
 pub use key_mint::KeyMint;
 pub use request_key::{Nonce, RequestKey};
 pub use resolution::{Resolution, Word};
+pub use silent_witnesses::SilentWitnesses;
 pub use stored_answer::StoredAnswer;
 pub use witness_table::WitnessTable;
--- a/crates/marigold-request/tests/key_tables.rs
+++ b/crates/marigold-request/tests/key_tables.rs
@@ -4,8 +4,8 @@
 
 use common::{SECOND, instance, interval, ms, service};
 use marigold_request::once::{
-    Begin, EntryKey, ExecutorLimits, ExecutorTable, Finish, Nonce, RequestKey, Resolution, Start,
-    StoredAnswer, WitnessTable, Word,
+    Begin, EntryKey, ExecutorLimits, ExecutorTable, Finish, Nonce, RequestKey, Resolution,
+    SilentWitnesses, Start, StoredAnswer, WitnessTable, Word,
 };
 use marigold_request::{Refusal, RefusalReason, WitnessAnswer};
 use marigold_types::{ByteSize, Digest};
@@ -269,6 +269,27 @@
     assert_eq!(witness.seal(&key(1), now), WitnessAnswer::NotMine);
 }
 
+#[test]
+fn witness_that_is_gone_is_closed_and_one_that_was_cut_off_is_not() {
+    let now = Instant::now();
+    let hour = 3_600 * SECOND;
+    let mut silent = SilentWitnesses::default();
+    assert!(!silent.miss(&instance(2, 1), now));
+    assert!(!silent.miss(&instance(2, 1), now + hour));
+    silent.hear(&instance(2, 1));
+    assert!(!silent.miss(&instance(2, 1), now + 2 * hour));
+    assert!(!silent.miss(&instance(2, 1), now + 5 * hour));
+    assert!(silent.miss(&instance(2, 1), now + 6 * hour));
+
+    let mut table = table(10);
+    let id = begin(&mut table, &key(1));
+    table.start(id, Some(&WitnessAnswer::Started));
+    table.finish(id, Finish::Lost);
+    table.close(&instance(2, 1));
+    assert!(table.is_empty());
+    assert!(matches!(table.begin(&key(1), digest()), Begin::Unknown(_)));
+}
+
 macro_rules! resolves {
     ($($name:ident: $answer:expr => $is_proof:literal;)*) => {$(
         #[test]
--- a/crates/marigoldd/src/executor/upkeep.rs
+++ b/crates/marigoldd/src/executor/upkeep.rs
@@ -3,6 +3,7 @@
 use std::sync::Arc;
 use std::time::Duration;
 
+use marigold_request::once::SilentWitnesses;
 use marigold_request::quarantine::Sentence;
 use marigold_request::{RefusalReason, StreamOpen, WitnessAnswer, WitnessRequest};
 use marigold_types::{InstanceId, SlotCount};
@@ -64,6 +65,7 @@
 async fn forget(executor: &LocalExecutor) {
     let mut ticks = interval(FORGET);
     ticks.set_missed_tick_behavior(MissedTickBehavior::Delay);
+    let mut silent = SilentWitnesses::default();
     loop {
         ticks.tick().await;
         let witnesses: Vec<InstanceId> = executor.once.table().witnesses().copied().collect();
@@ -75,7 +77,10 @@
                 .ask(witness.address, request, until)
                 .await;
             if let Some(WitnessAnswer::Reserved { uptime }) = answer {
+                silent.hear(&witness);
                 executor.once.table().witness_uptime(&witness, uptime);
+            } else if silent.miss(&witness, Instant::now()) {
+                executor.once.table().close(&witness);
             }
         }
     }
