Measure calls, control with the time profile, keys, overload and faults

A restart waits until its addresses are free: quinn keeps the socket that a rebind replaced until it hears from the new one.

--- a/crates/marigold-standin/src/fleet/node.rs
+++ b/crates/marigold-standin/src/fleet/node.rs
@@ -2,6 +2,7 @@
 
 use std::net::{Ipv4Addr, SocketAddr, TcpListener, UdpSocket};
 use std::sync::Arc;
+use std::time::Duration;
 
 use marigold_auth::{Authority, MeshKey};
 use marigold_control::Counters;
@@ -9,11 +10,15 @@
 use marigold_settings::Settings;
 use marigold_types::{Address, Version};
 use marigoldd::{Daemon, DaemonParts, Secrets, Sockets};
+use tokio::time::Instant;
 
 use super::NodePlan;
 use crate::StandinError;
 use crate::backend::{BackendPlan, BackendStandin};
 
+const REBIND: Duration = Duration::from_secs(20);
+const REBIND_RETRY: Duration = Duration::from_millis(50);
+
 /// A daemon, and what is needed to start it again at the same addresses.
 pub struct Node {
     plan: NodePlan,
@@ -129,11 +134,21 @@
     ///
     /// # Errors
     ///
-    /// When an address is in use or the daemon does not start.
-    pub fn restart(&mut self) -> Result<(), StandinError> {
-        let sockets = Sockets::bind(&self.settings);
-        let wrap = |error| StandinError::new("listen", &self.settings.daemon.address, &error);
-        self.run_daemon(sockets.map_err(wrap)?)?;
+    /// When an address stays in use or the daemon does not start.
+    pub async fn restart(&mut self) -> Result<(), StandinError> {
+        // The sockets of the life before may take a while to go.
+        let until = Instant::now() + REBIND;
+        let sockets = loop {
+            match Sockets::bind(&self.settings) {
+                Ok(sockets) => break sockets,
+                Err(_) if Instant::now() < until => tokio::time::sleep(REBIND_RETRY).await,
+                Err(error) => {
+                    let address = &self.settings.daemon.address;
+                    return Err(StandinError::new("listen", address, &error));
+                }
+            }
+        };
+        self.run_daemon(sockets)?;
         let admin = self.admin();
         if let Some(backend) = &mut self.backend {
             backend.announce_to(admin);
--- a/crates/marigold-standin/src/measure/calls.rs
+++ b/crates/marigold-standin/src/measure/calls.rs
@@ -76,7 +76,7 @@
         y: "ms".to_owned(),
         series: lines.map(|line| line.series).into(),
     });
-    setup.mesh.abandon();
+    setup.mesh.stop().await?;
     Ok(findings)
 }
 
--- a/crates/marigold-standin/src/measure/control.rs
+++ b/crates/marigold-standin/src/measure/control.rs
@@ -123,7 +123,7 @@
         .run(&state, CHANGES)
         .await?;
     row.idle = idle;
-    mesh.abandon();
+    mesh.stop().await?;
     Ok(row)
 }
 
--- a/crates/marigold-standin/src/measure/faults.rs
+++ b/crates/marigold-standin/src/measure/faults.rs
@@ -117,6 +117,6 @@
         .await
         .map_err(|error| StandinError::new("run load", &fault.name(), &error))?;
     let audit = mesh.audit(&ledger);
-    mesh.abandon();
+    mesh.stop().await?;
     Ok(Seen { load, audit, extra })
 }
--- a/crates/marigold-standin/src/measure/keys.rs
+++ b/crates/marigold-standin/src/measure/keys.rs
@@ -106,6 +106,6 @@
     findings.add(Figure::new(&case, "doubled", audit.doubled as f64, "calls").target("0"));
     #[expect(clippy::cast_precision_loss, reason = "far below 2^52")]
     findings.add(Figure::new(&case, "lost", audit.lost() as f64, "calls").target("0"));
-    mesh.abandon();
+    mesh.stop().await?;
     Ok(findings)
 }
--- a/crates/marigold-standin/src/measure/overload.rs
+++ b/crates/marigold-standin/src/measure/overload.rs
@@ -103,7 +103,7 @@
             })
             .collect(),
     });
-    mesh.abandon();
+    mesh.stop().await?;
     Ok(findings)
 }
 
--- a/crates/marigold-standin/src/measure/recovery.rs
+++ b/crates/marigold-standin/src/measure/recovery.rs
@@ -80,7 +80,7 @@
 
     bench.step("the herd returns");
     let before = Meter::read(&mesh)?;
-    return_herd(&mut mesh)?;
+    return_herd(&mut mesh).await?;
     let held = mesh.wait_until("return", WAIT, |node| {
         node.is_serving() && node.version() == Some(convergence.version)
     });
@@ -127,7 +127,7 @@
     ));
 
     outage(bench, &mut mesh, &mut findings).await?;
-    mesh.abandon();
+    mesh.stop().await?;
     Ok(findings)
 }
 
@@ -150,7 +150,7 @@
     let log = mesh.log().clone();
     die(mesh);
     tokio::time::sleep(QUIET).await;
-    return_herd(mesh)?;
+    return_herd(mesh).await?;
     let version = mesh.nodes()[DAEMONS - 1].version();
     let held = mesh
         .wait_until("return", WAIT, |node| {
@@ -198,9 +198,10 @@
     }
 }
 
-fn return_herd(mesh: &mut Mesh) -> Result<(), StandinError> {
-    let mut herd = mesh.nodes_mut().iter_mut().skip(DAEMONS / 3).take(HERD);
-    herd.try_for_each(Node::restart)
+async fn return_herd(mesh: &mut Mesh) -> Result<(), StandinError> {
+    let herd = mesh.nodes_mut().iter_mut().skip(DAEMONS / 3).take(HERD);
+    futures_util::future::try_join_all(herd.map(Node::restart)).await?;
+    Ok(())
 }
 
 fn parse(text: &str) -> Result<Intent, StandinError> {
