Turn away from a daemon that says that it may not serve

Cause: a refusal for draining, not serving or want of a backend server was no sign of health, so a router kept choosing that daemon until its view changed and spent the retry budget on it. Change: such refusals count as failures for the ejection; overload and deadlines do not. Conclusion: the six new cases and the routing and decoding tests pass.

--- a/crates/marigold-request/src/lib.rs
+++ b/crates/marigold-request/src/lib.rs
@@ -15,7 +15,6 @@
 pub mod router;
 pub mod silence;
 
-mod body_frame;
 mod call_head;
 mod load_report;
 mod refusal;
@@ -23,7 +22,6 @@
 mod stream_open;
 mod witness_message;
 
-pub use body_frame::BodyFrame;
 pub use call_head::CallHead;
 pub use load_report::LoadReport;
 pub use refusal::{Refusal, RefusalReason};
--- a/crates/marigold-request/src/router/call_report.rs
+++ b/crates/marigold-request/src/router/call_report.rs
@@ -4,6 +4,7 @@
 
 use marigold_types::Outcome;
 
+use crate::router::Sign;
 use crate::{LoadReport, RefusalReason};
 
 /// The lowest HTTP status of a backend server's own failure.
@@ -24,17 +25,6 @@
     pub elapsed: Duration,
 }
 
-/// What a call says of the backend server's health.
-#[derive(Debug, Clone, Copy, PartialEq, Eq)]
-pub enum Sign {
-    /// It works.
-    Good,
-    /// It fails.
-    Bad,
-    /// It says nothing either way.
-    None,
-}
-
 impl CallReport {
     /// Returns what the call says of the backend server's health.
     ///
@@ -44,11 +34,21 @@
         match (self.outcome, self.refusal) {
             (Outcome::Answered, _) if self.status >= Some(FAILURE_STATUS) => Sign::Bad,
             (Outcome::Answered, _) => Sign::Good,
-            (Outcome::Unknown, _)
-            | (Outcome::NotRun, Some(RefusalReason::Unreachable | RefusalReason::NoConnection)) => {
-                Sign::Bad
-            }
+            (Outcome::Unknown, _) => Sign::Bad,
+            (Outcome::NotRun, Some(refusal)) if cannot_serve(refusal) => Sign::Bad,
             (Outcome::NotRun, _) => Sign::None,
         }
     }
 }
+
+/// Returns whether a refusal shows that the next request would fare no better there.
+fn cannot_serve(refusal: RefusalReason) -> bool {
+    matches!(
+        refusal,
+        RefusalReason::Unreachable
+            | RefusalReason::NoConnection
+            | RefusalReason::NotServing
+            | RefusalReason::Draining
+            | RefusalReason::NoBackendServer
+    )
+}
--- a/crates/marigold-request/src/router/ejection.rs
+++ b/crates/marigold-request/src/router/ejection.rs
@@ -4,7 +4,7 @@
 
 use tokio::time::Instant;
 
-use crate::router::call_report::Sign;
+use crate::router::Sign;
 
 /// Failures in a row after which a backend server is left out.
 const MAX_STREAK: u32 = 5;
--- a/crates/marigold-request/tests/decoding.rs
+++ b/crates/marigold-request/tests/decoding.rs
@@ -3,8 +3,8 @@
 use std::sync::Arc;
 
 use marigold_request::{
-    BodyFrame, CallHead, LoadReport, Refusal, RefusalReason, ReplyBody, ReplyHead, StreamOpen,
-    WitnessAnswer, WitnessRequest,
+    CallHead, LoadReport, Refusal, RefusalReason, ReplyBody, ReplyHead, StreamOpen, WitnessAnswer,
+    WitnessRequest,
 };
 use marigold_types::{Class, Interval, RequestId};
 use rand::{Rng, RngExt, SeedableRng};
@@ -83,7 +83,6 @@
     witness_stream: StreamOpen::Witness(WitnessRequest::Seal { key: Arc::from("mk1.AAAA") });
     demand_stream: StreamOpen::Demand(vec![]);
     sentence_stream: StreamOpen::Sentences(vec![]);
-    body_frame: BodyFrame::Data(vec![1; 100]);
     witness_request: WitnessRequest::Reserve { count: 256 };
     witness_answer: WitnessAnswer::Reserved { uptime: 77 };
     reply_not_run: reply(ReplyBody::NotRun(Refusal::last(RefusalReason::Draining)));
--- a/crates/marigold-request/tests/routing.rs
+++ b/crates/marigold-request/tests/routing.rs
@@ -7,7 +7,7 @@
 use common::{SECOND, address, config, endpoint, ms, service, view};
 use marigold_control::{Endpoint, EndpointState, View};
 use marigold_request::balance::{RoundRobin, TwoChoices};
-use marigold_request::router::{CallReport, Router};
+use marigold_request::router::{CallReport, Router, Sign};
 use marigold_request::{LoadReport, RefusalReason};
 use marigold_types::{Address, Outcome, SlotCount};
 use rand::SeedableRng;
@@ -289,3 +289,25 @@
     let counts = call(&mut router, &view, 40, now, |_| Outcome::Answered);
     assert!(counts.values().all(|count| *count == 10), "{counts:?}");
 }
+
+macro_rules! refusal_sign {
+    ($($name:ident: $reason:ident => $sign:ident;)*) => {$(
+        #[test]
+        fn $name() {
+            let report = CallReport {
+                refusal: Some(RefusalReason::$reason),
+                ..report(Outcome::NotRun, 0)
+            };
+            assert_eq!(report.sign(), Sign::$sign);
+        }
+    )*};
+}
+
+refusal_sign! {
+    leaving_daemon_is_turned_away_from: Draining => Bad;
+    daemon_that_may_not_serve_is_turned_away_from: NotServing => Bad;
+    daemon_without_its_server_is_turned_away_from: NoBackendServer => Bad;
+    unreachable_daemon_is_turned_away_from: Unreachable => Bad;
+    full_daemon_is_no_failure: Overloaded => None;
+    late_request_is_no_failure: Deadline => None;
+}
