Tell operators what metrics there are, and hold the page to the code

Cause: no page listed the metrics, and version, serving, members, reads of the log, received control messages and requests in flight were in no metric. Change: docs/METRICS.md; a test compares names, types and labels with the sources both ways. One new file, control_meters.rs, publishes the control side's own counts when the metrics are asked for (called in sources.rs). Requests refused before they have a route are in no counter; the page says so.

--- /dev/null
+++ b/crates/marigoldd/src/control_meters.rs
@@ -0,0 +1,111 @@
+//! What operators watch of the control side and of the requests in flight.
+
+use marigold_control::{Standing, Status, Traffic};
+use metrics::{counter, gauge};
+
+/// Hands the state of one daemon to the metrics, each time that they are asked for.
+///
+/// The control side counts for itself, without a recorder; docs/METRICS.md explains each figure.
+pub struct ControlMeters {
+    daemon: String,
+}
+
+impl ControlMeters {
+    /// Builds the meters of the daemon whose `status` is published.
+    #[must_use]
+    pub fn new(status: &Status) -> Self {
+        Self {
+            daemon: status.local.address.to_string(),
+        }
+    }
+
+    /// Publishes the status of the control side.
+    pub fn publish(&self, status: &Status, draining: bool) {
+        self.publish_state(status, draining);
+        self.publish_members(status);
+        self.publish_log(status);
+        self.publish_messages(status);
+    }
+
+    /// Publishes how many requests the daemon has in flight, as ingress and as executor.
+    pub fn publish_requests(&self, requests: usize) {
+        gauge!("marigold_requests_in_flight", "daemon" => self.name()).set(to_gauge(requests));
+    }
+
+    fn publish_state(&self, status: &Status, draining: bool) {
+        gauge!("marigold_serving", "daemon" => self.name()).set(f64::from(status.serving));
+        gauge!("marigold_draining", "daemon" => self.name()).set(f64::from(draining));
+        gauge!("marigold_follower", "daemon" => self.name()).set(f64::from(status.follower));
+        gauge!("marigold_version", "daemon" => self.name()).set(to_float(status.version.0));
+        gauge!("marigold_version_newest", "daemon" => self.name()).set(to_float(status.newest.0));
+    }
+
+    fn publish_members(&self, status: &Status) {
+        let standings = [
+            (Standing::Alive, "alive"),
+            (Standing::Suspect, "suspect"),
+            (Standing::Dead, "dead"),
+        ];
+        for (standing, label) in standings {
+            let members = status.members.iter();
+            let count = members.filter(|member| member.standing == standing).count();
+            gauge!("marigold_members", "daemon" => self.name(), "standing" => label)
+                .set(to_gauge(count));
+        }
+        let alive = status.members.iter();
+        let lags = alive.filter(|member| member.standing != Standing::Dead);
+        let lags: Vec<f64> = lags
+            .filter_map(|member| member.lag)
+            .map(|lag| lag.duration().as_secs_f64())
+            .collect();
+        let longest = lags.iter().copied().fold(0.0, f64::max);
+        gauge!("marigold_members_behind", "daemon" => self.name()).set(to_gauge(lags.len()));
+        gauge!("marigold_lag_seconds", "daemon" => self.name()).set(longest);
+    }
+
+    fn publish_log(&self, status: &Status) {
+        let counters = &status.counters;
+        counter!("marigold_log_reads_total", "daemon" => self.name()).absolute(counters.reads);
+        counter!("marigold_log_appends_total", "daemon" => self.name()).absolute(counters.appends);
+        if let Some(age) = status.log_read {
+            let age = age.duration().as_secs_f64();
+            gauge!("marigold_log_read_age_seconds", "daemon" => self.name()).set(age);
+        }
+    }
+
+    fn publish_messages(&self, status: &Status) {
+        let counters = &status.counters;
+        for (kind, traffic) in &counters.received {
+            self.publish_received(kind, *traffic);
+        }
+        counter!("marigold_control_malformed_total", "daemon" => self.name())
+            .absolute(counters.malformed);
+        counter!("marigold_control_refused_total", "daemon" => self.name())
+            .absolute(counters.refused);
+        counter!("marigold_control_deferred_total", "daemon" => self.name())
+            .absolute(counters.deferred);
+    }
+
+    fn publish_received(&self, kind: &'static str, traffic: Traffic) {
+        counter!("marigold_control_received_total", "daemon" => self.name(), "kind" => kind)
+            .absolute(traffic.messages);
+        counter!("marigold_control_received_bytes_total", "daemon" => self.name(), "kind" => kind)
+            .absolute(traffic.bytes);
+    }
+
+    fn name(&self) -> String {
+        self.daemon.clone()
+    }
+}
+
+fn to_gauge(count: usize) -> f64 {
+    to_float(count as u64)
+}
+
+#[expect(
+    clippy::cast_precision_loss,
+    reason = "versions and counts stay far below 2^52"
+)]
+fn to_float(number: u64) -> f64 {
+    number as f64
+}
--- a/crates/marigoldd/src/lib.rs
+++ b/crates/marigoldd/src/lib.rs
@@ -11,6 +11,7 @@
 mod announcer;
 mod backend_server;
 mod control_loop;
+mod control_meters;
 mod control_options;
 mod daemon;
 mod logging;
@@ -22,6 +23,7 @@
 mod sources;
 
 pub use backend_server::BackendServer;
+pub use control_meters::ControlMeters;
 pub use daemon::{Daemon, DaemonParts, StartError};
 pub use logging::install as install_logging;
 pub use metrics::Metrics;
--- a/crates/marigoldd/src/sources.rs
+++ b/crates/marigoldd/src/sources.rs
@@ -13,7 +13,7 @@
 
 use crate::admin::{AdminParts, BurnSource, DrainSink, LogSession, MetricsSource, StatusSource};
 use crate::peer::QuicPeers;
-use crate::{Metrics, RequestSide, Shared};
+use crate::{ControlMeters, Metrics, RequestSide, Shared};
 
 /// The parts of a daemon that the operators' side asks.
 pub struct Sources {
@@ -38,6 +38,8 @@
         let metrics = ProcessMetrics {
             metrics,
             peers: Arc::clone(&self.peers),
+            plane: Arc::clone(&self.plane),
+            requests: Arc::clone(&self.requests),
         };
         AdminParts {
             shared: Arc::clone(&self.shared),
@@ -136,15 +138,24 @@
     }
 }
 
-/// Renders the metrics of the process after taking in those of the connections.
+/// Renders the metrics of the process after taking in those that other parts count for themselves.
 struct ProcessMetrics {
     metrics: Metrics,
     peers: Arc<QuicPeers>,
+    plane: Arc<Mutex<ControlPlane>>,
+    requests: Arc<RequestSide>,
 }
 
 impl MetricsSource for ProcessMetrics {
     fn render(&self) -> String {
         self.peers.publish_metrics();
+        let status = {
+            let plane = self.plane.lock().unwrap_or_else(PoisonError::into_inner);
+            plane.status(Instant::now())
+        };
+        let meters = ControlMeters::new(&status);
+        meters.publish(&status, self.requests.is_draining());
+        meters.publish_requests(self.requests.in_flight());
         self.metrics.render()
     }
 }
--- /dev/null
+++ b/crates/marigoldd/tests/metrics_reference.rs
@@ -0,0 +1,109 @@
+//! Holds docs/METRICS.md to the metrics that the sources of the daemon record.
+
+use std::collections::{BTreeMap, BTreeSet};
+use std::fs;
+use std::path::Path;
+
+/// The macros that record a metric.
+const TYPES: [&str; 3] = ["counter", "gauge", "histogram"];
+/// Columns of a row of the page: name, type, unit, labels, meaning.
+const COLUMNS: usize = 5;
+
+/// How a metric is recorded.
+#[derive(Debug, Default, PartialEq, Eq)]
+struct Metric {
+    kinds: BTreeSet<String>,
+    labels: BTreeSet<String>,
+}
+
+type Metrics = BTreeMap<String, Metric>;
+
+/// Reads the macros of one source file.
+fn collect_text(text: &str, file: &Path, found: &mut Metrics) {
+    for kind in TYPES {
+        let opening = format!("{kind}!(");
+        for (at, _) in text.match_indices(&opening) {
+            let arguments = parenthesised(&text[at + opening.len()..]);
+            let mut quoted = arguments.split('"').skip(1).step_by(2);
+            assert!(
+                arguments.trim_start().starts_with('"'),
+                "{}: the name of a {kind} must be a literal: {arguments}",
+                file.display()
+            );
+            let name = quoted.next().expect("a name");
+            let metric = found.entry(name.to_owned()).or_default();
+            metric.kinds.insert(kind.to_owned());
+            let labels = arguments.rsplit("=>").skip(1);
+            let labels = labels.filter_map(|before| before.trim_end().strip_suffix('"'));
+            let labels = labels.filter_map(|before| before.rsplit('"').next());
+            metric.labels.extend(labels.map(str::to_owned));
+        }
+    }
+}
+
+/// Returns the text up to the parenthesis that closes the macro.
+fn parenthesised(text: &str) -> &str {
+    let mut depth = 1;
+    for (at, sign) in text.char_indices() {
+        match sign {
+            '(' => depth += 1,
+            ')' => depth -= 1,
+            _ => {}
+        }
+        if depth == 0 {
+            return &text[..at];
+        }
+    }
+    panic!("a macro is not closed: {text:.80}");
+}
+
+fn collect_directory(directory: &Path, found: &mut Metrics) {
+    for entry in fs::read_dir(directory).expect("the sources") {
+        let path = entry.expect("an entry").path();
+        if path.is_dir() {
+            collect_directory(&path, found);
+        } else if path.extension().is_some_and(|kind| kind == "rs") {
+            let text = fs::read_to_string(&path).expect("a source file");
+            collect_text(&text, &path, found);
+        }
+    }
+}
+
+fn quoted(cell: &str) -> BTreeSet<String> {
+    cell.split('`')
+        .skip(1)
+        .step_by(2)
+        .map(str::to_owned)
+        .collect()
+}
+
+/// Reads the rows of the page whose first cell names a metric.
+fn read_page(page: &str) -> Metrics {
+    let mut found = Metrics::new();
+    for line in page.lines().filter(|line| line.starts_with("| `marigold_")) {
+        let cells: Vec<&str> = line.trim_matches('|').split('|').map(str::trim).collect();
+        assert_eq!(cells.len(), COLUMNS, "{line}");
+        assert!(cells.iter().all(|cell| !cell.is_empty()), "{line}");
+        let name = cells[0].trim_matches('`').to_owned();
+        let metric = Metric {
+            kinds: BTreeSet::from([cells[1].to_owned()]),
+            labels: quoted(cells[3]),
+        };
+        assert_eq!(found.insert(name, metric), None, "twice: {line}");
+    }
+    found
+}
+
+#[test]
+fn page_lists_what_the_daemon_records() {
+    let root = Path::new(env!("CARGO_MANIFEST_DIR"));
+    let mut recorded = Metrics::new();
+    collect_directory(&root.join("src"), &mut recorded);
+    let page = fs::read_to_string(root.join("../../docs/METRICS.md")).expect("the page");
+    assert!(!recorded.is_empty());
+    assert_eq!(
+        recorded,
+        read_page(&page),
+        "left: the code, right: the page"
+    );
+}
