Follow the control side when a daemon's life gets a greater number

Cause: a daemon whose clock stepped back learns on joining that an earlier life had a greater number and takes the next one; its tables of keys kept the number of its start, so that every key that names it would have ended unknown, and an operator's drain would have been refused. Change: both tables take the later life over while they remember no key; the drain and the making of keys read the published life.

--- a/crates/marigold-request/src/once/executor_table.rs
+++ b/crates/marigold-request/src/once/executor_table.rs
@@ -144,6 +144,16 @@
         }
     }
 
+    /// Takes `local` for the life of this daemon, which may learn on joining that an earlier life
+    /// had a greater number than its own start.
+    ///
+    /// A table that remembers any key keeps its life.
+    pub fn adopt(&mut self, local: InstanceId) {
+        if self.entries.is_empty() && self.forgotten.is_empty() {
+            self.local = local;
+        }
+    }
+
     /// Returns how many keys are remembered.
     #[must_use]
     pub fn len(&self) -> usize {
--- a/crates/marigold-request/src/once/witness_table.rs
+++ b/crates/marigold-request/src/once/witness_table.rs
@@ -54,6 +54,14 @@
         }
     }
 
+    /// Takes `local` for the life of this daemon, as
+    /// [`ExecutorTable::adopt`](crate::once::ExecutorTable::adopt) does.
+    pub fn adopt(&mut self, local: InstanceId) {
+        if self.marks.is_empty() {
+            self.local = local;
+        }
+    }
+
     /// Returns the milliseconds since this witness started, by its own steady clock.
     #[must_use]
     pub fn uptime(&self, now: Instant) -> u64 {
--- a/crates/marigold-request/tests/key_tables.rs
+++ b/crates/marigold-request/tests/key_tables.rs
@@ -269,6 +269,25 @@
     assert_eq!(witness.seal(&key(1), now), WitnessAnswer::NotMine);
 }
 
+#[test]
+fn later_life_is_taken_over_only_before_the_first_key() {
+    let (mut witness, now) = witness(10);
+    let mut table = table(10);
+    witness.adopt(instance(2, 3));
+    table.adopt(instance(1, 3));
+    assert_eq!(witness.start(&key(1), now), WitnessAnswer::NotMine);
+    assert!(matches!(table.begin(&key(1), digest()), Begin::Unknown(_)));
+
+    witness.adopt(instance(2, 1));
+    table.adopt(instance(1, 1));
+    begin(&mut table, &key(1));
+    assert_eq!(witness.start(&key(1), now), WitnessAnswer::Started);
+    witness.adopt(instance(2, 3));
+    table.adopt(instance(1, 3));
+    assert_eq!(witness.seal(&key(1), now), WitnessAnswer::MayHaveRun);
+    assert!(matches!(table.begin(&key(1), digest()), Begin::Wait(_)));
+}
+
 #[test]
 fn witness_that_is_gone_is_closed_and_one_that_was_cut_off_is_not() {
     let now = Instant::now();
--- a/crates/marigoldd/src/admin/operators.rs
+++ b/crates/marigoldd/src/admin/operators.rs
@@ -129,7 +129,7 @@
 /// Begins the shutdown of this very life of the daemon.
 pub fn drain(parts: &AdminParts, signed: &Signed) -> Reply {
     let request: DrainRequest = parse(&signed.body)?;
-    let local = parts.shared.local;
+    let local = parts.shared.view.load().local;
     if request.instance != local {
         let text = format!("this is daemon {local}, not {}", request.instance);
         return Err(bad_request(text));
--- a/crates/marigoldd/src/caller/key_desk.rs
+++ b/crates/marigoldd/src/caller/key_desk.rs
@@ -199,7 +199,7 @@
     let mut found: Vec<InstanceId> = list.iter().map(|other| other.instance).collect();
     found.dedup();
     // A daemon without a backend server is in no list, and may witness all the same.
-    found.push(ingress.shared.local);
+    found.push(view.local);
     found
 }
 
--- a/crates/marigoldd/src/executor/upkeep.rs
+++ b/crates/marigoldd/src/executor/upkeep.rs
@@ -48,6 +48,7 @@
                 }
             }
         }
+        executor.adopt_life();
         let current = server.borrow_and_update().clone();
         executor.take_server(current.map(|server| executor.bound(server)));
     }
@@ -113,6 +114,13 @@
         futures_util::future::join_all(others.map(tell)).await;
     }
 
+    /// Follows the control side when it has found that an earlier life had a greater number.
+    fn adopt_life(&self) {
+        let local = self.shared.view.load().local;
+        self.once.table().adopt(local);
+        self.witnesses.adopt(local);
+    }
+
     /// Returns `server` with no more slots and connections than its service declares.
     fn bound(&self, server: BackendServer) -> BackendServer {
         let view = self.shared.view.load();
--- a/crates/marigoldd/src/executor/witnesses.rs
+++ b/crates/marigoldd/src/executor/witnesses.rs
@@ -5,7 +5,7 @@
 
 use marigold_request::once::{RequestKey, WitnessTable};
 use marigold_request::{StreamOpen, WitnessAnswer, WitnessRequest};
-use marigold_types::Address;
+use marigold_types::{Address, InstanceId};
 use tokio::time::{Instant, timeout_at};
 
 use crate::Shared;
@@ -37,6 +37,12 @@
         }
     }
 
+    /// Takes `local` for the life of this daemon, if the witness remembers no key yet.
+    pub fn adopt(&self, local: InstanceId) {
+        let mut table = self.table.lock().unwrap_or_else(PoisonError::into_inner);
+        table.adopt(local);
+    }
+
     /// Answers a question to this daemon's witness.
     #[must_use]
     pub fn answer(&self, request: &WitnessRequest) -> WitnessAnswer {
