Give operators alerts and a runbook by symptom

Cause: the pages for operators were by theme; nothing led from a symptom to them. Change: docs/ALERTS.md over the metrics, docs/RUNBOOK.md by symptom; a test checks that each alert names recorded metrics and links a section that is there. Conclusion: commands and outputs were taken from a mesh of three daemons run by hand. The alert expressions were not run in Prometheus; the page says so.

--- a/crates/marigoldd/tests/metrics_reference.rs
+++ b/crates/marigoldd/tests/metrics_reference.rs
@@ -107,3 +107,37 @@
         "left: the code, right: the page"
     );
 }
+
+#[test]
+fn alerts_name_only_recorded_metrics() {
+    let docs = Path::new(env!("CARGO_MANIFEST_DIR")).join("../../docs");
+    let known = read_page(&fs::read_to_string(docs.join("METRICS.md")).expect("the page"));
+    let alerts = fs::read_to_string(docs.join("ALERTS.md")).expect("the alerts");
+    let words = alerts.split(|sign: char| !sign.is_ascii_alphanumeric() && sign != '_');
+    let mut used = 0;
+    for word in words.filter(|word| word.starts_with("marigold_")) {
+        let series = word.strip_suffix("_bucket").unwrap_or(word);
+        let series = series.strip_suffix("_count").unwrap_or(series);
+        assert!(known.contains_key(series), "{word} is not recorded");
+        used += 1;
+    }
+    assert!(used > 0);
+}
+
+#[test]
+fn alerts_link_into_the_runbook() {
+    let docs = Path::new(env!("CARGO_MANIFEST_DIR")).join("../../docs");
+    let alerts = fs::read_to_string(docs.join("ALERTS.md")).expect("the alerts");
+    let runbook = fs::read_to_string(docs.join("RUNBOOK.md")).expect("the runbook");
+    let headings: BTreeSet<String> = runbook
+        .lines()
+        .filter_map(|line| line.strip_prefix("## "))
+        .map(|heading| heading.to_lowercase().replace(' ', "-"))
+        .collect();
+    let links: Vec<&str> = alerts.split("RUNBOOK.md#").skip(1).collect();
+    assert!(!links.is_empty());
+    for link in links {
+        let anchor = link.split(')').next().expect("an anchor");
+        assert!(headings.contains(anchor), "no section for {anchor}");
+    }
+}
