Tell a service without backend server from a wrong path, and count early refusals

Cause: a service whose last backend server had gone was answered 404 no-route, without a time to come back, and neither the metrics nor the burn report counted it: an outage looked like a full budget. Found by running the runbook by hand. Change: the ingress goes by the declared route; such a call is 503 no-backend-server, counted against the objective. Refusals before a call is read (no route, not serving, draining) are counted too.

--- a/crates/marigoldd/src/caller/ingress.rs
+++ b/crates/marigoldd/src/caller/ingress.rs
@@ -88,7 +88,8 @@
         if request.uri().path() == KEYS_PATH {
             return self.keys.handle(self, &view, &request).await;
         }
-        if view.route_for(request.uri().path()).is_none() {
+        // A route without a backend server is refused as such further on, and counted.
+        if view.declared_for(request.uri().path()).is_none() {
             let refusal = Refusal::last(RefusalReason::NoRoute);
             return self.refuse_early(key, refusal).await;
         }
@@ -110,8 +111,14 @@
     /// Answers a request that is refused before it is read.
     async fn refuse_early(&self, key: Option<Arc<str>>, refusal: Refusal) -> Response<CallerBody> {
         match self.refuse(key.as_ref(), refusal).await {
-            Ran::Unknown(step) => response::unknown(RequestId::random(), &step),
-            Ran::NotRun(_) | Ran::Answered(_) => response::not_run(None, refusal, ""),
+            Ran::Unknown(step) => {
+                self.meters.count_unknown();
+                response::unknown(RequestId::random(), &step)
+            }
+            Ran::NotRun(_) | Ran::Answered(_) => {
+                self.meters.count_refused(Some(refusal.reason));
+                response::not_run(None, refusal, "")
+            }
         }
     }
 
@@ -140,7 +147,7 @@
                 &detail,
             )));
         }
-        let Some((name, route)) = view.route_for(parts.uri.path()) else {
+        let Some((name, route)) = view.declared_for(parts.uri.path()) else {
             let refusal = Refusal::last(RefusalReason::NoRoute);
             return Err(Box::new(response::not_run(None, refusal, "")));
         };
--- a/crates/marigoldd/src/caller/meters.rs
+++ b/crates/marigoldd/src/caller/meters.rs
@@ -50,7 +50,13 @@
         }
     }
 
-    fn count_refused(&self, refusal: Option<RefusalReason>) {
+    /// Counts a call that is unknown before it was read.
+    pub fn count_unknown(&self) {
+        self.unknown.increment(1);
+    }
+
+    /// Counts a refused call, also one that is refused before it was read and has no time.
+    pub fn count_refused(&self, refusal: Option<RefusalReason>) {
         let reason = refusal.map_or_else(String::new, |reason| reason.to_string());
         let daemon = self.daemon.clone();
         counter!(
--- a/crates/marigoldd/tests/failures.rs
+++ b/crates/marigoldd/tests/failures.rs
@@ -202,6 +202,27 @@
     assert_eq!(call.await.unwrap().unwrap().body, "held");
 }
 
+#[tokio::test]
+async fn service_without_backend_server_is_no_wrong_path() {
+    let mesh = Mesh::start(&[], 1).await;
+    let caller = mesh.daemons[0].caller;
+    let reply = http(caller, "GET", "/read/x", &[], "").await.unwrap();
+    assert_eq!(
+        (reply.status, reply.outcome(), reply.reason()),
+        (503, "not-run", "no-backend-server")
+    );
+    assert!(!reply.header("retry-after").is_empty());
+    let reply = http(caller, "GET", "/nowhere", &[], "").await.unwrap();
+    assert_eq!((reply.status, reply.reason()), (404, "no-route"));
+    let keys = "/.marigold/keys?path=/write/x";
+    let reply = http(caller, "POST", keys, &[], "").await.unwrap();
+    assert_eq!(
+        (reply.status, reply.reason()),
+        (503, "no-backend-server"),
+        "{reply:?}"
+    );
+}
+
 #[tokio::test]
 async fn daemon_that_may_not_serve_refuses() {
     let backend = Backend::start().await;
