Set the routing and relay tests up in one place each

Cause: the same backend servers, failing calls and relayed mesh were written out again in each test. Change: a function for each; no check is changed.

--- a/crates/marigold-request/tests/routing.rs
+++ b/crates/marigold-request/tests/routing.rs
@@ -35,6 +35,23 @@
     }
 }
 
+/// Shows backend servers 1 to `hosts`, all of one data centre and long past their cold start.
+fn depot(hosts: u16, now: Instant) -> View {
+    let list = (1..=hosts)
+        .map(|host| endpoint(host, "depot", long_ago(now)))
+        .collect();
+    view(list, config(vec![]))
+}
+
+/// Fails every call at the first backend server.
+fn fails_at_first(at: Address) -> Outcome {
+    if at == address(1) {
+        Outcome::Unknown
+    } else {
+        Outcome::Answered
+    }
+}
+
 fn pick(router: &mut Router, view: &View, now: Instant) -> Option<Endpoint> {
     router.pick(view, &service(), &[], now).ok()
 }
@@ -159,25 +176,15 @@
 #[test]
 fn failing_calls_outrank_the_health_endpoint() {
     let now = Instant::now();
-    let list = (1..=4)
-        .map(|host| endpoint(host, "depot", long_ago(now)))
-        .collect();
-    let view = view(list, config(vec![]));
+    let view = depot(4, now);
     let mut router = router(5);
-    let bad = |at| {
-        if at == address(1) {
-            Outcome::Unknown
-        } else {
-            Outcome::Answered
-        }
-    };
-    let counts = call(&mut router, &view, 400, now, bad);
+    let counts = call(&mut router, &view, 400, now, fails_at_first);
     assert_eq!(counts[&address(1)], 5, "{counts:?}");
     // After its term one trial call goes to it, fails, and it is out for twice as long.
     let later = now + 6 * SECOND;
-    let counts = call(&mut router, &view, 400, later, bad);
+    let counts = call(&mut router, &view, 400, later, fails_at_first);
     assert_eq!(counts[&address(1)], 1, "{counts:?}");
-    let counts = call(&mut router, &view, 400, later + 6 * SECOND, bad);
+    let counts = call(&mut router, &view, 400, later + 6 * SECOND, fails_at_first);
     assert_eq!(counts.get(&address(1)), None, "{counts:?}");
     // A trial call that goes well opens it.
     let counts = call(&mut router, &view, 400, later + 11 * SECOND, |_| {
@@ -189,19 +196,9 @@
 #[test]
 fn only_one_trial_call_is_out_at_a_time() {
     let now = Instant::now();
-    let list = (1..=2)
-        .map(|host| endpoint(host, "depot", long_ago(now)))
-        .collect();
-    let view = view(list, config(vec![]));
+    let view = depot(2, now);
     let mut router = router(5);
-    let bad = |at| {
-        if at == address(1) {
-            Outcome::Unknown
-        } else {
-            Outcome::Answered
-        }
-    };
-    call(&mut router, &view, 100, now, bad);
+    call(&mut router, &view, 100, now, fails_at_first);
     let later = now + 6 * SECOND;
     let mut trials = 0;
     for _ in 0..100 {
@@ -215,10 +212,7 @@
 #[test]
 fn all_failing_ejects_at_most_half() {
     let now = Instant::now();
-    let list = (1..=5)
-        .map(|host| endpoint(host, "depot", long_ago(now)))
-        .collect();
-    let view = view(list, config(vec![]));
+    let view = depot(5, now);
     let mut router = router(7);
     call(&mut router, &view, 500, now, |_| Outcome::Unknown);
     let counts = call(&mut router, &view, 500, now, |_| Outcome::Unknown);
@@ -236,10 +230,7 @@
 #[test]
 fn refusals_for_want_of_room_do_not_eject() {
     let now = Instant::now();
-    let list = (1..=4)
-        .map(|host| endpoint(host, "depot", long_ago(now)))
-        .collect();
-    let view = view(list, config(vec![]));
+    let view = depot(4, now);
     let mut router = router(9);
     for _ in 0..200 {
         let chosen = pick(&mut router, &view, now).unwrap();
@@ -264,14 +255,7 @@
         )
     };
     let mut router = router(11);
-    let bad = |at| {
-        if at == address(1) {
-            Outcome::Unknown
-        } else {
-            Outcome::Answered
-        }
-    };
-    call(&mut router, &list(1), 100, now, bad);
+    call(&mut router, &list(1), 100, now, fails_at_first);
     let counts = call(&mut router, &list(2), 100, now, |_| Outcome::Answered);
     assert!(counts[&address(1)] > 20, "{counts:?}");
 }
@@ -279,10 +263,7 @@
 #[test]
 fn round_robin_takes_turns() {
     let now = Instant::now();
-    let list = (1..=4)
-        .map(|host| endpoint(host, "depot", long_ago(now)))
-        .collect();
-    let view = view(list, config(vec![]));
+    let view = depot(4, now);
     let (centre, region) = ("depot".parse().unwrap(), "dyfed".parse().unwrap());
     let rng = ChaCha8Rng::seed_from_u64(1);
     let mut router = Router::new(centre, region, Box::new(RoundRobin::default()), rng);
--- a/crates/marigoldd/tests/peers.rs
+++ b/crates/marigoldd/tests/peers.rs
@@ -11,7 +11,7 @@
 use marigoldd::peer::{LinkKind, PeerSender, PeerTls, QuicPeers, codec};
 use quinn::Endpoint;
 use support::http::send;
-use support::{Backend, Daemon, Mesh, http};
+use support::{Backend, Daemon, Mesh, Relay, http};
 use tokio::sync::mpsc;
 
 async fn next(daemon: &mut Daemon) -> Event {
@@ -299,14 +299,20 @@
     }
 }
 
-#[tokio::test]
-async fn calls_find_their_way_when_the_connection_goes_silent() {
-    let backend = Backend::start().await;
+/// Two daemons: the first with the backend server and behind a relay, the second without.
+async fn behind_relay(backend: &Backend) -> (Mesh, Relay) {
     let mut mesh = Mesh::new();
     let relay = mesh.add_behind_relay("hall-a", Some(backend.address)).await;
     mesh.add("hall-b", None).await;
     mesh.publish();
     mesh.daemons[0].wait_healthy().await;
+    (mesh, relay)
+}
+
+#[tokio::test]
+async fn calls_find_their_way_when_the_connection_goes_silent() {
+    let backend = Backend::start().await;
+    let (mesh, relay) = behind_relay(&backend).await;
     let caller = mesh.daemons[1].caller;
     let first = http(caller, "POST", "/write/x", &[], "one").await.unwrap();
     assert_eq!(first.outcome(), "answered");
@@ -329,11 +335,7 @@
 #[tokio::test]
 async fn answer_in_parts_is_cut_when_the_connection_goes_silent() {
     let backend = Backend::start().await;
-    let mut mesh = Mesh::new();
-    let relay = mesh.add_behind_relay("hall-a", Some(backend.address)).await;
-    mesh.add("hall-b", None).await;
-    mesh.publish();
-    mesh.daemons[0].wait_healthy().await;
+    let (mesh, relay) = behind_relay(&backend).await;
     let caller = mesh.daemons[1].caller;
     let nothing = Empty::new().map_err(|never| match never {}).boxed_unsync();
     let response = send(caller, "GET", "/read/endless", &[], nothing).await;
