--- /dev/null
+++ b/crates/marigold-dispatch/src/lib.rs
@@ -0,0 +1,42 @@
+//! Decisions of the direct request path: which route, which backend server, in which order, and when
+//! to refuse.
+//!
+//! There are no sockets and no clock here: each decision is given the time. The sidecar joins them to
+//! the network. See docs/design/platform.md.
+
+mod announcement;
+mod backend_state;
+mod call_kind;
+mod caller_limits;
+mod directory;
+mod gate;
+mod line;
+mod placement;
+mod rank;
+mod retry_window;
+mod route_policy;
+mod route_table;
+mod run_time;
+mod share;
+mod shutdown;
+mod site;
+mod target;
+mod track;
+
+pub use announcement::{Announcement, ServingState};
+pub use backend_state::{BackendState, Current, Heard};
+pub use call_kind::CallKind;
+pub use caller_limits::CallerLimits;
+pub use directory::{Directory, Site};
+pub use gate::{Admit, Gate, Permit, Ticket, Work};
+pub use placement::{Choice, Placement, Wanted};
+pub use rank::Rank;
+pub use retry_window::RetryWindow;
+pub use route_policy::RoutePolicy;
+pub use route_table::{RouteTable, ServicePolicy};
+pub use run_time::RunTime;
+pub use share::ShareCycle;
+pub use shutdown::{Shutdown, Stage};
+pub use site::SiteReport;
+pub use target::Target;
+pub use track::Track;
--- /dev/null
+++ b/crates/marigold-dispatch/src/placement.rs
@@ -0,0 +1,179 @@
+//! Chooses the executor of a request.
+//!
+//! Answers the load pattern in which one data centre is full while another has room, backend servers
+//! differ in speed, and some have just joined: each choice weighs the expected wait and run against
+//! what it costs to leave the data centre.
+
+use std::collections::HashMap;
+use std::net::SocketAddr;
+use std::time::Duration;
+
+use marigold_types::{DataCentre, ServiceName};
+use rand::{Rng, RngExt};
+use tokio::time::Instant;
+
+use crate::{CallKind, Directory, RunTime, Site, SiteReport, Track};
+
+/// The run time that is assumed before any of a kind was seen.
+const FIRST_RUN: Duration = Duration::from_millis(50);
+/// The part of a run that a full backend server costs beyond its line, since runs bunch up.
+const CROWD_PART: f64 = 0.25;
+/// The random part of a cost, in runs, that spreads equal choices over executors.
+const JITTER_PART: f64 = 0.05;
+/// The kinds of work whose run time is remembered.
+const MAX_KINDS: usize = 512;
+
+/// What is asked of a placement.
+#[derive(Debug, Clone, Copy)]
+pub struct Wanted<'a> {
+    /// The service that must run the request.
+    pub service: &'a ServiceName,
+    /// What kind of work it is.
+    pub kind: &'a CallKind,
+    /// The bytes that the hop is expected to carry.
+    pub bytes: u64,
+    /// Executors that were tried already.
+    pub tried: &'a [SocketAddr],
+}
+
+/// An executor with what it is expected to cost.
+#[derive(Debug, Clone, Copy, PartialEq)]
+pub struct Choice {
+    /// Where the executor takes calls.
+    pub address: SocketAddr,
+    /// The expected wait for a slot.
+    pub wait: Duration,
+    /// Whether it stands in another data centre.
+    pub is_remote: bool,
+}
+
+/// Knows the executors of all services from the view of one ingress.
+#[derive(Debug)]
+pub struct Placement {
+    data_centre: DataCentre,
+    /// The wait that one more kibibyte between data centres must save.
+    byte_cost: Duration,
+    tracks: HashMap<SocketAddr, Track>,
+    runs: HashMap<CallKind, RunTime>,
+}
+
+impl Placement {
+    /// Builds the placement of an ingress in `data_centre`, where a kibibyte that leaves it must save
+    /// `byte_cost`.
+    #[must_use]
+    pub fn new(data_centre: DataCentre, byte_cost: Duration) -> Self {
+        Self {
+            data_centre,
+            byte_cost,
+            tracks: HashMap::new(),
+            runs: HashMap::new(),
+        }
+    }
+
+    /// Returns the state of the executor at `address`.
+    pub fn track(&mut self, address: SocketAddr, now: Instant) -> &mut Track {
+        self.tracks
+            .entry(address)
+            .or_insert_with(|| Track::new(now))
+    }
+
+    /// Forgets executors that are in the directory no more and have nothing in flight.
+    pub fn retain(&mut self, directory: &Directory) {
+        self.tracks
+            .retain(|address, track| directory.get(*address).is_some() || track.in_flight() > 0);
+    }
+
+    /// Learns from a run of `kind` at `address` that took `time`.
+    pub fn ran(&mut self, address: SocketAddr, kind: &CallKind, time: Duration, now: Instant) {
+        if self.runs.len() >= MAX_KINDS && !self.runs.contains_key(kind) {
+            return;
+        }
+        let usual = self.runs.entry(kind.clone()).or_default();
+        let mean = usual.mean_or(time).as_secs_f64();
+        usual.observe(time);
+        if mean > 0.0 {
+            let ratio = time.as_secs_f64() / mean;
+            self.track(address, now).ran(ratio, now);
+        }
+    }
+
+    /// Returns how long a run of `kind` usually takes.
+    #[must_use]
+    pub fn usual_run(&self, kind: &CallKind) -> Duration {
+        self.runs
+            .get(kind)
+            .map_or(FIRST_RUN, |time| time.mean_or(FIRST_RUN))
+    }
+
+    /// Chooses the executor of least cost, none if none takes calls.
+    pub fn choose<R: Rng>(
+        &mut self,
+        directory: &Directory,
+        wanted: &Wanted<'_>,
+        rng: &mut R,
+        now: Instant,
+    ) -> Option<Choice> {
+        let mut best: Option<(f64, Choice)> = None;
+        let mut fallback = None;
+        for site in directory.of(wanted.service) {
+            if wanted.tried.contains(&site.address) {
+                continue;
+            }
+            let (cost, choice) = self.cost(site, wanted, rng, now);
+            let track = self.track(site.address, now);
+            let report = track.report();
+            let is_other = report.is_some_and(|report| !serves(report, wanted.service));
+            if is_other || !track.takes_calls(now) {
+                // Better than none if every executor looks unfit, as when this daemon was cut off.
+                if !is_other {
+                    fallback = fallback.or(Some(choice));
+                }
+                continue;
+            }
+            if best.is_none_or(|(least, _)| cost < least) {
+                best = Some((cost, choice));
+            }
+        }
+        best.map(|(_, choice)| choice).or(fallback)
+    }
+
+    fn cost<R: Rng>(
+        &self,
+        site: &Site,
+        wanted: &Wanted<'_>,
+        rng: &mut R,
+        now: Instant,
+    ) -> (f64, Choice) {
+        let run = self.usual_run(wanted.kind).as_secs_f64();
+        let track = self.tracks.get(&site.address);
+        let speed = track.map_or(1.0, |track| track.speed(now));
+        let slots = track
+            .and_then(Track::report)
+            .map_or(site.slots.0, |r| r.slots.0);
+        let slots = f64::from(slots.max(1));
+        let requests = f64::from(track.map_or(0, |track| track.requests(now)));
+        let mean = track.and_then(Track::report).map_or(run * speed, |report| {
+            report.mean_run.as_secs_f64().max(0.001)
+        });
+        let ahead = (requests + 1.0 - slots).max(0.0);
+        let wait = ahead * mean / slots;
+        let fill = ((requests + 1.0) / slots).min(1.0);
+        let is_remote = site.data_centre != self.data_centre;
+        let mut cost = wait + run * speed + CROWD_PART * mean * fill * fill;
+        if is_remote {
+            let kib = f64::from(u32::try_from(wanted.bytes / 64).unwrap_or(u32::MAX)) / 16.0;
+            cost += self.byte_cost.as_secs_f64() * kib;
+        }
+        cost += JITTER_PART * run * rng.random::<f64>();
+        let choice = Choice {
+            address: site.address,
+            wait: Duration::from_secs_f64(wait),
+            is_remote,
+        };
+        (cost, choice)
+    }
+}
+
+fn serves(report: &SiteReport, service: &ServiceName) -> bool {
+    report.service.as_ref() == Some(service) && report.slots.0 > 0
+}
--- a/crates/marigold-log/src/lib.rs
+++ b/crates/marigold-log/src/lib.rs
@@ -5,12 +5,14 @@
 
 mod error;
 mod http_log;
+mod keyed_store;
 mod platform_log;
 mod record;
 mod stream_name;
 
 pub use error::{LogError, LogFailure};
 pub use http_log::HttpLog;
+pub use keyed_store::{KeyedBatch, KeyedRecord, KeyedStore, TableName};
 pub use platform_log::{Appended, Batch, PlatformLog};
 pub use record::StoredRecord;
 pub use stream_name::StreamName;
--- /dev/null
+++ b/crates/marigold-sidecar/src/control/site_publisher.rs
@@ -0,0 +1,112 @@
+//! Tells other daemons of this one.
+
+use std::net::SocketAddr;
+use std::rc::Rc;
+use std::time::Duration;
+
+use bytes::Bytes;
+use marigold_dispatch::{Directory, Site};
+use marigold_log::{KeyedStore, TableName};
+use marigold_types::DataCentre;
+use tokio::time::sleep;
+
+use crate::events::{EventLog, Severity};
+use crate::executor::LocalExecutor;
+use crate::ingress::Mesh;
+
+/// How often this daemon's record is compared with what it should be.
+const TICK: Duration = Duration::from_millis(250);
+/// The wait after a failed write.
+const BACKOFF: Duration = Duration::from_millis(500);
+
+/// Keeps this daemon's record in the table of daemons.
+pub struct SitePublisher {
+    store: Rc<dyn KeyedStore>,
+    table: TableName,
+    address: SocketAddr,
+    data_centre: DataCentre,
+    executor: Rc<LocalExecutor>,
+    mesh: Rc<Mesh>,
+    events: Rc<EventLog>,
+}
+
+impl SitePublisher {
+    /// Builds the publisher of the daemon that takes calls at `address`.
+    #[must_use]
+    pub fn new(
+        store: Rc<dyn KeyedStore>,
+        table: TableName,
+        address: SocketAddr,
+        data_centre: DataCentre,
+        executor: Rc<LocalExecutor>,
+        mesh: Rc<Mesh>,
+        events: Rc<EventLog>,
+    ) -> Self {
+        Self {
+            store,
+            table,
+            address,
+            data_centre,
+            executor,
+            mesh,
+            events,
+        }
+    }
+
+    /// Publishes until the task is dropped.
+    ///
+    /// Only what changes is written: whether the backend server takes work is told to those who call
+    /// it, and a daemon that ends for a while keeps its record.
+    pub async fn run(self: Rc<Self>) {
+        loop {
+            sleep(TICK).await;
+            let Some((service, slots)) = self.executor.serving() else {
+                continue;
+            };
+            let site = Site {
+                address: self.address,
+                data_centre: self.data_centre.clone(),
+                service,
+                slots,
+            };
+            let stands = |directory: &Directory| directory.get(self.address) == Some(&site);
+            if self.mesh.read(stands) {
+                continue;
+            }
+            let value = match serde_json::to_vec(&site) {
+                Ok(value) => Bytes::from(value),
+                Err(error) => {
+                    self.failed(&error.to_string());
+                    sleep(BACKOFF).await;
+                    continue;
+                }
+            };
+            // Known to this daemon at once, whatever the store does.
+            self.mesh.update(|directory| directory.put(site.clone()));
+            while let Err(error) = self.put(Some(value.clone())).await {
+                self.failed(&error.to_string());
+                sleep(BACKOFF).await;
+            }
+        }
+    }
+
+    /// Takes the record away, since the backend server has left for good.
+    pub async fn withdraw(&self) {
+        if let Err(error) = self.put(None).await {
+            self.failed(&error.to_string());
+        }
+    }
+
+    async fn put(&self, value: Option<Bytes>) -> Result<(), marigold_log::LogError> {
+        let key = self.address.to_string();
+        self.store.put(&self.table, &key, value).await
+    }
+
+    fn failed(&self, cause: &str) {
+        self.events.emit(
+            "daemon_record_not_written",
+            Severity::Warn,
+            &[("cause", cause.into())],
+        );
+    }
+}
--- /dev/null
+++ b/crates/marigold-sidecar/src/events.rs
@@ -0,0 +1,144 @@
+//! Structured log lines: one for each decision, bounded and never blocking.
+
+use std::cell::RefCell;
+use std::collections::HashMap;
+use std::sync::Arc;
+use std::time::{Duration, SystemTime, UNIX_EPOCH};
+
+use serde_json::{Map, Value};
+use spdlog::formatter::PatternFormatter;
+use spdlog::formatter::pattern;
+use spdlog::sink::{AsyncPoolSink, OverflowPolicy, Sink, StdStreamSink};
+use spdlog::{Logger, ThreadPool};
+use tokio::time::Instant;
+
+/// Lines that wait for the writer at most; more are dropped so that no request waits for a reader.
+const QUEUE_LINES: usize = 1024;
+/// The lines of one event that are written in a second at most.
+const LINES_A_SECOND: u32 = 40;
+/// One in so many routine lines is written.
+const ROUTINE_SAMPLE: u64 = 50;
+const SECOND: Duration = Duration::from_secs(1);
+
+/// How much a line matters.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum Severity {
+    /// A success like many; only a sample is written.
+    Routine,
+    /// A decision or a change of state.
+    Info,
+    /// Something that an operator should look at.
+    Warn,
+}
+
+#[derive(Debug)]
+struct Window {
+    since: Instant,
+    lines: u32,
+    skipped: u64,
+}
+
+/// Writes events as one JSON object a line, see docs/LOGS.md.
+#[derive(Debug)]
+pub struct EventLog {
+    instance: Arc<str>,
+    windows: RefCell<HashMap<&'static str, Window>>,
+    routine: RefCell<HashMap<&'static str, u64>>,
+}
+
+impl EventLog {
+    /// Builds the log of the instance called `instance`.
+    #[must_use]
+    pub fn new(instance: Arc<str>) -> Self {
+        Self {
+            instance,
+            windows: RefCell::default(),
+            routine: RefCell::default(),
+        }
+    }
+
+    /// Writes an event if its budget allows; the line says how many of its kind were left out.
+    pub fn emit(&self, event: &'static str, severity: Severity, fields: &[(&str, Value)]) {
+        if severity == Severity::Routine && !self.is_sampled(event) {
+            return;
+        }
+        let Some(skipped) = self.admit(event) else {
+            return;
+        };
+        let mut line = Map::new();
+        line.insert("time_ms".to_owned(), unix_millis().into());
+        line.insert("instance".to_owned(), self.instance.as_ref().into());
+        line.insert("event".to_owned(), event.into());
+        for (name, value) in fields {
+            line.insert((*name).to_owned(), value.clone());
+        }
+        if skipped > 0 {
+            line.insert("skipped".to_owned(), skipped.into());
+        }
+        let text = Value::Object(line).to_string();
+        match severity {
+            Severity::Routine | Severity::Info => spdlog::info!("{text}"),
+            Severity::Warn => spdlog::warn!("{text}"),
+        }
+    }
+
+    fn is_sampled(&self, event: &'static str) -> bool {
+        let mut routine = self.routine.borrow_mut();
+        let count = routine.entry(event).or_default();
+        *count += 1;
+        *count % ROUTINE_SAMPLE == 1
+    }
+
+    /// Returns how many lines were left out before this one, or none if this one is left out too.
+    fn admit(&self, event: &'static str) -> Option<u64> {
+        let now = Instant::now();
+        let mut windows = self.windows.borrow_mut();
+        let window = windows.entry(event).or_insert(Window {
+            since: now,
+            lines: 0,
+            skipped: 0,
+        });
+        if now.saturating_duration_since(window.since) >= SECOND {
+            window.since = now;
+            window.lines = 0;
+        }
+        if window.lines >= LINES_A_SECOND {
+            window.skipped += 1;
+            metrics::counter!("marigold_log_lines_skipped_total").increment(1);
+            return None;
+        }
+        window.lines += 1;
+        Some(std::mem::take(&mut window.skipped))
+    }
+}
+
+/// Sends log lines to the standard output from a thread of their own.
+///
+/// # Errors
+///
+/// When the thread cannot be started.
+pub fn install_log() -> Result<(), spdlog::Error> {
+    let formatter = PatternFormatter::new(pattern!("{payload}{eol}"));
+    let output = StdStreamSink::builder()
+        .stdout()
+        .formatter(formatter)
+        .build_arc()?;
+    let pool = ThreadPool::builder()
+        .capacity(std::num::NonZeroUsize::new(QUEUE_LINES).unwrap_or(std::num::NonZeroUsize::MIN))
+        .build_arc()?;
+    let sink: Arc<dyn Sink> = AsyncPoolSink::builder()
+        .sink(output)
+        .thread_pool(pool)
+        .overflow_policy(OverflowPolicy::DropIncoming)
+        .build_arc()?;
+    let logger = Logger::builder().sink(sink).build_arc()?;
+    spdlog::set_default_logger(logger);
+    Ok(())
+}
+
+fn unix_millis() -> u64 {
+    let since = SystemTime::now().duration_since(UNIX_EPOCH);
+    since.map_or(0, |time| {
+        u64::try_from(time.as_millis()).unwrap_or(u64::MAX)
+    })
+}
--- /dev/null
+++ b/crates/marigold-sidecar/src/executor.rs
@@ -0,0 +1,13 @@
+//! Beside the backend server: everything that reaches it passes here.
+//!
+//! Slots, draining, identity and at most once are decided by one process, so they need no agreement.
+
+mod backend_conn;
+mod backend_pool;
+mod exchange;
+mod local_executor;
+mod queue;
+
+pub use backend_pool::BackendPool;
+pub use exchange::{BackendRequest, Exchange, exchange};
+pub use local_executor::{LocalExecutor, LocalOptions};
--- /dev/null
+++ b/crates/marigold-sidecar/src/http1/request_reader.rs
@@ -0,0 +1,221 @@
+//! Reads the requests of one caller's connection.
+
+use std::sync::Arc;
+use std::time::Duration;
+
+use bytes::{Buf, Bytes, BytesMut};
+use marigold_dispatch::CallerLimits;
+use tokio::time::Instant;
+
+use super::field_block::is_of_connection;
+use super::{BodyDecoder, FieldBlock, HttpFault, Request};
+use crate::HeaderNames;
+
+/// The most fields of a head.
+const MAX_FIELDS: usize = 100;
+
+#[derive(Debug)]
+struct Partial {
+    request: Request,
+    decoder: BodyDecoder,
+    body: BytesMut,
+    /// Whether the caller waits for a go-ahead before it sends the body.
+    expects: bool,
+}
+
+/// Takes whole requests out of the bytes of a connection.
+#[derive(Debug)]
+pub struct RequestReader {
+    names: Arc<HeaderNames>,
+    partial: Option<Partial>,
+    head_since: Option<Instant>,
+}
+
+impl RequestReader {
+    /// Builds the reader of a new connection.
+    #[must_use]
+    pub fn new(names: Arc<HeaderNames>) -> Self {
+        Self {
+            names,
+            partial: None,
+            head_since: None,
+        }
+    }
+
+    /// Returns since when the head that is being read has taken, if one has begun.
+    #[must_use]
+    pub fn head_since(&self) -> Option<Instant> {
+        self.head_since
+    }
+
+    /// Returns whether a request has begun and is not complete.
+    #[must_use]
+    pub fn is_inside(&self) -> bool {
+        self.partial.is_some() || self.head_since.is_some()
+    }
+
+    /// Returns, once for each request, whether its caller waits for a go-ahead to send the body.
+    pub fn take_expectation(&mut self) -> bool {
+        self.partial
+            .as_mut()
+            .is_some_and(|partial| std::mem::take(&mut partial.expects))
+    }
+
+    /// Takes the next request out of `input` if it is there as a whole.
+    ///
+    /// # Errors
+    ///
+    /// When what is there is no proper request, after which the connection is of no more use.
+    pub fn next(
+        &mut self,
+        input: &mut BytesMut,
+        limits: &CallerLimits,
+        now: Instant,
+    ) -> Result<Option<Request>, HttpFault> {
+        if self.partial.is_none() {
+            self.partial = self.read_head(input, limits, now)?;
+        }
+        let Some(partial) = &mut self.partial else {
+            return Ok(None);
+        };
+        if !partial
+            .decoder
+            .decode(input, &mut partial.body, limits.body.0)?
+        {
+            return Ok(None);
+        }
+        let whole = self.partial.take().map(|mut partial| {
+            partial.request.body = partial.body.freeze();
+            partial.request
+        });
+        Ok(whole)
+    }
+
+    fn read_head(
+        &mut self,
+        input: &mut BytesMut,
+        limits: &CallerLimits,
+        now: Instant,
+    ) -> Result<Option<Partial>, HttpFault> {
+        // Empty lines before a request are allowed and mean nothing.
+        while input.starts_with(b"\r\n") {
+            input.advance(2);
+        }
+        if input.is_empty() {
+            return Ok(None);
+        }
+        self.head_since.get_or_insert(now);
+        let limit = usize::try_from(limits.head.0).unwrap_or(usize::MAX);
+        let mut fields = [httparse::EMPTY_HEADER; MAX_FIELDS];
+        let mut head = httparse::Request::new(&mut fields);
+        let used = match head.parse(input) {
+            Ok(httparse::Status::Complete(used)) if used <= limit => used,
+            Ok(httparse::Status::Partial) if input.len() <= limit => return Ok(None),
+            Ok(_) | Err(httparse::Error::TooManyHeaders) => return Err(HttpFault::HeadSize),
+            Err(_) => return Err(HttpFault::Head),
+        };
+        let partial = interpret(&self.names, &head)?;
+        if let BodyDecoder::Length(size) = partial.decoder
+            && size > limits.body.0
+        {
+            return Err(HttpFault::BodySize);
+        }
+        input.advance(used);
+        self.head_since = None;
+        Ok(Some(partial))
+    }
+}
+
+fn interpret(names: &HeaderNames, head: &httparse::Request<'_, '_>) -> Result<Partial, HttpFault> {
+    let text = |value: &[u8]| {
+        std::str::from_utf8(value)
+            .map(str::trim)
+            .map(Arc::<str>::from)
+    };
+    let mut connection = String::new();
+    for field in head.headers.iter() {
+        if field.name.eq_ignore_ascii_case("connection") {
+            connection.push_str(std::str::from_utf8(field.value).map_err(|_| HttpFault::Head)?);
+            connection.push(',');
+        }
+    }
+    let mut request = Request {
+        method: Arc::from(head.method.unwrap_or_default()),
+        target: Arc::from(head.path.unwrap_or_default()),
+        host: Arc::from(""),
+        id: None,
+        patience: None,
+        fields: Bytes::new(),
+        body: Bytes::new(),
+        close: closes(&connection, head.version),
+    };
+    let mut block = FieldBlock::default();
+    let mut length = None;
+    let mut chunked = false;
+    let mut expects = false;
+    for field in head.headers.iter() {
+        let is = |name: &str| field.name.eq_ignore_ascii_case(name);
+        if is("content-length") {
+            let value = text(field.value).map_err(|_| HttpFault::Framing)?;
+            let size = parse_length(&value)?;
+            if length.is_some_and(|other| other != size) {
+                return Err(HttpFault::Framing);
+            }
+            length = Some(size);
+        } else if is("transfer-encoding") {
+            if chunked || !field.value.trim_ascii().eq_ignore_ascii_case(b"chunked") {
+                return Err(HttpFault::Framing);
+            }
+            chunked = true;
+        } else if is("expect") {
+            expects = field.value.eq_ignore_ascii_case(b"100-continue");
+        } else if is(&names.deadline) {
+            let value = text(field.value).map_err(|_| HttpFault::Head)?;
+            request.patience = parse_millis(&value);
+        } else if is(&names.request_id) {
+            request.id = text(field.value).ok();
+            block.push(field.name, field.value);
+        } else if is("host") {
+            request.host = text(field.value).map_err(|_| HttpFault::Head)?;
+            block.push(field.name, field.value);
+        } else if !names.is_own(field.name) && !is_of_connection(field.name, &connection) {
+            block.push(field.name, field.value);
+        }
+    }
+    // Both framings at once are how requests are smuggled past a proxy.
+    if chunked && length.is_some() {
+        return Err(HttpFault::Framing);
+    }
+    request.fields = block.freeze();
+    let decoder = match (chunked, length) {
+        (true, _) => BodyDecoder::ChunkSize,
+        (false, Some(size)) => BodyDecoder::Length(size),
+        (false, None) => BodyDecoder::Done,
+    };
+    Ok(Partial {
+        request,
+        decoder,
+        body: BytesMut::new(),
+        expects,
+    })
+}
+
+fn closes(connection: &str, version: Option<u8>) -> bool {
+    let has = |word: &str| {
+        let mut words = connection.split(',').map(str::trim);
+        words.any(|other| other.eq_ignore_ascii_case(word))
+    };
+    has("close") || (version == Some(0) && !has("keep-alive"))
+}
+
+fn parse_length(text: &str) -> Result<u64, HttpFault> {
+    if text.is_empty() || !text.bytes().all(|byte| byte.is_ascii_digit()) {
+        return Err(HttpFault::Framing);
+    }
+    text.parse().map_err(|_| HttpFault::Framing)
+}
+
+fn parse_millis(text: &str) -> Option<Duration> {
+    let millis: f64 = text.parse().ok()?;
+    Duration::try_from_secs_f64(millis / 1_000.0).ok()
+}
--- /dev/null
+++ b/crates/marigold-sidecar/src/ingress/mesh.rs
@@ -0,0 +1,175 @@
+//! The executors that an ingress knows, and its links to them.
+
+use std::cell::RefCell;
+use std::collections::HashMap;
+use std::net::SocketAddr;
+use std::rc::{Rc, Weak};
+use std::time::Duration;
+
+use marigold_dispatch::{Choice, Directory, Placement, RetryWindow, Wanted};
+use marigold_request::router::Sign;
+use marigold_types::{DataCentre, ServiceName};
+use rand::rngs::SmallRng;
+use tokio::time::Instant;
+
+use crate::link::{Call, LinkClient, LinkNews, OpenCall, Reply, Unsent};
+
+/// How a mesh is bounded.
+#[derive(Debug, Clone)]
+pub struct MeshOptions {
+    /// Where this ingress stands.
+    pub data_centre: DataCentre,
+    /// The wait that a kibibyte between data centres must save.
+    pub byte_cost: Duration,
+    /// The repeats allowed for each request of a service.
+    pub retry_ratio: f64,
+    /// The repeats allowed beyond that, for all ingresses together.
+    pub retry_slack: f64,
+    /// The window in which repeats are counted.
+    pub retry_window: Duration,
+}
+
+/// Everything that placing a request needs.
+pub struct Mesh {
+    options: MeshOptions,
+    directory: RefCell<Directory>,
+    placement: RefCell<Placement>,
+    links: RefCell<HashMap<SocketAddr, LinkClient>>,
+    retries: RefCell<HashMap<ServiceName, RetryWindow>>,
+    rng: RefCell<SmallRng>,
+    myself: Weak<Self>,
+}
+
+impl Mesh {
+    /// Builds a mesh without executors.
+    #[must_use]
+    pub fn new(options: MeshOptions, rng: SmallRng) -> Rc<Self> {
+        let placement = Placement::new(options.data_centre.clone(), options.byte_cost);
+        Rc::new_cyclic(|myself| Self {
+            options,
+            directory: RefCell::default(),
+            placement: RefCell::new(placement),
+            links: RefCell::default(),
+            retries: RefCell::default(),
+            rng: RefCell::new(rng),
+            myself: myself.clone(),
+        })
+    }
+
+    /// Changes the directory and forgets links to executors that have left it.
+    pub fn update(&self, change: impl FnOnce(&mut Directory)) {
+        let mut directory = self.directory.borrow_mut();
+        let before = directory.generation();
+        change(&mut directory);
+        if directory.generation() == before {
+            return;
+        }
+        self.placement.borrow_mut().retain(&directory);
+        self.links.borrow_mut().retain(|address, link| {
+            let stays = directory.get(*address).is_some();
+            if !stays {
+                link.close();
+            }
+            stays
+        });
+    }
+
+    /// Reads the directory.
+    pub fn read<T>(&self, get: impl FnOnce(&Directory) -> T) -> T {
+        get(&self.directory.borrow())
+    }
+
+    /// Reads and changes what is known of executors.
+    pub fn with_placement<T>(&self, change: impl FnOnce(&mut Placement) -> T) -> T {
+        change(&mut self.placement.borrow_mut())
+    }
+
+    /// Chooses an executor.
+    #[must_use]
+    pub fn choose(&self, wanted: &Wanted<'_>) -> Option<Choice> {
+        self.placement.borrow_mut().choose(
+            &self.directory.borrow(),
+            wanted,
+            &mut *self.rng.borrow_mut(),
+            Instant::now(),
+        )
+    }
+
+    /// Sends a call to the executor at `address`.
+    ///
+    /// # Errors
+    ///
+    /// When too much waits to be written to it.
+    pub fn send(&self, address: SocketAddr, call: Call) -> Result<OpenCall, Unsent> {
+        let link = self
+            .links
+            .borrow_mut()
+            .entry(address)
+            .or_insert_with(|| {
+                let mesh = self.myself.clone();
+                let listener = Rc::new(move |from, news| {
+                    if let Some(mesh) = mesh.upgrade() {
+                        mesh.heard(from, news);
+                    }
+                });
+                LinkClient::start(address, listener)
+            })
+            .clone();
+        let call = link.call(call)?;
+        let now = Instant::now();
+        self.placement.borrow_mut().track(address, now).started(now);
+        Ok(call)
+    }
+
+    /// Counts the end of a call, however it came about.
+    pub fn ended(&self, address: SocketAddr) {
+        let now = Instant::now();
+        self.placement.borrow_mut().track(address, now).ended();
+    }
+
+    /// Learns from what became of a call.
+    pub fn judge(&self, address: SocketAddr, sign: Sign, reply: Option<&Reply>) {
+        let now = Instant::now();
+        let mut placement = self.placement.borrow_mut();
+        let track = placement.track(address, now);
+        if let Some(reply) = reply {
+            track.reported(reply.site.clone(), now);
+        }
+        track.ejection.finished(sign, true, now);
+    }
+
+    /// Counts a request for `service`.
+    pub fn count_request(&self, service: &ServiceName) {
+        self.with_window(service, |window, now| window.request(now));
+    }
+
+    /// Takes one repeat for `service` if the budget has one.
+    pub fn spend_repeat(&self, service: &ServiceName) -> bool {
+        let daemons = self.directory.borrow().len().max(1);
+        let share = f64::from(u32::try_from(daemons).unwrap_or(u32::MAX));
+        let slack = self.options.retry_slack / share;
+        self.with_window(service, |window, now| window.spend(slack, now))
+    }
+
+    fn with_window<T>(
+        &self,
+        service: &ServiceName,
+        change: impl FnOnce(&mut RetryWindow, Instant) -> T,
+    ) -> T {
+        let mut retries = self.retries.borrow_mut();
+        let window = retries.entry(service.clone()).or_insert_with(|| {
+            RetryWindow::new(self.options.retry_window, self.options.retry_ratio)
+        });
+        change(window, Instant::now())
+    }
+
+    fn heard(&self, from: SocketAddr, news: LinkNews) {
+        let now = Instant::now();
+        let mut placement = self.placement.borrow_mut();
+        let track = placement.track(from, now);
+        match news {
+            LinkNews::Site(report) => track.reported(report, now),
+            LinkNews::Down => track.unreachable(),
+        }
+    }
+}
--- /dev/null
+++ b/crates/marigold-sidecar/src/link/frame.rs
@@ -0,0 +1,108 @@
+//! What daemons send to each other.
+
+use std::sync::Arc;
+use std::time::Duration;
+
+use bytes::Bytes;
+use marigold_dispatch::{CallKind, Rank, SiteReport};
+use marigold_types::{ServiceName, Version};
+use serde::{Deserialize, Serialize};
+
+use super::{CallId, CallOutcome, SessionId};
+
+/// One message; a body of a call or reply follows its head in the same frame.
+#[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
+pub enum Frame {
+    /// The first message of the end that connects.
+    Hello(Hello),
+    /// The answer to [`Frame::Hello`].
+    Welcome(Welcome),
+    /// A request to run.
+    Call(Call),
+    /// What became of a call.
+    Reply(Reply),
+    /// Nobody waits for this call any more.
+    Cancel(CallId),
+    /// A further part of the body of the call or reply that follows under this id.
+    Part(CallId),
+    /// The state of the executor, when it has changed or was asked for.
+    Site(SiteReport),
+    /// Asks for a sign of life.
+    Ping,
+}
+
+/// Opens a connection of a session.
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Hello {
+    /// The session.
+    pub session: SessionId,
+    /// Counts the connections of the session; a greater one ends those before it.
+    pub epoch: u32,
+    /// Calls that were sent on earlier connections and whose outcome is not known.
+    pub open: Vec<CallId>,
+}
+
+/// Tells what became of the calls that a [`Hello`] names.
+#[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
+pub struct Welcome {
+    /// Names this life of the executor's daemon.
+    pub life: u64,
+    /// Calls that never arrived and never will run.
+    pub unknown: Vec<CallId>,
+    /// The state of the backend server.
+    pub site: SiteReport,
+}
+
+/// A request on its way to the daemon beside a backend server.
+#[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
+pub struct Call {
+    /// Its name within the session.
+    pub id: CallId,
+    /// All calls of the session below this one have ended for the caller.
+    pub floor: CallId,
+    /// The configuration that it was routed by.
+    pub version: Version,
+    /// The service that must run it.
+    pub service: ServiceName,
+    /// The service on whose instance it began.
+    pub origin: ServiceName,
+    /// What kind of work it is.
+    pub kind: CallKind,
+    /// How urgent it is.
+    pub rank: Rank,
+    /// Whether it may run more than once.
+    pub idempotent: bool,
+    /// How long its answer still earns full value.
+    pub objective: Duration,
+    /// How long anybody waits for its answer.
+    pub patience: Duration,
+    /// The id that its caller gave it.
+    pub request: Arc<str>,
+    /// Its method.
+    pub method: Arc<str>,
+    /// Its path and query.
+    pub target: Arc<str>,
+    /// The fields that are passed on.
+    pub fields: Bytes,
+    /// Its body; it travels behind the head.
+    #[serde(skip)]
+    pub body: Bytes,
+}
+
+/// What became of a call.
+#[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
+pub struct Reply {
+    /// The call.
+    pub id: CallId,
+    /// What became of it.
+    pub outcome: CallOutcome,
+    /// How long it waited for a slot.
+    pub waited: Duration,
+    /// How long it ran.
+    pub ran: Duration,
+    /// The state of the backend server.
+    pub site: SiteReport,
+    /// The answer's body; it travels behind the head.
+    #[serde(skip)]
+    pub body: Bytes,
+}
--- /dev/null
+++ b/crates/marigold-sidecar/src/sidecar.rs
@@ -0,0 +1,309 @@
+//! Joins the parts of one sidecar and runs them to their end.
+
+use std::cell::Cell;
+use std::io;
+use std::net::SocketAddr;
+use std::path::{Path, PathBuf};
+use std::rc::Rc;
+use std::sync::Arc;
+use std::time::Duration;
+
+use marigold_dispatch::Stage;
+use marigold_log::{KeyedStore, TableName};
+use metrics_exporter_prometheus::PrometheusHandle;
+use rand::SeedableRng;
+use rand::rngs::SmallRng;
+use tokio::net::{TcpListener, TcpSocket};
+use tokio::signal::unix::{SignalKind, signal};
+use tokio::time::{Instant, sleep, timeout};
+
+use crate::HeaderNames;
+use crate::control::{
+    ConfigFollower, ConfigSource, ControlProtocol, ControlServer, SiteFollower, SitePublisher,
+};
+use crate::events::{EventLog, Severity};
+use crate::executor::{LocalExecutor, LocalOptions};
+use crate::ingress::{Ingress, IngressOptions, Mesh, MeshOptions, listen};
+use crate::link::LinkServer;
+use crate::settings::Settings;
+
+/// Connections that may wait to be accepted.
+const BACKLOG: u32 = 1024;
+/// How often a shutdown is moved on.
+const SHUTDOWN_TICK: Duration = Duration::from_millis(50);
+/// How often the settings file is looked at for changes without a signal.
+const SETTINGS_TICK: Duration = Duration::from_secs(1);
+/// How long the end may wait for the store.
+const WITHDRAW_TIMEOUT: Duration = Duration::from_secs(1);
+/// The part of the memory that bodies of requests, and one answer, may take.
+const BODY_PART: u64 = 4;
+
+/// What the platform's adapter brings.
+pub struct Adapter {
+    /// The header fields that have a meaning.
+    pub names: HeaderNames,
+    /// Decodes calls to the daemon.
+    pub protocol: Rc<dyn ControlProtocol>,
+    /// Where the configuration is.
+    pub source: Rc<dyn ConfigSource>,
+    /// The table in which daemons find each other.
+    pub sites: TableName,
+    /// Builds the client of the store at an address.
+    pub store: fn(SocketAddr) -> Rc<dyn KeyedStore>,
+}
+
+/// A sidecar could not run.
+#[derive(Debug, thiserror::Error)]
+pub enum SidecarError {
+    /// The settings file cannot be read.
+    #[error("reading {path}: {error}")]
+    Unreadable {
+        /// The file.
+        path: PathBuf,
+        /// Why.
+        error: io::Error,
+    },
+    /// The settings are wrong.
+    #[error("{0}")]
+    Settings(marigold_ini::Faults),
+    /// An address cannot be listened at.
+    #[error("listening at {address} for {purpose}: {error}")]
+    Listen {
+        /// The address.
+        address: SocketAddr,
+        /// What it is for.
+        purpose: &'static str,
+        /// Why.
+        error: io::Error,
+    },
+    /// A signal handler cannot be set.
+    #[error("handling signals: {0}")]
+    Signal(io::Error),
+}
+
+/// Reads the settings at `path`.
+///
+/// # Errors
+///
+/// When the file cannot be read or is wrong.
+pub fn load(path: &Path) -> Result<Settings, SidecarError> {
+    let text = std::fs::read_to_string(path).map_err(|error| SidecarError::Unreadable {
+        path: path.to_owned(),
+        error,
+    })?;
+    Settings::parse(&path.display().to_string(), &text).map_err(SidecarError::Settings)
+}
+
+/// Runs a sidecar until it is asked to end; must be called inside a local task set.
+///
+/// # Errors
+///
+/// When the settings are wrong or an address cannot be listened at.
+pub async fn run(
+    path: PathBuf,
+    adapter: Adapter,
+    metrics: PrometheusHandle,
+) -> Result<(), SidecarError> {
+    let settings = load(&path)?;
+    let events = Rc::new(EventLog::new(settings.instance.name.clone()));
+    let life: u64 = rand::random();
+    events.emit(
+        "started",
+        Severity::Info,
+        &[
+            ("version", env!("CARGO_PKG_VERSION").into()),
+            ("life", life.into()),
+            ("service", settings.instance.service.to_string().into()),
+            (
+                "data_centre",
+                settings.instance.data_centre.to_string().into(),
+            ),
+        ],
+    );
+    let parts = start(&settings, &adapter, &events, life, metrics)?;
+    let mut term = signal(SignalKind::terminate()).map_err(SidecarError::Signal)?;
+    let mut hup = signal(SignalKind::hangup()).map_err(SidecarError::Signal)?;
+    let mut known = settings;
+    loop {
+        let cause = tokio::select! {
+            _ = term.recv() => break,
+            _ = hup.recv() => "signal",
+            () = sleep(SETTINGS_TICK) => "look",
+        };
+        reload(&path, &mut known, cause, &events);
+    }
+    end(&parts, &events).await;
+    Ok(())
+}
+
+/// The parts that a shutdown needs.
+struct Parts {
+    ingress: Rc<Ingress>,
+    executor: Rc<LocalExecutor>,
+    publisher: Rc<SitePublisher>,
+}
+
+fn start(
+    settings: &Settings,
+    adapter: &Adapter,
+    events: &Rc<EventLog>,
+    life: u64,
+    metrics: PrometheusHandle,
+) -> Result<Parts, SidecarError> {
+    let names = Arc::new(adapter.names.clone());
+    let listen_at = &settings.listen;
+    let callers = bind(listen_at.callers, "callers")?;
+    let daemons = bind(listen_at.daemons, "daemons")?;
+    let readiness = bind(listen_at.readiness, "readiness")?;
+    let announcements = bind(listen_at.announcements, "announcements")?;
+    let metrics_at = listen_at.metrics.map(|address| bind(address, "metrics"));
+    let metrics_at = metrics_at.transpose()?;
+
+    let store = (adapter.store)(settings.store);
+    let mesh = Mesh::new(
+        MeshOptions {
+            data_centre: settings.instance.data_centre.clone(),
+            byte_cost: settings.routing.byte_cost.duration(),
+            retry_ratio: settings.bounds.retry_ratio,
+            retry_slack: settings.bounds.retry_slack,
+            retry_window: settings.bounds.retry_window,
+        },
+        SmallRng::seed_from_u64(life),
+    );
+    let body_budget = settings.instance.memory.0 / BODY_PART;
+    let ingress = Ingress::new(
+        IngressOptions {
+            names: names.clone(),
+            origin: settings.instance.service.clone(),
+            grace: settings.bounds.grace,
+            body_budget: usize::try_from(body_budget).unwrap_or(usize::MAX),
+        },
+        mesh.clone(),
+        events.clone(),
+    );
+    let options = LocalOptions {
+        names,
+        answer_limit: body_budget,
+    };
+    let executor = LocalExecutor::new(options, events.clone());
+    let wanted = ingress.wanted.clone();
+    executor.on_version(Box::new(move |version| {
+        wanted.send_if_modified(|newest| {
+            let is_newer = version > *newest;
+            *newest = version.max(*newest);
+            is_newer
+        });
+    }));
+    let server = LinkServer::new(life, executor.clone());
+    executor.attach(&server);
+    let loaded = Rc::new(Cell::new(false));
+    let is_ready = {
+        let (ingress, loaded) = (ingress.clone(), loaded.clone());
+        Rc::new(move || {
+            ingress.table().is_some() && loaded.get() && ingress.stage(0) == Stage::Serving
+        })
+    };
+    let control = ControlServer::new(
+        adapter.protocol.clone(),
+        executor.clone(),
+        events.clone(),
+        is_ready,
+        metrics,
+    );
+    let publisher = Rc::new(SitePublisher::new(
+        store.clone(),
+        adapter.sites.clone(),
+        settings.listen.daemons,
+        settings.instance.data_centre.clone(),
+        executor.clone(),
+        mesh.clone(),
+        events.clone(),
+    ));
+    let config = ConfigFollower::new(
+        store.clone(),
+        adapter.source.clone(),
+        ingress.clone(),
+        events.clone(),
+    );
+    let sites = SiteFollower::new(store, adapter.sites.clone(), mesh, events.clone(), loaded);
+
+    tokio::task::spawn_local(config.run());
+    tokio::task::spawn_local(sites.run());
+    tokio::task::spawn_local(publisher.clone().run());
+    tokio::task::spawn_local(executor.clone().upkeep());
+    tokio::task::spawn_local(server.listen(daemons));
+    tokio::task::spawn_local(control.clone().listen(readiness));
+    tokio::task::spawn_local(control.clone().listen(announcements));
+    if let Some(listener) = metrics_at {
+        tokio::task::spawn_local(control.listen(listener));
+    }
+    tokio::task::spawn_local(listen(ingress.clone(), callers));
+    Ok(Parts {
+        ingress,
+        executor,
+        publisher,
+    })
+}
+
+fn bind(address: SocketAddr, purpose: &'static str) -> Result<TcpListener, SidecarError> {
+    let open = || {
+        let socket = TcpSocket::new_v4()?;
+        socket.set_reuseaddr(true)?;
+        socket.bind(address)?;
+        socket.listen(BACKLOG)
+    };
+    open().map_err(|error| SidecarError::Listen {
+        address,
+        purpose,
+        error,
+    })
+}
+
+/// Reads the settings again and tells what takes a restart to come into force.
+fn reload(path: &Path, known: &mut Settings, cause: &'static str, events: &EventLog) {
+    match load(path) {
+        Ok(settings) if settings == *known => {}
+        Ok(settings) => {
+            events.emit(
+                "settings_changed",
+                Severity::Info,
+                &[
+                    ("cause", cause.into()),
+                    ("in_force", "after a restart".into()),
+                ],
+            );
+            *known = settings;
+        }
+        Err(error) => events.emit(
+            "settings_refused",
+            Severity::Warn,
+            &[("cause", error.to_string().into())],
+        ),
+    }
+}
+
+async fn end(parts: &Parts, events: &EventLog) {
+    events.emit("stopping", Severity::Info, &[]);
+    let has_left = parts.executor.serving().is_none();
+    parts.ingress.begin_shutdown();
+    parts.executor.close();
+    if has_left {
+        timeout(WITHDRAW_TIMEOUT, parts.publisher.withdraw())
+            .await
+            .ok();
+    }
+    let began = Instant::now();
+    while parts.ingress.stage(parts.executor.in_flight()) != Stage::Ended {
+        sleep(SHUTDOWN_TICK).await;
+    }
+    let took_ms = u64::try_from(began.elapsed().as_millis()).unwrap_or(u64::MAX);
+    events.emit(
+        "stopped",
+        Severity::Info,
+        &[
+            ("took_ms", took_ms.into()),
+            ("open_requests", parts.ingress.in_flight().into()),
+            ("open_calls", parts.executor.in_flight().into()),
+        ],
+    );
+}
