--- a/crates/marigold-dispatch/src/placement.rs
+++ b/crates/marigold-dispatch/src/placement.rs
@@ -20,6 +20,10 @@
 const CROWD_PART: f64 = 0.25;
 /// The random part of a cost, in runs, that spreads equal choices over executors.
 const JITTER_PART: f64 = 0.05;
+/// The weight of the newest answer in the usual size of a kind, as a part of the whole.
+const SIZE_PART: f64 = 32.0;
+/// The bytes that a call and its outcome take besides their bodies.
+const HOP_BYTES: f64 = 600.0;
 /// The kinds of work whose run time is remembered.
 const MAX_KINDS: usize = 512;
 
@@ -30,7 +34,7 @@
     pub service: &'a ServiceName,
     /// What kind of work it is.
     pub kind: &'a CallKind,
-    /// The bytes that the hop is expected to carry.
+    /// The bytes of the request's body.
     pub bytes: u64,
     /// Executors that were tried already.
     pub tried: &'a [SocketAddr],
@@ -55,6 +59,8 @@
     byte_cost: Duration,
     tracks: HashMap<SocketAddr, Track>,
     runs: HashMap<CallKind, RunTime>,
+    /// The usual size of an answer's body, in bytes.
+    sizes: HashMap<CallKind, f64>,
 }
 
 impl Placement {
@@ -67,6 +73,7 @@
             byte_cost,
             tracks: HashMap::new(),
             runs: HashMap::new(),
+            sizes: HashMap::new(),
         }
     }
 
@@ -83,11 +90,21 @@
             .retain(|address, track| directory.get(*address).is_some() || track.in_flight() > 0);
     }
 
-    /// Learns from a run of `kind` at `address` that took `time`.
-    pub fn ran(&mut self, address: SocketAddr, kind: &CallKind, time: Duration, now: Instant) {
+    /// Learns from a run of `kind` at `address` that took `time` and brought `bytes`.
+    pub fn ran(
+        &mut self,
+        address: SocketAddr,
+        kind: &CallKind,
+        time: Duration,
+        bytes: usize,
+        now: Instant,
+    ) {
         if self.runs.len() >= MAX_KINDS && !self.runs.contains_key(kind) {
             return;
         }
+        let bytes = f64::from(u32::try_from(bytes).unwrap_or(u32::MAX));
+        let size = self.sizes.entry(kind.clone()).or_insert(bytes);
+        *size += (bytes - *size) / SIZE_PART;
         let usual = self.runs.entry(kind.clone()).or_default();
         let mean = usual.mean_or(time).as_secs_f64();
         usual.observe(time);
@@ -161,7 +178,9 @@
         let is_remote = site.data_centre != self.data_centre;
         let mut cost = wait + run * speed + CROWD_PART * mean * fill * fill;
         if is_remote {
-            let kib = f64::from(u32::try_from(wanted.bytes / 64).unwrap_or(u32::MAX)) / 16.0;
+            let request = f64::from(u32::try_from(wanted.bytes).unwrap_or(u32::MAX));
+            let answer = self.sizes.get(wanted.kind).copied().unwrap_or_default();
+            let kib = (HOP_BYTES + request + answer) / 1024.0;
             cost += self.byte_cost.as_secs_f64() * kib;
         }
         cost += JITTER_PART * run * rng.random::<f64>();
--- a/crates/marigold-sidecar/src/ingress/ingress_core.rs
+++ b/crates/marigold-sidecar/src/ingress/ingress_core.rs
@@ -348,7 +348,8 @@
         self.mesh.judge(address, sign, Some(reply));
         if sign == Sign::Good {
             self.mesh.with_placement(|placement| {
-                placement.ran(address, kind, reply.ran, Instant::now());
+                let bytes = reply.body.len();
+                placement.ran(address, kind, reply.ran, bytes, Instant::now());
             });
         }
     }
