Put calls before longer work, learn who is reachable, keep half of a service in use

Ruled out: a share of slots for calls; forgetting unreachable daemons, whose records may be all that a cut-off daemon has. Change: lines by kind, in the order of value for a second of a slot; an executor counts as reachable once it was heard, links are opened before a request needs them; a refusal leads to reachable executors only; rejections do not eject, and half of a service at most is ejected.

--- a/crates/marigold-dispatch/src/directory.rs
+++ b/crates/marigold-dispatch/src/directory.rs
@@ -60,6 +60,11 @@
             .filter(move |site| site.service == *service)
     }
 
+    /// Returns where the daemons take calls.
+    pub fn addresses(&self) -> impl Iterator<Item = SocketAddr> {
+        self.sites.keys().copied()
+    }
+
     /// Takes in a daemon's record.
     pub fn put(&mut self, site: Site) {
         if self.sites.get(&site.address) != Some(&site) {
--- a/crates/marigold-dispatch/src/gate.rs
+++ b/crates/marigold-dispatch/src/gate.rs
@@ -29,8 +29,10 @@
 const FAIR_TURN: u32 = 16;
 /// The shortest time after which a refused caller is asked to come back.
 const MIN_RETRY: Duration = Duration::from_millis(30);
-/// The number of recent run times of any kind that estimate when a slot is free.
-const KINDS_MAX: usize = 512;
+/// The kinds of work that are told apart; more share the first guess.
+const MAX_KINDS: usize = 512;
+/// The shortest run that urgency tells apart.
+const MIN_RUN: Duration = Duration::from_millis(1);
 
 new_key_type! {
     /// Names a request that holds a slot.
@@ -63,10 +65,11 @@
     Refuse(Duration),
 }
 
-#[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord)]
+/// A line holds work of one kind, either in time or late.
+#[derive(Debug, Clone, PartialEq, Eq, PartialOrd, Ord)]
 struct LineKey {
     late: bool,
-    rank: Rank,
+    kind: CallKind,
 }
 
 #[derive(Debug, Clone)]
@@ -83,22 +86,51 @@
     since: Instant,
 }
 
-/// The work that one class has brought of late, in seconds of run time a second.
-#[derive(Debug, Clone, Copy)]
-struct Demand {
-    rate: f64,
-    at: Instant,
+/// What is known of one kind of work.
+#[derive(Debug, Clone)]
+struct Kind {
+    rank: Rank,
+    run: RunTime,
+    /// The run time that is assumed until a run has ended.
+    guess: Duration,
+    /// The work that it has brought of late, in seconds of run time a second.
+    demand: f64,
+    demand_at: Instant,
 }
 
-impl Demand {
-    fn add(&mut self, work: Duration, now: Instant) {
-        self.rate = self.rate_at(now) + work.as_secs_f64() / DEMAND_MEMORY.as_secs_f64();
-        self.at = now;
+impl Kind {
+    fn new(rank: Rank, guess: Duration, now: Instant) -> Self {
+        Self {
+            rank,
+            run: RunTime::default(),
+            guess,
+            demand: 0.0,
+            demand_at: now,
+        }
     }
 
-    fn rate_at(&self, now: Instant) -> f64 {
-        let age = now.saturating_duration_since(self.at).as_secs_f64();
-        self.rate * (-age / DEMAND_MEMORY.as_secs_f64()).exp()
+    fn run(&self) -> Duration {
+        self.run.mean_or(self.guess)
+    }
+
+    /// Returns the value that a second of a slot brings.
+    ///
+    /// Short work goes before long work of the next rank: it delays that one little, and calls that
+    /// other requests wait for are short. Each rank counts twice the next.
+    fn urgency(&self) -> f64 {
+        let value = 0.5_f64.powi(i32::from(self.rank.0));
+        value / self.run().max(MIN_RUN).as_secs_f64()
+    }
+
+    fn add_demand(&mut self, now: Instant) {
+        let memory = DEMAND_MEMORY.as_secs_f64();
+        self.demand = self.demand_at(now) + self.run().as_secs_f64() / memory;
+        self.demand_at = now;
+    }
+
+    fn demand_at(&self, now: Instant) -> f64 {
+        let age = now.saturating_duration_since(self.demand_at).as_secs_f64();
+        self.demand * (-age / DEMAND_MEMORY.as_secs_f64()).exp()
     }
 }
 
@@ -108,10 +140,10 @@
     slots: u32,
     running: SlotMap<Permit, Running>,
     waiting: SlotMap<Ticket, Waiting>,
+    /// The lines in which work waits; none is empty.
     lines: BTreeMap<LineKey, Line>,
-    kinds: HashMap<CallKind, RunTime>,
+    kinds: HashMap<CallKind, Kind>,
     any: RunTime,
-    demand: BTreeMap<Rank, Demand>,
     turn: u32,
 }
 
@@ -126,7 +158,6 @@
             lines: BTreeMap::new(),
             kinds: HashMap::new(),
             any: RunTime::default(),
-            demand: BTreeMap::new(),
             turn: 0,
         }
     }
@@ -160,43 +191,32 @@
         self.any.mean_or(Duration::ZERO)
     }
 
-    /// Estimates how long work of `rank` that came now would wait.
-    #[must_use]
-    pub fn wait(&self, rank: Rank, now: Instant) -> Duration {
-        if self.has_room() && self.waiting.is_empty() {
-            return Duration::ZERO;
-        }
-        self.wait_in(LineKey { late: false, rank }, now)
-    }
-
     /// Decides on a request.
     pub fn offer(&mut self, work: Work, now: Instant) -> Admit {
+        self.note_demand(&work, now);
         let run = self.expected(&work, now);
-        let on_time = LineKey {
-            late: false,
-            rank: work.rank,
-        };
-        self.demand
-            .entry(work.rank)
-            .or_insert(Demand { rate: 0.0, at: now })
-            .add(run, now);
         if self.has_room() && self.waiting.is_empty() {
             return Admit::Run(self.start(work.kind, now));
         }
+        let on_time = LineKey {
+            late: false,
+            kind: work.kind.clone(),
+        };
+        let rank = work.rank;
         if self.slots == 0 || self.waiting.len() >= self.max_waiting() {
-            return Admit::Refuse(self.retry_after(on_time, Duration::ZERO, now));
+            return Admit::Refuse(self.retry_after(&on_time, rank, Duration::ZERO, now));
         }
-        let wait = self.wait_in(on_time, now);
+        let wait = self.wait_in(&on_time, rank, now);
         let left = work.objective.saturating_duration_since(now);
         if wait + run <= left {
             return Admit::Wait(self.enter(work, on_time, run));
         }
         let late = LineKey {
             late: true,
-            rank: work.rank,
+            ..on_time.clone()
         };
         let left = work.deadline.saturating_duration_since(now);
-        let late_wait = self.wait_in(late, now);
+        let late_wait = self.wait_in(&late, rank, now);
         if run < left && late_wait <= (left - run) / LATE_PART {
             return Admit::Wait(self.enter(work, late, run));
         }
@@ -204,7 +224,7 @@
             .objective
             .saturating_duration_since(now)
             .saturating_sub(run);
-        Admit::Refuse(self.retry_after(on_time, spare, now))
+        Admit::Refuse(self.retry_after(&on_time, rank, spare, now))
     }
 
     /// Takes back the slot of a request that has ended; `ran` says whether its time tells anything of
@@ -218,17 +238,15 @@
         }
         let time = now.saturating_duration_since(running.since);
         self.any.observe(time);
-        if self.kinds.len() < KINDS_MAX || self.kinds.contains_key(&running.kind) {
-            self.kinds.entry(running.kind).or_default().observe(time);
+        if let Some(kind) = self.kinds.get_mut(&running.kind) {
+            kind.run.observe(time);
         }
     }
 
     /// Takes a request out of its line.
     pub fn cancel(&mut self, ticket: Ticket) {
-        if let Some(waiting) = self.waiting.remove(ticket)
-            && let Some(line) = self.lines.get_mut(&waiting.key)
-        {
-            line.remove(ticket, waiting.counted);
+        if let Some(waiting) = self.waiting.remove(ticket) {
+            self.leave_line(ticket, &waiting.key, waiting.counted);
         }
     }
 
@@ -258,19 +276,20 @@
     /// Takes out the requests that cannot end by their deadline any more, each with the time after
     /// which there is likely room.
     pub fn sweep(&mut self, now: Instant) -> Vec<(Ticket, Duration)> {
-        let lost: Vec<(Ticket, LineKey)> = self
+        let is_lost = |waiting: &Waiting| {
+            let run = self.expected(&waiting.work, now);
+            now + run / 2 > waiting.work.deadline
+        };
+        let lost: Vec<_> = self
             .waiting
             .iter()
-            .filter(|(_, waiting)| {
-                let run = self.expected(&waiting.work, now);
-                now + run / 2 > waiting.work.deadline
-            })
-            .map(|(ticket, waiting)| (ticket, waiting.key))
+            .filter(|(_, waiting)| is_lost(waiting))
+            .map(|(ticket, waiting)| (ticket, waiting.key.clone(), waiting.work.rank))
             .collect();
         let mut swept = Vec::with_capacity(lost.len());
-        for (ticket, key) in lost {
+        for (ticket, key, rank) in lost {
             self.cancel(ticket);
-            swept.push((ticket, self.retry_after(key, Duration::ZERO, now)));
+            swept.push((ticket, self.retry_after(&key, rank, Duration::ZERO, now)));
         }
         swept
     }
@@ -287,27 +306,62 @@
         self.running.insert(Running { kind, since: now })
     }
 
+    fn note_demand(&mut self, work: &Work, now: Instant) {
+        if self.kinds.len() >= MAX_KINDS && !self.kinds.contains_key(&work.kind) {
+            return;
+        }
+        let guess = work.objective.saturating_duration_since(now) / FIRST_GUESS_PART;
+        let kind = self
+            .kinds
+            .entry(work.kind.clone())
+            .or_insert_with(|| Kind::new(work.rank, guess, now));
+        kind.rank = work.rank;
+        kind.add_demand(now);
+    }
+
     fn enter(&mut self, work: Work, key: LineKey, counted: Duration) -> Ticket {
+        let line = self.lines.entry(key.clone()).or_default();
         let ticket = self.waiting.insert(Waiting { work, key, counted });
-        self.lines.entry(key).or_default().push(ticket, counted);
+        line.push(ticket, counted);
         ticket
     }
 
+    fn leave_line(&mut self, ticket: Ticket, key: &LineKey, counted: Duration) {
+        if let Some(line) = self.lines.get_mut(key) {
+            line.remove(ticket, counted);
+            if line.first().is_none() {
+                self.lines.remove(key);
+            }
+        }
+    }
+
     fn expected(&self, work: &Work, now: Instant) -> Duration {
-        let guess = work.objective.saturating_duration_since(now) / FIRST_GUESS_PART;
-        self.kinds
-            .get(&work.kind)
-            .map_or(guess, |time| time.mean_or(guess))
+        let guess = || work.objective.saturating_duration_since(now) / FIRST_GUESS_PART;
+        self.kinds.get(&work.kind).map_or_else(guess, Kind::run)
+    }
+
+    /// Returns the urgency of a kind, of an average run where it is not known.
+    fn urgency(&self, kind: &CallKind, rank: Rank) -> f64 {
+        let known = self.kinds.get(kind).map(Kind::urgency);
+        known.unwrap_or_else(|| 0.5_f64.powi(i32::from(rank.0)))
     }
 
     fn next_ticket(&self) -> Option<Ticket> {
+        let late = |key: &LineKey| u8::from(key.late);
+        let order = |a: &LineKey, b: &LineKey| {
+            let urgency = |key: &LineKey| self.kinds.get(&key.kind).map_or(0.0, Kind::urgency);
+            late(a)
+                .cmp(&late(b))
+                .then(urgency(b).total_cmp(&urgency(a)))
+        };
+        let keys = self.lines.keys();
         let is_fair = self.turn == 0;
-        let mut filled = self.lines.values().filter_map(Line::first);
-        if is_fair {
-            filled.last()
+        let key = if is_fair {
+            keys.max_by(|a, b| order(a, b))
         } else {
-            filled.next()
-        }
+            keys.min_by(|a, b| order(a, b))
+        };
+        self.lines.get(key?).and_then(Line::first)
     }
 
     fn has_on_time_after(&self, ticket: Ticket) -> bool {
@@ -321,12 +375,10 @@
             return;
         };
         let counted = waiting.counted;
-        let from = waiting.key;
+        let from = waiting.key.clone();
         waiting.key.late = true;
-        let to = waiting.key;
-        if let Some(line) = self.lines.get_mut(&from) {
-            line.remove(ticket, counted);
-        }
+        let to = waiting.key.clone();
+        self.leave_line(ticket, &from, counted);
         // It came before everything that was late from the start.
         self.lines
             .entry(to)
@@ -335,26 +387,40 @@
     }
 
     /// Estimates the wait of work that joins the line `key` now.
-    fn wait_in(&self, key: LineKey, now: Instant) -> Duration {
+    fn wait_in(&self, key: &LineKey, rank: Rank, now: Instant) -> Duration {
         if self.slots == 0 {
             return Duration::MAX;
         }
-        let ahead: Duration = self.lines.range(..=key).map(|(_, line)| line.work()).sum();
-        let slots = f64::from(self.slots);
+        let own = self.urgency(&key.kind, rank);
+        let goes_before = |other: &LineKey| {
+            let as_urgent = self.urgency(&other.kind, rank) >= own;
+            if key.late {
+                !other.late || as_urgent
+            } else {
+                !other.late && as_urgent
+            }
+        };
+        let ahead: Duration = self
+            .lines
+            .iter()
+            .filter(|(other, _)| goes_before(other))
+            .map(|(_, line)| line.work())
+            .sum();
         let overtaking: f64 = self
-            .demand
+            .kinds
             .iter()
-            .filter(|(rank, _)| key.late || **rank < key.rank)
-            .map(|(_, demand)| demand.rate_at(now))
+            .filter(|(kind, known)| key.late || (**kind != key.kind && known.urgency() > own))
+            .map(|(_, known)| known.demand_at(now))
             .sum();
+        let slots = f64::from(self.slots);
         let open = 1.0 - (overtaking / slots).min(MAX_DEMAND);
         // A slot becomes free once in a mean run, divided by the slots.
         let first = self.mean_run().as_secs_f64();
         Duration::from_secs_f64((ahead.as_secs_f64() + first) / slots / open)
     }
 
-    fn retry_after(&self, key: LineKey, spare: Duration, now: Instant) -> Duration {
-        let wait = self.wait_in(key, now).min(DEMAND_MEMORY);
+    fn retry_after(&self, key: &LineKey, rank: Rank, spare: Duration, now: Instant) -> Duration {
+        let wait = self.wait_in(key, rank, now).min(DEMAND_MEMORY);
         wait.saturating_sub(spare).max(MIN_RETRY)
     }
 }
--- a/crates/marigold-dispatch/src/placement.rs
+++ b/crates/marigold-dispatch/src/placement.rs
@@ -8,6 +8,7 @@
 use std::net::SocketAddr;
 use std::time::Duration;
 
+use marigold_request::router::Sign;
 use marigold_types::{DataCentre, ServiceName};
 use rand::{Rng, RngExt};
 use tokio::time::Instant;
@@ -24,6 +25,8 @@
 const SIZE_PART: f64 = 32.0;
 /// The bytes that a call and its outcome take besides their bodies.
 const HOP_BYTES: f64 = 600.0;
+/// One executor in so many of a service may be left out for its failures.
+const MAX_EJECTED_PART: usize = 2;
 /// The kinds of work whose run time is remembered.
 const MAX_KINDS: usize = 512;
 
@@ -114,6 +117,25 @@
         }
     }
 
+    /// Learns the health of the executor at `address` from the end of a call to it.
+    ///
+    /// Half of a service's executors at most are left out at a time: when more fail, the cause is not
+    /// theirs alone, and the others could not carry the load.
+    pub fn judge(&mut self, directory: &Directory, address: SocketAddr, sign: Sign, now: Instant) {
+        let mut all = 0;
+        let mut out = 0;
+        if let Some(site) = directory.get(address) {
+            for other in directory.of(&site.service) {
+                let track = self.tracks.get(&other.address);
+                all += 1;
+                out += usize::from(track.is_some_and(|track| track.ejection.is_out()));
+            }
+        }
+        let may_eject = (out + 1) * MAX_EJECTED_PART <= all;
+        let track = self.track(address, now);
+        track.ejection.finished(sign, may_eject, now);
+    }
+
     /// Returns how long a run of `kind` usually takes.
     #[must_use]
     pub fn usual_run(&self, kind: &CallKind) -> Duration {
@@ -141,8 +163,9 @@
             let report = track.report();
             let is_other = report.is_some_and(|report| !serves(report, wanted.service));
             if is_other || !track.takes_calls(now) {
-                // Better than none if every executor looks unfit, as when this daemon was cut off.
-                if !is_other {
+                // Better than none if every executor looks unfit, as when this daemon was cut off. After
+                // a refusal it is not: what cannot be reached would hold the request up.
+                if !is_other && wanted.tried.is_empty() {
                     fallback = fallback.or(Some(choice));
                 }
                 continue;
--- a/crates/marigold-dispatch/src/track.rs
+++ b/crates/marigold-dispatch/src/track.rs
@@ -30,7 +30,8 @@
     report: Option<Report>,
     speed: f64,
     speed_at: Instant,
-    is_down: bool,
+    /// Whether the executor has been heard and not been found silent since.
+    is_up: bool,
     /// Its health by real calls.
     pub ejection: Ejection,
 }
@@ -44,7 +45,7 @@
             report: None,
             speed: 1.0,
             speed_at: now,
-            is_down: false,
+            is_up: false,
             ejection: Ejection::new(now),
         }
     }
@@ -68,7 +69,7 @@
 
     /// Takes in what the executor says of itself, which also shows that it lives.
     pub fn reported(&mut self, report: SiteReport, now: Instant) {
-        self.is_down = false;
+        self.is_up = true;
         self.report = Some(Report {
             report,
             at: now,
@@ -94,13 +95,13 @@
 
     /// Takes in that it could not be reached; the next report shows that it can.
     pub fn unreachable(&mut self) {
-        self.is_down = true;
+        self.is_up = false;
     }
 
     /// Returns whether calls may go to it.
     #[must_use]
     pub fn takes_calls(&self, now: Instant) -> bool {
-        !self.is_down && self.ejection.takes_calls(now)
+        self.is_up && self.ejection.takes_calls(now)
     }
 
     /// Returns the last report, fresh or not.
--- a/crates/marigold-sidecar/src/ingress/ingress_core.rs
+++ b/crates/marigold-sidecar/src/ingress/ingress_core.rs
@@ -342,8 +342,10 @@
         let sign = match &reply.outcome {
             CallOutcome::Answered { status, .. } if *status >= 500 && *status != 504 => Sign::Bad,
             CallOutcome::Answered { .. } => Sign::Good,
-            CallOutcome::Lost { .. } | CallOutcome::Rejected { .. } => Sign::Bad,
-            CallOutcome::Refused { .. } => Sign::None,
+            CallOutcome::Lost { .. } => Sign::Bad,
+            // A server that turns work away is full or leaving, which its load shows, or sheds at random,
+            // where a share of its slots is better than none.
+            CallOutcome::Rejected { .. } | CallOutcome::Refused { .. } => Sign::None,
         };
         self.mesh.judge(address, sign, Some(reply));
         if sign == Sign::Good {
--- a/crates/marigold-sidecar/src/ingress/mesh.rs
+++ b/crates/marigold-sidecar/src/ingress/mesh.rs
@@ -72,6 +72,12 @@
             }
             stays
         });
+        // Whether an executor answers is found out before a request depends on it.
+        let addresses: Vec<_> = directory.addresses().collect();
+        drop(directory);
+        for address in addresses {
+            self.link(address);
+        }
     }
 
     /// Reads the directory.
@@ -101,20 +107,7 @@
     ///
     /// When too much waits to be written to it.
     pub fn send(&self, address: SocketAddr, call: Call) -> Result<OpenCall, Unsent> {
-        let link = self
-            .links
-            .borrow_mut()
-            .entry(address)
-            .or_insert_with(|| {
-                let mesh = self.myself.clone();
-                let listener = Rc::new(move |from, news| {
-                    if let Some(mesh) = mesh.upgrade() {
-                        mesh.heard(from, news);
-                    }
-                });
-                LinkClient::start(address, listener)
-            })
-            .clone();
+        let link = self.link(address);
         let call = link.call(call)?;
         let now = Instant::now();
         self.placement.borrow_mut().track(address, now).started(now);
@@ -131,11 +124,12 @@
     pub fn judge(&self, address: SocketAddr, sign: Sign, reply: Option<&Reply>) {
         let now = Instant::now();
         let mut placement = self.placement.borrow_mut();
-        let track = placement.track(address, now);
         if let Some(reply) = reply {
-            track.reported(reply.site.clone(), now);
+            placement
+                .track(address, now)
+                .reported(reply.site.clone(), now);
         }
-        track.ejection.finished(sign, true, now);
+        placement.judge(&self.directory.borrow(), address, sign, now);
     }
 
     /// Counts a request for `service`.
@@ -163,6 +157,20 @@
         change(window, Instant::now())
     }
 
+    fn link(&self, address: SocketAddr) -> LinkClient {
+        let start = || {
+            let mesh = self.myself.clone();
+            let listener = Rc::new(move |from, news| {
+                if let Some(mesh) = mesh.upgrade() {
+                    mesh.heard(from, news);
+                }
+            });
+            LinkClient::start(address, listener)
+        };
+        let mut links = self.links.borrow_mut();
+        links.entry(address).or_insert_with(start).clone()
+    }
+
     fn heard(&self, from: SocketAddr, news: LinkNews) {
         let now = Instant::now();
         let mut placement = self.placement.borrow_mut();
--- a/crates/marigold-sidecar/src/link/client.rs
+++ b/crates/marigold-sidecar/src/link/client.rs
@@ -203,8 +203,8 @@
 /// Keeps a connection while there is work for it.
 async fn run(shared: Rc<Shared>) {
     let mut backoff = MIN_BACKOFF;
-    // An executor that could not be reached is tried until it can, so that no call has to find out.
-    let mut is_down = false;
+    // An executor that was not reached yet is tried until it is, so that no call has to find out.
+    let mut is_down = true;
     while !shared.closed.get() {
         if shared.state.borrow().pending.is_empty() {
             shared.state.borrow_mut().queue.clear();
