--- /dev/null
+++ b/crates/marigold-dispatch/tests/backend_state.rs
@@ -0,0 +1,74 @@
+//! The lives of the backend server beside the daemon.
+
+mod common;
+
+use common::{announcement, ms};
+use marigold_dispatch::{Announcement, BackendState, Heard, ServingState};
+use tokio::time::Instant;
+
+fn draining(identity: &str, born: u64, sequence: u64) -> Announcement {
+    Announcement {
+        state: ServingState::Draining,
+        ..announcement(identity, born, sequence)
+    }
+}
+
+/// Names a series of announcements, what the last one is taken as, and who takes work after it.
+macro_rules! lives {
+    ($($name:ident: [$($news:expr),*] => $heard:ident, $serving:expr;)*) => {$(
+        #[tokio::test(start_paused = true)]
+        async fn $name() {
+            let mut state = BackendState::default();
+            let mut heard = Heard::Stale;
+            for news in [$($news),*] {
+                heard = state.announced(&news, Instant::now());
+                tokio::time::advance(ms(10)).await;
+            }
+            let serving = state.serving().map(|life| (&*life.identity, life.born));
+            assert_eq!((heard, serving), (Heard::$heard, $serving));
+        }
+    )*};
+}
+
+lives! {
+    first: [announcement("a", 1, 1)] => New, Some(("a", Some(1)));
+    next: [announcement("a", 1, 1), announcement("a", 1, 2)] => Same, Some(("a", Some(1)));
+    repeated: [announcement("a", 1, 2), announcement("a", 1, 2)] => Stale, Some(("a", Some(1)));
+    leaving: [announcement("a", 1, 1), draining("a", 1, 2)] => Leaving, None;
+    ready_of_before_undoes_no_leaving:
+        [announcement("a", 1, 1), draining("a", 1, 3), announcement("a", 1, 2)] => Stale, None;
+    ready_after_leaving_undoes_no_leaving:
+        [draining("a", 1, 3), announcement("a", 1, 4)] => Same, None;
+    same_identity_started_again:
+        [announcement("a", 1, 9), announcement("a", 2, 1)] => New, Some(("a", Some(2)));
+    started_again_after_leaving:
+        [draining("a", 1, 9), announcement("a", 2, 1)] => New, Some(("a", Some(2)));
+    delayed_announcement_of_an_older_life:
+        [announcement("b", 5, 1), announcement("a", 1, 7)] => Stale, Some(("b", Some(5)));
+    older_life_under_the_same_identity:
+        [announcement("a", 5, 1), announcement("a", 1, 7)] => Stale, Some(("a", Some(5)));
+    replaced_life_does_not_come_back:
+        [announcement("a", 1, 1), announcement("b", 2, 1), announcement("a", 1, 2)]
+        => Stale, Some(("b", Some(2)));
+    first_seen_while_leaving: [draining("a", 1, 4)] => Leaving, None;
+}
+
+#[tokio::test(start_paused = true)]
+async fn leaving_without_notice_is_final() {
+    let mut state = BackendState::default();
+    state.announced(&announcement("a", 1, 1), Instant::now());
+    assert_eq!(state.left("a", Instant::now()), Heard::Leaving);
+    let heard = state.announced(&announcement("a", 1, 2), Instant::now());
+    assert_eq!(heard, Heard::Stale);
+    assert!(state.serving().is_none());
+}
+
+/// A daemon that was just started hears of a leaving before it hears of the life.
+#[tokio::test(start_paused = true)]
+async fn leaving_of_an_unknown_life_is_remembered() {
+    let mut state = BackendState::default();
+    state.left("a", Instant::now());
+    let heard = state.announced(&announcement("a", 1, 1), Instant::now());
+    assert_eq!(heard, Heard::Stale);
+    assert!(state.serving().is_none());
+}
--- /dev/null
+++ b/crates/marigold-dispatch/tests/routes.rs
@@ -0,0 +1,161 @@
+//! Routes, shares, repeats and the end of a daemon.
+
+mod common;
+
+use std::collections::HashMap;
+use std::sync::Arc;
+use std::time::Duration;
+
+use common::{kind, ms, service};
+use marigold_dispatch::{
+    CallerLimits, Rank, RetryWindow, RoutePolicy, RouteTable, ShareCycle, Shutdown, Stage, Target,
+};
+use marigold_types::Version;
+use quickcheck::quickcheck;
+use tokio::time::Instant;
+
+fn route(name: &str, host: &str, prefix: &str) -> RoutePolicy {
+    RoutePolicy {
+        kind: kind(name),
+        host: Arc::from(host),
+        prefix: Arc::from(prefix),
+        idempotent: true,
+        timeout: ms(1_000),
+        objective: ms(200),
+        rank: Rank(1),
+        attempts: 2,
+        targets: targets(&[1]),
+    }
+}
+
+fn targets(weights: &[u32]) -> Vec<Target> {
+    let target = |weight: &u32| Target {
+        service: service("desk"),
+        weight: *weight,
+    };
+    weights.iter().map(target).collect()
+}
+
+fn table() -> RouteTable {
+    let routes = vec![
+        route("short", "git.example", "/a/"),
+        route("long", "git.example", "/a/b/"),
+        route("root", "other.example", "/"),
+    ];
+    let limits = CallerLimits::default();
+    RouteTable::new(Version(3), routes, HashMap::new(), limits)
+}
+
+/// Names a host and a path, and the route that takes them.
+macro_rules! finds {
+    ($($name:ident: $host:literal, $path:literal => $route:expr;)*) => {$(
+        #[test]
+        fn $name() {
+            let table = table();
+            let found = table.find($host, $path).map(|route| route.kind.to_string());
+            assert_eq!(found.as_deref(), $route);
+        }
+    )*};
+}
+
+finds! {
+    by_prefix: "git.example", "/a/x" => Some("short");
+    longest_prefix: "git.example", "/a/b/x" => Some("long");
+    prefix_itself: "git.example", "/a/b/" => Some("long");
+    without_its_last_slash: "git.example", "/a/b" => Some("short");
+    part_of_a_segment: "git.example", "/ab/x" => None;
+    with_a_query: "git.example", "/a/x?from=/a/b/c" => Some("short");
+    with_a_port: "git.example:8080", "/a/x" => Some("short");
+    host_in_capitals: "GIT.example", "/a/x" => Some("short");
+    unknown_host: "no.example", "/a/x" => None;
+    root: "other.example", "/anything" => Some("root");
+}
+
+quickcheck! {
+    /// After any number of requests, each share is off by less than one request.
+    fn shares_are_exact(first: u8, second: u8, count: u8) -> bool {
+        let weights = [u32::from(first) + 1, u32::from(second) + 1];
+        let targets = targets(&weights);
+        let mut cycle = ShareCycle::default();
+        let mut got = [0_f64; 2];
+        for _ in 0..count {
+            if let Some(place) = cycle.next(&targets) {
+                got[place] += 1.0;
+            }
+        }
+        let total: u32 = weights.iter().sum();
+        let due = f64::from(count) * f64::from(weights[0]) / f64::from(total);
+        (got[0] - due).abs() < 1.0
+    }
+}
+
+#[test]
+fn one_target_takes_all() {
+    assert_eq!(ShareCycle::default().next(&targets(&[0])), Some(0));
+    assert_eq!(ShareCycle::default().next(&[]), None);
+}
+
+/// Every request fails once: the repeats of ten daemons stay below the bound that they share.
+#[tokio::test(start_paused = true)]
+async fn repeats_stay_below_the_shared_bound() {
+    const DAEMONS: usize = 10;
+    const SLACK: f64 = 60.0;
+    const RATIO: f64 = 0.2;
+    let window = Duration::from_secs(10);
+    let mut windows = vec![RetryWindow::new(window, RATIO); DAEMONS];
+    let mut times = Vec::new();
+    for step in 0..3_000_u32 {
+        let now = Instant::now();
+        let place = usize::try_from(step).expect("fits") % DAEMONS;
+        windows[place].request(now);
+        #[expect(clippy::cast_precision_loss, reason = "a small number")]
+        let slack = SLACK / DAEMONS as f64;
+        if windows[place].spend(slack, now) {
+            times.push(now);
+        }
+        tokio::time::advance(ms(10)).await;
+    }
+    // 1,000 requests in any window.
+    let bound = RATIO * 1_000.0 + SLACK;
+    for (first, from) in times.iter().enumerate() {
+        let count = times[first..]
+            .iter()
+            .take_while(|at| **at < *from + window)
+            .count();
+        assert!(f64::from(u32::try_from(count).expect("fits")) <= bound);
+    }
+    assert!(!times.is_empty());
+}
+
+/// Names the time since the signal, the open requests, the quiet time, and the stage.
+macro_rules! stages {
+    ($($name:ident: $passed:literal, $open:literal, $quiet:literal => $stage:ident;)*) => {$(
+        #[tokio::test(start_paused = true)]
+        async fn $name() {
+            let begin = Instant::now() + ms(100_000);
+            let now = begin + ms($passed);
+            let mut shutdown = Shutdown::default();
+            shutdown.begin(begin);
+            let stage = shutdown.stage(ms(6_000), $open, now - ms($quiet), now);
+            assert_eq!(stage, Stage::$stage);
+        }
+    )*};
+}
+
+stages! {
+    takes_work_at_first: 100, 0, 100 => Leaving;
+    stays_while_callers_still_come: 2_900, 0, 2_000 => Leaving;
+    refuses_from_half_time: 3_100, 1, 10 => Refusing;
+    ends_when_quiet: 3_400, 0, 400 => Ended;
+    waits_for_open_requests: 5_000, 2, 3_000 => Refusing;
+    ends_before_it_is_killed: 5_750, 2, 0 => Ended;
+}
+
+#[tokio::test(start_paused = true)]
+async fn serves_without_a_signal() {
+    let now = Instant::now();
+    assert_eq!(
+        Shutdown::default().stage(ms(6_000), 0, now, now),
+        Stage::Serving
+    );
+}
