Read the store once a data centre and pass on what has changed

Cause: on the grown site a configuration is 273 KB and changes several times a second in a storm; each of 97 daemons read every version over links of 5 Mbit/s, so that every hop waited 100 to 300 ms (traced in the logs: executors got calls 200 ms after they were sent). Ruled out: the processor (--no-cpu changed nothing); the executors' lines, which were empty. Change: the daemon with the widest link reads for its data centre; others follow it, get deltas, and look at the store themselves when their knowledge is older than a second.

--- a/crates/marigold-dispatch/src/directory.rs
+++ b/crates/marigold-dispatch/src/directory.rs
@@ -6,6 +6,8 @@
 use marigold_types::{DataCentre, ServiceName, SlotCount};
 use serde::{Deserialize, Serialize};
 
+use crate::LinkRate;
+
 /// A daemon with the backend server beside it.
 #[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
 pub struct Site {
@@ -17,6 +19,8 @@
     pub service: ServiceName,
     /// How many requests that one runs at once.
     pub slots: SlotCount,
+    /// How much its link carries.
+    pub link: LinkRate,
 }
 
 /// Every daemon that has joined and not left.
@@ -60,6 +64,11 @@
             .filter(move |site| site.service == *service)
     }
 
+    /// Returns all daemons in the order of their addresses.
+    pub fn all(&self) -> impl Iterator<Item = &Site> {
+        self.sites.values()
+    }
+
     /// Returns where the daemons take calls.
     pub fn addresses(&self) -> impl Iterator<Item = SocketAddr> {
         self.sites.keys().copied()
--- /dev/null
+++ b/crates/marigold-dispatch/src/link_rate.rs
@@ -0,0 +1,34 @@
+//! How much an instance's network link carries.
+
+use std::fmt;
+use std::str::FromStr;
+
+use marigold_types::ParseError;
+use serde::{Deserialize, Serialize};
+
+const ALLOWED: &str = "megabits a second as a number of 0 or more, as 5 or 1000.0";
+
+/// The rate of an instance's network link, in whole megabits a second.
+#[derive(
+    Debug, Clone, Copy, Default, PartialEq, Eq, PartialOrd, Ord, Hash, Serialize, Deserialize,
+)]
+pub struct LinkRate(pub u32);
+
+impl FromStr for LinkRate {
+    type Err = ParseError;
+
+    fn from_str(text: &str) -> Result<Self, Self::Err> {
+        // A fraction of a megabit makes no difference to any choice.
+        let whole = text.split_once('.').map_or(text, |(whole, _)| whole);
+        whole
+            .parse()
+            .map(Self)
+            .map_err(|_| ParseError::new(text, "link rate", ALLOWED))
+    }
+}
+
+impl fmt::Display for LinkRate {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        self.0.fmt(f)
+    }
+}
--- a/crates/marigold-dispatch/src/placement.rs
+++ b/crates/marigold-dispatch/src/placement.rs
@@ -87,6 +87,12 @@
             .or_insert_with(|| Track::new(now))
     }
 
+    /// Returns whether the executor at `address` can be reached, as far as is known.
+    #[must_use]
+    pub fn is_up(&self, address: SocketAddr) -> bool {
+        self.tracks.get(&address).is_some_and(Track::is_up)
+    }
+
     /// Forgets executors that are in the directory no more and have nothing in flight.
     pub fn retain(&mut self, directory: &Directory) {
         self.tracks
--- a/crates/marigold-dispatch/src/track.rs
+++ b/crates/marigold-dispatch/src/track.rs
@@ -104,6 +104,12 @@
         self.is_up && self.ejection.takes_calls(now)
     }
 
+    /// Returns whether the executor has been heard and not been found silent since.
+    #[must_use]
+    pub fn is_up(&self) -> bool {
+        self.is_up
+    }
+
     /// Returns the last report, fresh or not.
     #[must_use]
     pub fn report(&self) -> Option<&SiteReport> {
--- a/crates/marigold-dispatch/tests/common/mod.rs
+++ b/crates/marigold-dispatch/tests/common/mod.rs
@@ -5,7 +5,9 @@
 use std::sync::Arc;
 use std::time::Duration;
 
-use marigold_dispatch::{Announcement, CallKind, Rank, ServingState, Site, SiteReport, Work};
+use marigold_dispatch::{
+    Announcement, CallKind, LinkRate, Rank, ServingState, Site, SiteReport, Work,
+};
 use marigold_types::{DataCentre, ServiceName, SlotCount};
 use tokio::time::Instant;
 
@@ -51,6 +53,7 @@
         data_centre: data_centre(place),
         service: service("desk"),
         slots: SlotCount(4),
+        link: LinkRate(100),
     }
 }
 
--- a/crates/marigold-log/src/keyed_store.rs
+++ b/crates/marigold-log/src/keyed_store.rs
@@ -61,6 +61,13 @@
         wait: Duration,
     ) -> Result<KeyedBatch, LogError>;
 
+    /// Reads the newest change if there is any from `from` on, and none of those before it.
+    ///
+    /// # Errors
+    ///
+    /// When the store does not answer, or the newest change is no longer kept.
+    async fn latest(&self, table: &TableName, from: LogOffset) -> Result<KeyedBatch, LogError>;
+
     /// Writes a record; without a value it drops the key.
     ///
     /// # Errors
--- a/crates/marigold-sidecar/src/control.rs
+++ b/crates/marigold-sidecar/src/control.rs
@@ -1,15 +1,13 @@
 //! Calls of the platform and the backend server to this daemon, and what the daemon follows in the
 //! platform's store.
 
-mod config_follower;
+mod config_shelf;
 mod control_server;
 mod protocol;
-mod site_follower;
+mod relay;
 mod site_publisher;
-mod store_watch;
 
-pub use config_follower::ConfigFollower;
 pub use control_server::{ControlServer, Status};
 pub use protocol::{ConfigSource, ControlCall, ControlProtocol, Undecodable};
-pub use site_follower::SiteFollower;
+pub use relay::{Relay, RelayParts};
 pub use site_publisher::SitePublisher;
--- /dev/null
+++ b/crates/marigold-sidecar/src/control/config_shelf.rs
@@ -0,0 +1,89 @@
+//! The bytes of the newest configurations, to make and take changes between them.
+
+use std::collections::VecDeque;
+
+use bytes::Bytes;
+use fast_rsync::{Signature, SignatureOptions, apply_limited, diff};
+use marigold_types::{Digest, LogOffset, Version};
+
+use crate::link::ConfigChange;
+
+/// The versions that a follower may be behind and still get a change.
+const MAX_KEPT: usize = 4;
+/// The block of a signature: about one route, so that a change of one route costs about one block.
+const BLOCK: u32 = 192;
+/// The bytes of a block's hash; the digest of the whole finds what this misses.
+const HASH_BYTES: u32 = 8;
+/// The largest configuration that is taken.
+const MAX_CONFIG: usize = 16 << 20;
+
+#[derive(Debug)]
+struct Kept {
+    version: Version,
+    bytes: Bytes,
+}
+
+/// Keeps the newest configurations as the store gave them.
+#[derive(Debug, Default)]
+pub struct ConfigShelf {
+    kept: VecDeque<Kept>,
+    next: Option<LogOffset>,
+}
+
+impl ConfigShelf {
+    /// Returns the newest version.
+    pub fn version(&self) -> Option<Version> {
+        self.kept.back().map(|kept| kept.version)
+    }
+
+    /// Returns where the store's next change is read from.
+    pub fn next(&self) -> Option<LogOffset> {
+        self.next
+    }
+
+    /// Notes where the store's next change is read from.
+    pub fn set_next(&mut self, next: LogOffset) {
+        self.next = Some(next);
+    }
+
+    /// Forgets where the store's next change is read from, so that the table is read as a whole.
+    pub fn clear_next(&mut self) {
+        self.next = None;
+    }
+
+    /// Adds a newer version.
+    pub fn push(&mut self, version: Version, bytes: Bytes) {
+        if self.kept.len() == MAX_KEPT {
+            self.kept.pop_front();
+        }
+        self.kept.push_back(Kept { version, bytes });
+    }
+
+    /// Makes the change from `base` to the newest version; none if `base` is not kept or the newest.
+    pub fn change_from(&self, base: Version) -> Option<(ConfigChange, Bytes)> {
+        let newest = self.kept.back().filter(|newest| newest.version != base)?;
+        let old = self.kept.iter().find(|kept| kept.version == base)?;
+        let options = SignatureOptions {
+            block_size: BLOCK,
+            crypto_hash_size: HASH_BYTES,
+        };
+        let signature = Signature::calculate(&old.bytes, options);
+        let mut delta = Vec::new();
+        // A delta that cannot be made is no delta: the follower reads the store.
+        diff(&signature.index(), &newest.bytes, &mut delta).ok()?;
+        let change = ConfigChange {
+            base,
+            digest: Digest::of(&newest.bytes),
+            next: self.next?,
+        };
+        Some((change, Bytes::from(delta)))
+    }
+
+    /// Returns the configuration that `change` makes of a kept one; none if it does not fit.
+    pub fn changed(&self, change: &ConfigChange, delta: &[u8]) -> Option<Bytes> {
+        let old = self.kept.iter().find(|kept| kept.version == change.base)?;
+        let mut bytes = Vec::with_capacity(old.bytes.len());
+        apply_limited(&old.bytes, delta, &mut bytes, MAX_CONFIG).ok()?;
+        (Digest::of(&bytes) == change.digest).then(|| Bytes::from(bytes))
+    }
+}
--- /dev/null
+++ b/crates/marigold-sidecar/src/control/relay.rs
@@ -0,0 +1,492 @@
+//! Brings the store's tables to this daemon: by reading them, or from the daemon that reads them for the
+//! data centre.
+
+use std::cell::{Cell, RefCell};
+use std::net::SocketAddr;
+use std::rc::{Rc, Weak};
+use std::sync::Arc;
+use std::time::Duration;
+
+use bytes::Bytes;
+use marigold_dispatch::{NewsSource, RelayChoice, Site};
+use marigold_log::{KeyedBatch, KeyedRecord, KeyedStore, LogError, LogFailure, TableName};
+use marigold_types::{LogOffset, Version};
+use tokio::time::{Instant, sleep};
+
+use super::config_shelf::ConfigShelf;
+use super::protocol::ConfigSource;
+use crate::events::{EventLog, Severity};
+use crate::ingress::{Ingress, Mesh};
+use crate::link::{Follow, LinkServer, NewsDesk, SiteRecord, StoreNews};
+
+/// How long a reader's question for a new configuration waits; its answer shows that the store is
+/// there, which followers depend on.
+const CONFIG_WAIT: Duration = Duration::from_millis(500);
+/// How long a reader's question for daemons' records waits.
+const SITES_WAIT: Duration = Duration::from_secs(15);
+/// The pause after a change: versions in quick succession are taken once and not one by one.
+const PAUSE: Duration = Duration::from_millis(250);
+/// How often a follower looks at what it has.
+const TICK: Duration = Duration::from_millis(100);
+/// How often a reader tells its followers that it is there.
+const BEAT: Duration = Duration::from_millis(400);
+/// How often a follower asks to go on; a reader forgets it after some seconds.
+const FOLLOW_TICK: Duration = Duration::from_secs(1);
+/// How old the knowledge of the newest configuration may grow before a follower looks itself: a
+/// configuration has to be in force within two seconds.
+const MAX_AGE: Duration = Duration::from_millis(1_000);
+/// How long a version that a call was routed by may take to come before this daemon looks itself.
+const CATCH_UP: Duration = Duration::from_millis(300);
+/// The least time between two looks of a follower.
+const LOOK_PAUSE: Duration = Duration::from_millis(1_000);
+/// How long a follower may be without a reader before it reads daemons' records itself.
+const SITES_AGE: Duration = Duration::from_secs(3);
+/// The wait after a failed call, at first and at most; what was missed must be back within two seconds
+/// of the store's return.
+const MIN_BACKOFF: Duration = Duration::from_millis(100);
+const MAX_BACKOFF: Duration = Duration::from_millis(900);
+
+/// The parts that a relay joins.
+pub struct RelayParts {
+    /// The platform's store.
+    pub store: Rc<dyn KeyedStore>,
+    /// Where the configuration stands and how it is written.
+    pub source: Rc<dyn ConfigSource>,
+    /// The table of daemons.
+    pub sites: TableName,
+    /// Where configurations come into force.
+    pub ingress: Rc<Ingress>,
+    /// Where daemons are known.
+    pub mesh: Rc<Mesh>,
+    /// How daemons that follow this one are reached.
+    pub server: Weak<LinkServer>,
+    /// The log.
+    pub events: Rc<EventLog>,
+}
+
+#[derive(Debug, Default)]
+struct Dependency {
+    lost: Option<Instant>,
+    backoff: Duration,
+}
+
+/// Keeps configuration and directory up to date.
+pub struct Relay {
+    parts: RelayParts,
+    choice: RefCell<RelayChoice>,
+    shelf: RefCell<ConfigShelf>,
+    /// When the configuration that is held was known to be the newest.
+    fresh: Cell<Option<Instant>>,
+    sites_next: Cell<Option<LogOffset>>,
+    /// When the directory was last known to be complete.
+    sites_fresh: Cell<Option<Instant>>,
+    role: Cell<Option<NewsSource>>,
+}
+
+impl Relay {
+    /// Builds the relay of the daemon that chooses its source by `choice`.
+    #[must_use]
+    pub fn new(parts: RelayParts, choice: RelayChoice) -> Rc<Self> {
+        Rc::new(Self {
+            parts,
+            choice: RefCell::new(choice),
+            shelf: RefCell::default(),
+            fresh: Cell::new(None),
+            sites_next: Cell::new(None),
+            sites_fresh: Cell::new(None),
+            role: Cell::new(None),
+        })
+    }
+
+    /// Starts to bring news, on the current local task set.
+    pub fn start(self: &Rc<Self>) {
+        let relay = Rc::downgrade(self);
+        self.parts.mesh.on_news(Rc::new(move |from, news| {
+            if let Some(relay) = relay.upgrade() {
+                relay.heard(from, news);
+            }
+        }));
+        tokio::task::spawn_local(self.clone().bring_config());
+        tokio::task::spawn_local(self.clone().bring_sites());
+        tokio::task::spawn_local(self.clone().beat());
+    }
+
+    /// Returns whether the directory was read since the start.
+    #[must_use]
+    pub fn knows_sites(&self) -> bool {
+        self.sites_fresh.get().is_some()
+    }
+
+    /// Returns who brings news now, and notes a change.
+    fn source(&self) -> NewsSource {
+        let mesh = &self.parts.mesh;
+        let source = mesh.read(|directory| {
+            let is_up = |address| mesh.with_placement(|placement| placement.is_up(address));
+            let mut choice = self.choice.borrow_mut();
+            choice.choose(directory, is_up, Instant::now())
+        });
+        if self.role.replace(Some(source)) != Some(source) {
+            let from = match source {
+                NewsSource::Store => "store".to_owned(),
+                NewsSource::Daemon(address) => address.to_string(),
+            };
+            let event = "news_source_changed";
+            self.parts
+                .events
+                .emit(event, Severity::Info, &[("source", from.into())]);
+        }
+        source
+    }
+
+    async fn bring_config(self: Rc<Self>) {
+        let mut dependency = Dependency::default();
+        let mut looked = Instant::now();
+        let mut wanted_since: Option<Instant> = None;
+        loop {
+            let has_any = self.shelf.borrow().version().is_some();
+            let is_reader = self.source() == NewsSource::Store;
+            if !has_any || is_reader {
+                let result = self.read_config(CONFIG_WAIT).await;
+                let changed = self.settle("config", result, &mut dependency).await;
+                if changed {
+                    sleep(PAUSE).await;
+                }
+                continue;
+            }
+            sleep(TICK).await;
+            let now = Instant::now();
+            let is_behind = self.is_behind();
+            wanted_since = is_behind.then(|| wanted_since.unwrap_or(now));
+            let passed = |since: Instant| now.saturating_duration_since(since);
+            let is_old = self.fresh.get().is_none_or(|at| passed(at) >= MAX_AGE);
+            let is_wanted = wanted_since.is_some_and(|since| passed(since) >= CATCH_UP);
+            if (is_old || is_wanted) && passed(looked) >= LOOK_PAUSE {
+                looked = now;
+                if let (true, NewsSource::Daemon(reader)) = (is_old, self.source()) {
+                    self.choice.borrow_mut().pass_over(reader, now);
+                }
+                let result = self.look_at_config().await;
+                self.settle("config", result, &mut dependency).await;
+            }
+        }
+    }
+
+    /// Returns whether calls were routed by a newer configuration than the one that is held.
+    fn is_behind(&self) -> bool {
+        let wanted = *self.parts.ingress.wanted.borrow();
+        self.shelf.borrow().version() < Some(wanted)
+    }
+
+    async fn read_config(&self, wait: Duration) -> Result<bool, LogError> {
+        let table = self.parts.source.table();
+        let next = self.shelf.borrow().next();
+        let batch = match next {
+            None => self.parts.store.newest(&table).await?,
+            Some(from) => self.parts.store.changes(&table, from, wait).await?,
+        };
+        Ok(self.take_config(&batch))
+    }
+
+    async fn look_at_config(&self) -> Result<bool, LogError> {
+        let table = self.parts.source.table();
+        let next = self.shelf.borrow().next();
+        let batch = match next {
+            None => self.parts.store.newest(&table).await?,
+            Some(from) => self.parts.store.latest(&table, from).await?,
+        };
+        Ok(self.take_config(&batch))
+    }
+
+    /// Takes what the store gave; returns whether the configuration has changed.
+    fn take_config(&self, batch: &KeyedBatch) -> bool {
+        self.fresh.set(Some(Instant::now()));
+        self.shelf.borrow_mut().set_next(batch.next);
+        let is_config = |record: &&KeyedRecord| *record.key == *self.parts.source.key();
+        let newest = batch.records.iter().rev().find(is_config);
+        // Without its record the configuration that is in force stays so.
+        let value = newest.and_then(|record| record.value.clone());
+        value.is_some_and(|value| self.install(value))
+    }
+
+    /// Puts a configuration in force if it is newer, and tells followers.
+    fn install(&self, value: Bytes) -> bool {
+        let events = &self.parts.events;
+        let table = match self.parts.source.decode(&value) {
+            Ok(table) => table,
+            Err(error) => {
+                let cause = error.to_string().into();
+                events.emit("config_refused", Severity::Warn, &[("cause", cause)]);
+                return false;
+            }
+        };
+        let version = table.version();
+        if !self.parts.ingress.install(Arc::new(table)) {
+            return false;
+        }
+        #[expect(clippy::cast_precision_loss, reason = "a gauge is a float")]
+        metrics::gauge!("marigold_config_version").set(version.0 as f64);
+        events.emit(
+            "config_in_force",
+            Severity::Info,
+            &[("version", version.0.into()), ("bytes", value.len().into())],
+        );
+        let before = self.shelf.borrow().version();
+        self.shelf.borrow_mut().push(version, value);
+        if let Some(before) = before {
+            self.tell(|| self.news(Some(before)));
+        }
+        true
+    }
+
+    async fn bring_sites(self: Rc<Self>) {
+        let mut dependency = Dependency::default();
+        loop {
+            let now = Instant::now();
+            let passed = |since: Instant| now.saturating_duration_since(since);
+            let is_old = self
+                .sites_fresh
+                .get()
+                .is_none_or(|at| passed(at) >= SITES_AGE);
+            if self.source() == NewsSource::Store {
+                let result = self.read_sites(SITES_WAIT).await;
+                if self.settle("sites", result, &mut dependency).await {
+                    sleep(PAUSE).await;
+                }
+            } else if is_old {
+                let result = self.read_sites(Duration::ZERO).await;
+                self.settle("sites", result, &mut dependency).await;
+                sleep(LOOK_PAUSE).await;
+            } else {
+                sleep(TICK).await;
+            }
+        }
+    }
+
+    async fn read_sites(&self, wait: Duration) -> Result<bool, LogError> {
+        let table = &self.parts.sites;
+        let batch = match self.sites_next.get() {
+            None => self.parts.store.newest(table).await?,
+            Some(from) => self.parts.store.changes(table, from, wait).await?,
+        };
+        self.sites_next.set(Some(batch.next));
+        self.sites_fresh.set(Some(Instant::now()));
+        let records: Vec<_> = batch
+            .records
+            .iter()
+            .filter_map(|record| self.decode_site(record))
+            .collect();
+        // A record that a whole reading misses may only have been lost; its daemon writes it again, and
+        // one that is gone is found out by calls to it.
+        let changed = self.take_sites(&records);
+        if changed {
+            self.tell(|| StoreNews {
+                sites: records,
+                ..self.news(None)
+            });
+        }
+        Ok(changed)
+    }
+
+    fn decode_site(&self, record: &KeyedRecord) -> Option<SiteRecord> {
+        let foreign = |problem: &str| {
+            self.parts.events.emit(
+                "daemon_record_passed_over",
+                Severity::Warn,
+                &[
+                    ("key", record.key.as_ref().into()),
+                    ("cause", problem.into()),
+                ],
+            );
+        };
+        let Ok(address) = record.key.parse::<SocketAddr>() else {
+            foreign("the key is no address");
+            return None;
+        };
+        let Some(value) = &record.value else {
+            let site = None;
+            return Some(SiteRecord { address, site });
+        };
+        match serde_json::from_slice::<Site>(value) {
+            Ok(site) if site.address == address => Some(SiteRecord {
+                address,
+                site: Some(site),
+            }),
+            Ok(_) => {
+                foreign("key and address differ");
+                None
+            }
+            Err(error) => {
+                foreign(&error.to_string());
+                None
+            }
+        }
+    }
+
+    /// Takes records of daemons; returns whether any is new.
+    fn take_sites(&self, records: &[SiteRecord]) -> bool {
+        let mesh = &self.parts.mesh;
+        let before = mesh.read(marigold_dispatch::Directory::generation);
+        mesh.update(|directory| {
+            for record in records {
+                match &record.site {
+                    Some(site) => directory.put(site.clone()),
+                    None => directory.remove(record.address),
+                }
+            }
+        });
+        let (after, known) = mesh.read(|directory| (directory.generation(), directory.len()));
+        if after == before {
+            return false;
+        }
+        #[expect(clippy::cast_precision_loss, reason = "a gauge is a float")]
+        metrics::gauge!("marigold_daemons_known").set(known as f64);
+        self.parts.events.emit(
+            "daemons_changed",
+            Severity::Info,
+            &[("records", records.len().into()), ("known", known.into())],
+        );
+        true
+    }
+
+    /// Tells followers that this daemon is there, and the one that this daemon follows what it holds.
+    async fn beat(self: Rc<Self>) {
+        let mut asked: Option<(Instant, NewsSource)> = None;
+        loop {
+            self.tell(|| self.news(None));
+            let source = self.source();
+            let now = Instant::now();
+            let is_due = asked.is_none_or(|(at, of)| {
+                of != source || now.saturating_duration_since(at) >= FOLLOW_TICK
+            });
+            if let (true, NewsSource::Daemon(reader)) = (is_due, source) {
+                let all_sites = asked.is_none_or(|(_, of)| of != source);
+                asked = Some((now, source));
+                let config = self.shelf.borrow().version();
+                let follow = Follow { config, all_sites };
+                self.parts.mesh.follow(reader, follow);
+            }
+            sleep(BEAT).await;
+        }
+    }
+
+    fn tell(&self, news: impl FnOnce() -> StoreNews) {
+        if let Some(server) = self.parts.server.upgrade() {
+            server.tell_followers(news);
+        }
+    }
+
+    /// Returns what is known of the store, with the change from `base` if it is kept.
+    fn news(&self, base: Option<Version>) -> StoreNews {
+        let shelf = self.shelf.borrow();
+        let change = base.and_then(|base| shelf.change_from(base));
+        let (change, delta) = change.unzip();
+        StoreNews {
+            config_age: self.fresh.get().map(|at| at.elapsed()),
+            config: shelf.version(),
+            change,
+            sites: Vec::new(),
+            all_sites: false,
+            delta: delta.unwrap_or_default(),
+        }
+    }
+
+    /// Takes news from another daemon.
+    fn heard(&self, from: SocketAddr, news: StoreNews) {
+        let now = Instant::now();
+        if let Some(change) = &news.change {
+            let changed = self.shelf.borrow().changed(change, &news.delta);
+            if let Some(bytes) = changed {
+                self.shelf.borrow_mut().set_next(change.next);
+                self.install(bytes);
+            }
+        }
+        let holds = self.shelf.borrow().version();
+        if let Some(age) = news.config_age
+            && holds >= news.config
+        {
+            let at = now.checked_sub(age);
+            self.fresh.set(self.fresh.get().max(at));
+        } else if self.role.get() == Some(NewsSource::Daemon(from)) && holds < news.config {
+            let follow = Follow {
+                config: holds,
+                all_sites: false,
+            };
+            if news.change.is_none() && holds.is_some() {
+                self.parts.mesh.follow(from, follow);
+            }
+        }
+        if news.all_sites || !news.sites.is_empty() {
+            if self.take_sites(&news.sites) {
+                self.tell(|| StoreNews {
+                    sites: news.sites.clone(),
+                    ..self.news(None)
+                });
+            }
+        }
+        if self.role.get() == Some(NewsSource::Daemon(from)) {
+            self.sites_fresh.set(self.sites_fresh.get().map(|_| now));
+        }
+    }
+
+    /// Notes how a call to the store ended and waits after a failure; returns whether it brought news.
+    async fn settle(
+        &self,
+        what: &'static str,
+        result: Result<bool, LogError>,
+        dependency: &mut Dependency,
+    ) -> bool {
+        let events = &self.parts.events;
+        let error = match result {
+            Ok(changed) => {
+                dependency.backoff = MIN_BACKOFF;
+                if let Some(since) = dependency.lost.take() {
+                    let lost_ms = u64::try_from(since.elapsed().as_millis()).unwrap_or(u64::MAX);
+                    events.emit(
+                        "store_regained",
+                        Severity::Info,
+                        &[("table", what.into()), ("lost_ms", lost_ms.into())],
+                    );
+                }
+                return changed;
+            }
+            Err(error) => error,
+        };
+        if matches!(error.failure, LogFailure::Trimmed { .. }) {
+            // Some changes are gone; the table is read anew.
+            match what {
+                "config" => self.shelf.borrow_mut().clear_next(),
+                _ => self.sites_next.set(None),
+            }
+            return false;
+        }
+        if dependency.lost.is_none() {
+            dependency.lost = Some(Instant::now());
+            events.emit(
+                "store_lost",
+                Severity::Warn,
+                &[("table", what.into()), ("cause", error.to_string().into())],
+            );
+        }
+        let jitter = 0.5 + rand::random::<f64>();
+        sleep(dependency.backoff.max(MIN_BACKOFF).mul_f64(jitter)).await;
+        dependency.backoff = (dependency.backoff.max(MIN_BACKOFF) * 2).min(MAX_BACKOFF);
+        false
+    }
+}
+
+impl NewsDesk for Relay {
+    fn news_for(&self, follow: Follow) -> StoreNews {
+        let mut news = self.news(follow.config);
+        if follow.all_sites {
+            news.all_sites = true;
+            news.sites = self.parts.mesh.read(|directory| {
+                let record = |site: &Site| SiteRecord {
+                    address: site.address,
+                    site: Some(site.clone()),
+                };
+                directory.all().map(record).collect()
+            });
+        }
+        news
+    }
+}
--- a/crates/marigold-sidecar/src/control/site_publisher.rs
+++ b/crates/marigold-sidecar/src/control/site_publisher.rs
@@ -5,7 +5,7 @@
 use std::time::Duration;
 
 use bytes::Bytes;
-use marigold_dispatch::{Directory, Site};
+use marigold_dispatch::{Directory, LinkRate, Site};
 use marigold_log::{KeyedStore, TableName};
 use marigold_types::DataCentre;
 use tokio::time::sleep;
@@ -25,6 +25,7 @@
     table: TableName,
     address: SocketAddr,
     data_centre: DataCentre,
+    link: LinkRate,
     executor: Rc<LocalExecutor>,
     mesh: Rc<Mesh>,
     events: Rc<EventLog>,
@@ -38,6 +39,7 @@
         table: TableName,
         address: SocketAddr,
         data_centre: DataCentre,
+        link: LinkRate,
         executor: Rc<LocalExecutor>,
         mesh: Rc<Mesh>,
         events: Rc<EventLog>,
@@ -47,6 +49,7 @@
             table,
             address,
             data_centre,
+            link,
             executor,
             mesh,
             events,
@@ -68,6 +71,7 @@
                 data_centre: self.data_centre.clone(),
                 service,
                 slots,
+                link: self.link,
             };
             let stands = |directory: &Directory| directory.get(self.address) == Some(&site);
             if self.mesh.read(stands) {
--- a/crates/marigold-sidecar/src/ingress/mesh.rs
+++ b/crates/marigold-sidecar/src/ingress/mesh.rs
@@ -12,7 +12,7 @@
 use rand::rngs::SmallRng;
 use tokio::time::Instant;
 
-use crate::link::{Call, LinkClient, LinkNews, OpenCall, Reply, Unsent};
+use crate::link::{Call, Follow, LinkClient, LinkNews, OpenCall, Reply, StoreNews, Unsent};
 
 /// How a mesh is bounded.
 #[derive(Debug, Clone)]
@@ -29,6 +29,9 @@
     pub retry_window: Duration,
 }
 
+/// Hears of the store from other daemons.
+pub type NewsListener = Rc<dyn Fn(SocketAddr, StoreNews)>;
+
 /// Everything that placing a request needs.
 pub struct Mesh {
     options: MeshOptions,
@@ -37,6 +40,7 @@
     links: RefCell<HashMap<SocketAddr, LinkClient>>,
     retries: RefCell<HashMap<ServiceName, RetryWindow>>,
     rng: RefCell<SmallRng>,
+    on_news: RefCell<Option<NewsListener>>,
     myself: Weak<Self>,
 }
 
@@ -52,6 +56,7 @@
             links: RefCell::default(),
             retries: RefCell::default(),
             rng: RefCell::new(rng),
+            on_news: RefCell::default(),
             myself: myself.clone(),
         })
     }
@@ -90,6 +95,16 @@
         change(&mut self.placement.borrow_mut())
     }
 
+    /// Sets who hears of the store from other daemons.
+    pub fn on_news(&self, listener: NewsListener) {
+        *self.on_news.borrow_mut() = Some(listener);
+    }
+
+    /// Asks the daemon at `address` for news of the store.
+    pub fn follow(&self, address: SocketAddr, follow: Follow) {
+        self.link(address).follow(follow);
+    }
+
     /// Chooses an executor.
     #[must_use]
     pub fn choose(&self, wanted: &Wanted<'_>) -> Option<Choice> {
@@ -173,11 +188,18 @@
 
     fn heard(&self, from: SocketAddr, news: LinkNews) {
         let now = Instant::now();
-        let mut placement = self.placement.borrow_mut();
-        let track = placement.track(from, now);
         match news {
-            LinkNews::Site(report) => track.reported(report, now),
-            LinkNews::Down => track.unreachable(),
+            LinkNews::Site(report) => {
+                let mut placement = self.placement.borrow_mut();
+                placement.track(from, now).reported(report, now);
+            }
+            LinkNews::Down => self.placement.borrow_mut().track(from, now).unreachable(),
+            LinkNews::Store(news) => {
+                let listener = self.on_news.borrow().clone();
+                if let Some(listener) = listener {
+                    listener(from, *news);
+                }
+            }
         }
     }
 }
--- a/crates/marigold-sidecar/src/link.rs
+++ b/crates/marigold-sidecar/src/link.rs
@@ -16,9 +16,9 @@
 
 pub use call_id::{CallId, SessionId};
 pub use client::{LinkClient, LinkNews, OpenCall, Unsent};
-pub use frame::{Call, Frame, Hello, Reply, Welcome};
+pub use frame::{Call, ConfigChange, Follow, Frame, Hello, Reply, SiteRecord, StoreNews, Welcome};
 pub use frame_codec::FrameCodec;
 pub use outcome::{CallOutcome, Ending};
-pub use server::{CallHandler, LinkServer};
+pub use server::{CallHandler, LinkServer, NewsDesk};
 pub use session::ReplyHandle;
 pub use socket::tune;
--- a/crates/marigold-sidecar/src/link/client.rs
+++ b/crates/marigold-sidecar/src/link/client.rs
@@ -18,7 +18,10 @@
 
 use super::frame_codec::{MAX_PART, Packet};
 use super::pending::Pending;
-use super::{Call, CallId, Ending, Frame, FrameCodec, Hello, Reply, SessionId, Welcome, tune};
+use super::{
+    Call, CallId, Ending, Follow, Frame, FrameCodec, Hello, Reply, SessionId, StoreNews, Welcome,
+    tune,
+};
 
 /// How long a connection may take to open and be welcomed.
 const CONNECT_TIMEOUT: Duration = Duration::from_millis(500);
@@ -45,6 +48,8 @@
     Site(SiteReport),
     /// It cannot be reached.
     Down,
+    /// What it knows of the store.
+    Store(Box<StoreNews>),
 }
 
 /// A call could not be queued, since too much waits to be written already.
@@ -125,6 +130,15 @@
         })
     }
 
+    /// Asks for news of the store; it is lost if there is no connection, so it is asked for again.
+    pub fn follow(&self, follow: Follow) {
+        self.shared.state.borrow_mut().push(Packet {
+            frame: Frame::Follow(follow),
+            body: Bytes::new(),
+        });
+        self.shared.work.notify_one();
+    }
+
     /// Ends the session; open calls end as unreachable.
     pub fn close(&self) {
         self.shared.closed.set(true);
@@ -377,6 +391,10 @@
                     replied(&shared, reply, body);
                 }
                 Frame::Part(id) => parts.entry(id).or_default().extend_from_slice(&body),
+                Frame::News(mut news) => {
+                    news.delta = body;
+                    (shared.listener)(shared.address, LinkNews::Store(news));
+                }
                 Frame::Site(site) => (shared.listener)(shared.address, LinkNews::Site(site)),
                 _ => {}
             }
--- a/crates/marigold-sidecar/src/link/frame.rs
+++ b/crates/marigold-sidecar/src/link/frame.rs
@@ -1,11 +1,12 @@
 //! What daemons send to each other.
 
+use std::net::SocketAddr;
 use std::sync::Arc;
 use std::time::Duration;
 
 use bytes::Bytes;
-use marigold_dispatch::{CallKind, Rank, SiteReport};
-use marigold_types::{ServiceName, Version};
+use marigold_dispatch::{CallKind, Rank, Site, SiteReport};
+use marigold_types::{Digest, LogOffset, ServiceName, Version};
 use serde::{Deserialize, Serialize};
 
 use super::{CallId, CallOutcome, SessionId};
@@ -29,6 +30,10 @@
     Site(SiteReport),
     /// Asks for a sign of life.
     Ping,
+    /// Asks for news of the store for a while.
+    Follow(Follow),
+    /// News of the store; a change of the configuration follows the head.
+    News(Box<StoreNews>),
 }
 
 /// Opens a connection of a session.
@@ -53,6 +58,53 @@
     pub site: SiteReport,
 }
 
+/// Says what a daemon that wants news holds already.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Follow {
+    /// The configuration that it holds, none before the first.
+    pub config: Option<Version>,
+    /// Whether it wants all records of daemons, rather than changes only.
+    pub all_sites: bool,
+}
+
+/// What a daemon knows of the store.
+#[derive(Debug, Clone, Default, PartialEq, Serialize, Deserialize)]
+pub struct StoreNews {
+    /// How long ago the configuration was known to be the newest, none if that is not known.
+    pub config_age: Option<Duration>,
+    /// The configuration that the sender holds.
+    pub config: Option<Version>,
+    /// A change to the configuration, whose bytes follow.
+    pub change: Option<ConfigChange>,
+    /// Records of daemons that have changed, or all of them.
+    pub sites: Vec<SiteRecord>,
+    /// Whether the records are all that there are.
+    pub all_sites: bool,
+    /// The bytes of the change; they travel behind the head.
+    #[serde(skip)]
+    pub delta: Bytes,
+}
+
+/// A change from one configuration to another.
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+pub struct ConfigChange {
+    /// The configuration that it changes.
+    pub base: Version,
+    /// The digest of the changed configuration's bytes.
+    pub digest: Digest,
+    /// Where the store's next change is read from.
+    pub next: LogOffset,
+}
+
+/// A daemon's record.
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+pub struct SiteRecord {
+    /// Where the daemon takes calls.
+    pub address: SocketAddr,
+    /// What is known of it, none if it has left.
+    pub site: Option<Site>,
+}
+
 /// A request on its way to the daemon beside a backend server.
 #[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
 pub struct Call {
--- a/crates/marigold-sidecar/src/link/server.rs
+++ b/crates/marigold-sidecar/src/link/server.rs
@@ -18,7 +18,10 @@
 use super::client::join;
 use super::frame_codec::Packet;
 use super::session::Session;
-use super::{Call, CallId, Frame, FrameCodec, Hello, ReplyHandle, SessionId, Welcome, tune};
+use super::{
+    Call, CallId, Follow, Frame, FrameCodec, Hello, ReplyHandle, SessionId, StoreNews, Welcome,
+    tune,
+};
 
 /// How long a connection may take to say who it is.
 const HELLO_TIMEOUT: Duration = Duration::from_secs(1);
@@ -30,6 +33,8 @@
 const SESSION_TTL: Duration = Duration::from_secs(30);
 /// How long sent bytes may stay unacknowledged.
 const UNACKED: Duration = Duration::from_secs(5);
+/// How long a daemon gets news of the store after it asked for them.
+const FOLLOW_TIME: Duration = Duration::from_secs(3);
 /// How long to wait after a failed accept, as when descriptors have run out.
 const ACCEPT_PAUSE: Duration = Duration::from_millis(20);
 const READ_ROOM: usize = 16 << 10;
@@ -43,10 +48,17 @@
     fn site(&self) -> SiteReport;
 }
 
+/// Knows what other daemons may follow.
+pub trait NewsDesk {
+    /// Returns what a daemon that holds this much does not have yet.
+    fn news_for(&self, follow: Follow) -> StoreNews;
+}
+
 /// The sessions of all ingresses with this executor.
 pub struct LinkServer {
     life: u64,
     handler: Rc<dyn CallHandler>,
+    desk: RefCell<Option<Rc<dyn NewsDesk>>>,
     sessions: RefCell<HashMap<SessionId, Rc<Session>>>,
 }
 
@@ -57,6 +69,7 @@
         Rc::new(Self {
             life,
             handler,
+            desk: RefCell::default(),
             sessions: RefCell::new(HashMap::new()),
         })
     }
@@ -77,6 +90,29 @@
         }
     }
 
+    /// Sets who knows what other daemons may follow.
+    pub fn set_desk(&self, desk: Rc<dyn NewsDesk>) {
+        *self.desk.borrow_mut() = Some(desk);
+    }
+
+    /// Sends news of the store to every daemon that follows this one; they are made only if there is
+    /// one.
+    pub fn tell_followers(&self, news: impl FnOnce() -> StoreNews) {
+        let now = Instant::now();
+        let sessions = self.sessions.borrow();
+        let mut followers = sessions
+            .values()
+            .filter(|session| session.is_following(now));
+        let Some(first) = followers.next() else {
+            return;
+        };
+        let news = news();
+        for session in followers {
+            session.push_news(news.clone());
+        }
+        first.push_news(news);
+    }
+
     /// Tells every ingress what has changed.
     pub fn announce(&self) {
         let site = self.handler.site();
@@ -174,6 +210,12 @@
                         parts.remove(&id);
                         session.cancel(id);
                     }
+                    Frame::Follow(follow) => {
+                        session.follow(Instant::now() + FOLLOW_TIME);
+                        if let Some(desk) = &*self.desk.borrow() {
+                            session.push_news(desk.news_for(follow));
+                        }
+                    }
                     Frame::Ping => session.push(Frame::Site(self.handler.site())),
                     _ => {}
                 }
--- a/crates/marigold-sidecar/src/link/session.rs
+++ b/crates/marigold-sidecar/src/link/session.rs
@@ -12,7 +12,7 @@
 use tokio_util::sync::CancellationToken;
 
 use super::frame_codec::{MAX_PART, Packet};
-use super::{CallId, Frame, Hello, Reply};
+use super::{CallId, Frame, Hello, Reply, StoreNews};
 
 /// How long an outcome is kept for an ingress that may not have got it.
 const KEEP: Duration = Duration::from_secs(3);
@@ -37,6 +37,8 @@
     kept: usize,
     queue: VecDeque<Packet>,
     detached: Option<Instant>,
+    /// Until when the other end wants news of the store.
+    follows: Option<Instant>,
 }
 
 impl Session {
@@ -50,6 +52,7 @@
                 kept: 0,
                 queue: VecDeque::new(),
                 detached: Some(now),
+                follows: None,
             }),
             work: Notify::new(),
         }
@@ -156,6 +159,28 @@
         }
     }
 
+    /// Sends news of the store from now on, until `until`.
+    pub fn follow(&self, until: Instant) {
+        self.state.borrow_mut().follows = Some(until);
+    }
+
+    /// Returns whether the other end wants news of the store.
+    pub fn is_following(&self, now: Instant) -> bool {
+        let state = self.state.borrow();
+        state.detached.is_none() && state.follows.is_some_and(|until| until > now)
+    }
+
+    /// Queues news of the store.
+    pub fn push_news(&self, mut news: StoreNews) {
+        let body = std::mem::take(&mut news.delta);
+        let frame = Frame::News(Box::new(news));
+        self.state
+            .borrow_mut()
+            .queue
+            .push_back(Packet { frame, body });
+        self.work.notify_waiters();
+    }
+
     /// Takes the next message to write.
     pub fn pop(&self) -> Option<Packet> {
         self.state.borrow_mut().queue.pop_front()
--- a/crates/marigold-sidecar/src/settings.rs
+++ b/crates/marigold-sidecar/src/settings.rs
@@ -6,6 +6,7 @@
 use std::sync::Arc;
 use std::time::Duration;
 
+use marigold_dispatch::LinkRate;
 use marigold_ini::{Document, Faults, Section};
 use marigold_types::{ByteSize, DataCentre, Interval, ServiceName};
 
@@ -23,6 +24,8 @@
     pub service: ServiceName,
     /// The memory that the process may use.
     pub memory: ByteSize,
+    /// How much its link carries.
+    pub link: LinkRate,
 }
 
 /// Where the daemon listens.
@@ -113,6 +116,7 @@
     let data_centre = required(instance, "data_centre", "a name", faults);
     let service = required(instance, "service", "a name", faults);
     let memory = required(instance, "memory", "a size, as 256MB", faults);
+    let link = required(instance, "link", "megabits a second, as 100", faults);
     let callers = required(listen, "callers", address, faults);
     let daemons = required(listen, "daemons", address, faults);
     let readiness = required(listen, "readiness", address, faults);
@@ -131,6 +135,7 @@
             data_centre: data_centre?,
             service: service?,
             memory: memory?,
+            link: link?,
         },
         listen: ListenSettings {
             callers: callers?,
--- a/crates/marigold-sidecar/src/sidecar.rs
+++ b/crates/marigold-sidecar/src/sidecar.rs
@@ -1,6 +1,5 @@
 //! Joins the parts of one sidecar and runs them to their end.
 
-use std::cell::Cell;
 use std::io;
 use std::net::SocketAddr;
 use std::path::{Path, PathBuf};
@@ -8,7 +7,7 @@
 use std::sync::Arc;
 use std::time::Duration;
 
-use marigold_dispatch::Stage;
+use marigold_dispatch::{RelayChoice, Stage};
 use marigold_log::{KeyedStore, TableName};
 use metrics_exporter_prometheus::PrometheusHandle;
 use rand::SeedableRng;
@@ -19,7 +18,7 @@
 
 use crate::HeaderNames;
 use crate::control::{
-    ConfigFollower, ConfigSource, ControlProtocol, ControlServer, SiteFollower, SitePublisher,
+    ConfigSource, ControlProtocol, ControlServer, Relay, RelayParts, SitePublisher,
 };
 use crate::events::{EventLog, Severity};
 use crate::executor::{LocalExecutor, LocalOptions};
@@ -196,11 +195,27 @@
     }));
     let server = LinkServer::new(life, executor.clone());
     executor.attach(&server);
-    let loaded = Rc::new(Cell::new(false));
+    let relay = Relay::new(
+        RelayParts {
+            store: store.clone(),
+            source: adapter.source.clone(),
+            sites: adapter.sites.clone(),
+            ingress: ingress.clone(),
+            mesh: mesh.clone(),
+            server: Rc::downgrade(&server),
+            events: events.clone(),
+        },
+        RelayChoice::new(
+            settings.listen.daemons,
+            settings.instance.data_centre.clone(),
+        ),
+    );
+    server.set_desk(relay.clone());
     let is_ready = {
-        let (ingress, loaded) = (ingress.clone(), loaded.clone());
+        let (ingress, relay) = (ingress.clone(), relay.clone());
         Rc::new(move || {
-            ingress.table().is_some() && loaded.get() && ingress.stage(0) == Stage::Serving
+            let knows = ingress.table().is_some() && relay.knows_sites();
+            knows && ingress.stage(0) == Stage::Serving
         })
     };
     let control = ControlServer::new(
@@ -211,24 +226,16 @@
         metrics,
     );
     let publisher = Rc::new(SitePublisher::new(
-        store.clone(),
+        store,
         adapter.sites.clone(),
         settings.listen.daemons,
         settings.instance.data_centre.clone(),
+        settings.instance.link,
         executor.clone(),
-        mesh.clone(),
+        mesh,
         events.clone(),
     ));
-    let config = ConfigFollower::new(
-        store.clone(),
-        adapter.source.clone(),
-        ingress.clone(),
-        events.clone(),
-    );
-    let sites = SiteFollower::new(store, adapter.sites.clone(), mesh, events.clone(), loaded);
-
-    tokio::task::spawn_local(config.run());
-    tokio::task::spawn_local(sites.run());
+    relay.start();
     tokio::task::spawn_local(publisher.clone().run());
     tokio::task::spawn_local(executor.clone().upkeep());
     tokio::task::spawn_local(server.listen(daemons));
