--- a/crates/marigold-sidecar/src/control/config_shelf.rs
+++ b/crates/marigold-sidecar/src/control/config_shelf.rs
@@ -4,6 +4,7 @@
 
 use bytes::Bytes;
 use fast_rsync::{Signature, SignatureOptions, apply_limited, diff};
+use lz4_flex::block::{compress_prepend_size, decompress_size_prepended, uncompressed_size};
 use marigold_types::{Digest, LogOffset, Version};
 
 use crate::link::ConfigChange;
@@ -59,31 +60,56 @@
         self.kept.push_back(Kept { version, bytes });
     }
 
-    /// Makes the change from `base` to the newest version; none if `base` is not kept or the newest.
-    pub fn change_from(&self, base: Version) -> Option<(ConfigChange, Bytes)> {
-        let newest = self.kept.back().filter(|newest| newest.version != base)?;
-        let old = self.kept.iter().find(|kept| kept.version == base)?;
-        let options = SignatureOptions {
-            block_size: BLOCK,
-            crypto_hash_size: HASH_BYTES,
+    /// Makes the change from `base` to the newest version, or the whole of it if `base` is not kept; none
+    /// if `base` is the newest.
+    pub fn change_from(&self, base: Option<Version>) -> Option<(ConfigChange, Bytes)> {
+        let newest = self
+            .kept
+            .back()
+            .filter(|newest| Some(newest.version) != base)?;
+        let old = self.kept.iter().find(|kept| Some(kept.version) == base);
+        let delta = match old {
+            Some(old) => difference(&old.bytes, &newest.bytes)?,
+            None => compress_prepend_size(&newest.bytes),
         };
-        let signature = Signature::calculate(&old.bytes, options);
-        let mut delta = Vec::new();
-        // A delta that cannot be made is no delta: the follower reads the store.
-        diff(&signature.index(), &newest.bytes, &mut delta).ok()?;
         let change = ConfigChange {
-            base,
+            base: old.map(|old| old.version),
             digest: Digest::of(&newest.bytes),
             next: self.next?,
         };
         Some((change, Bytes::from(delta)))
     }
 
-    /// Returns the configuration that `change` makes of a kept one; none if it does not fit.
+    /// Returns the configuration that `change` leads to; none if it does not fit what is kept.
     pub fn changed(&self, change: &ConfigChange, delta: &[u8]) -> Option<Bytes> {
-        let old = self.kept.iter().find(|kept| kept.version == change.base)?;
-        let mut bytes = Vec::with_capacity(old.bytes.len());
-        apply_limited(&old.bytes, delta, &mut bytes, MAX_CONFIG).ok()?;
+        let bytes = match change.base {
+            Some(base) => {
+                let old = self.kept.iter().find(|kept| kept.version == base)?;
+                let mut bytes = Vec::with_capacity(old.bytes.len());
+                // What cannot be applied is asked for as a whole.
+                apply_limited(&old.bytes, delta, &mut bytes, MAX_CONFIG).ok()?;
+                bytes
+            }
+            None => {
+                let (size, _) = uncompressed_size(delta).ok()?;
+                if size > MAX_CONFIG {
+                    return None;
+                }
+                decompress_size_prepended(delta).ok()?
+            }
+        };
         (Digest::of(&bytes) == change.digest).then(|| Bytes::from(bytes))
     }
 }
+
+/// Returns the difference between two configurations; none if it cannot be made.
+fn difference(old: &[u8], new: &[u8]) -> Option<Vec<u8>> {
+    let options = SignatureOptions {
+        block_size: BLOCK,
+        crypto_hash_size: HASH_BYTES,
+    };
+    let signature = Signature::calculate(old, options);
+    let mut delta = Vec::new();
+    diff(&signature.index(), new, &mut delta).ok()?;
+    Some(delta)
+}
--- a/crates/marigold-sidecar/src/control/relay.rs
+++ b/crates/marigold-sidecar/src/control/relay.rs
@@ -16,7 +16,7 @@
 use super::config_shelf::ConfigShelf;
 use super::protocol::ConfigSource;
 use crate::events::{EventLog, Severity};
-use crate::ingress::{Ingress, Mesh};
+use crate::ingress::{Ingress, Mesh, NewsListener};
 use crate::link::{Follow, LinkServer, NewsDesk, SiteRecord, StoreNews};
 
 /// How long a reader's question for a new configuration waits; its answer shows that the store is
@@ -37,6 +37,12 @@
 const MAX_AGE: Duration = Duration::from_millis(1_000);
 /// How long a version that a call was routed by may take to come before this daemon looks itself.
 const CATCH_UP: Duration = Duration::from_millis(300);
+/// How long a daemon that starts waits for its first configuration from another one, and how often it
+/// looks whether one can be asked.
+const ASK_TIME: Duration = Duration::from_millis(400);
+const ASK_TICK: Duration = Duration::from_millis(20);
+/// The least time between two questions to daemons that connect.
+const QUESTION_PAUSE: Duration = Duration::from_millis(500);
 /// The least time between two looks of a follower.
 const LOOK_PAUSE: Duration = Duration::from_millis(1_000);
 /// How long a follower may be without a reader before it reads daemons' records itself.
@@ -81,6 +87,8 @@
     /// When the directory was last known to be complete.
     sites_fresh: Cell<Option<Instant>>,
     role: Cell<Option<NewsSource>>,
+    /// When a daemon that connected was last asked.
+    questioned: Cell<Option<Instant>>,
 }
 
 impl Relay {
@@ -95,17 +103,13 @@
             sites_next: Cell::new(None),
             sites_fresh: Cell::new(None),
             role: Cell::new(None),
+            questioned: Cell::new(None),
         })
     }
 
     /// Starts to bring news, on the current local task set.
     pub fn start(self: &Rc<Self>) {
-        let relay = Rc::downgrade(self);
-        self.parts.mesh.on_news(Rc::new(move |from, news| {
-            if let Some(relay) = relay.upgrade() {
-                relay.heard(from, news);
-            }
-        }));
+        self.parts.mesh.on_news(self.clone());
         tokio::task::spawn_local(self.clone().bring_config());
         tokio::task::spawn_local(self.clone().bring_sites());
         tokio::task::spawn_local(self.clone().beat());
@@ -142,6 +146,7 @@
         let mut dependency = Dependency::default();
         let mut looked = Instant::now();
         let mut wanted_since: Option<Instant> = None;
+        self.ask_first().await;
         loop {
             let has_any = self.shelf.borrow().version().is_some();
             let is_reader = self.source() == NewsSource::Store;
@@ -171,6 +176,27 @@
         }
     }
 
+    /// Gives the daemon that reads for the data centre some time to bring the first configuration: it
+    /// sends it compressed, which a narrow link carries in a fraction of the time.
+    async fn ask_first(&self) {
+        let began = Instant::now();
+        let mut asked = None;
+        while began.elapsed() < ASK_TIME && self.shelf.borrow().version().is_none() {
+            let source = self.source();
+            if let NewsSource::Daemon(reader) = source
+                && asked != Some(source)
+            {
+                asked = Some(source);
+                let follow = Follow {
+                    config: None,
+                    all_sites: true,
+                };
+                self.parts.mesh.follow(reader, follow);
+            }
+            sleep(ASK_TICK).await;
+        }
+    }
+
     /// Returns whether calls were routed by a newer configuration than the one that is held.
     fn is_behind(&self) -> bool {
         let wanted = *self.parts.ingress.wanted.borrow();
@@ -233,7 +259,7 @@
         let before = self.shelf.borrow().version();
         self.shelf.borrow_mut().push(version, value);
         if let Some(before) = before {
-            self.tell(|| self.news(Some(before)));
+            self.tell(|| self.news(Some(Some(before))));
         }
         true
     }
@@ -375,8 +401,8 @@
         }
     }
 
-    /// Returns what is known of the store, with the change from `base` if it is kept.
-    fn news(&self, base: Option<Version>) -> StoreNews {
+    /// Returns what is known of the store, with what leads on from `base` if a base is given.
+    fn news(&self, base: Option<Option<Version>>) -> StoreNews {
         let shelf = self.shelf.borrow();
         let change = base.and_then(|base| shelf.change_from(base));
         let (change, delta) = change.unzip();
@@ -390,8 +416,8 @@
         }
     }
 
-    /// Takes news from another daemon.
-    fn heard(&self, from: SocketAddr, news: StoreNews) {
+    /// Takes news from another daemon; `from` is where it takes calls, if that is known.
+    fn take_news(&self, from: Option<SocketAddr>, news: &StoreNews) {
         let now = Instant::now();
         if let Some(change) = &news.change {
             let changed = self.shelf.borrow().changed(change, &news.delta);
@@ -401,19 +427,21 @@
             }
         }
         let holds = self.shelf.borrow().version();
+        let is_reader = from.filter(|from| self.role.get() == Some(NewsSource::Daemon(*from)));
         if let Some(age) = news.config_age
             && holds >= news.config
         {
             let at = now.checked_sub(age);
             self.fresh.set(self.fresh.get().max(at));
-        } else if self.role.get() == Some(NewsSource::Daemon(from)) && holds < news.config {
+        } else if let Some(from) = is_reader
+            && holds < news.config
+            && news.change.is_none()
+        {
             let follow = Follow {
                 config: holds,
                 all_sites: false,
             };
-            if news.change.is_none() && holds.is_some() {
-                self.parts.mesh.follow(from, follow);
-            }
+            self.parts.mesh.follow(from, follow);
         }
         if news.all_sites || !news.sites.is_empty() {
             if self.take_sites(&news.sites) {
@@ -423,8 +451,9 @@
                 });
             }
         }
-        if self.role.get() == Some(NewsSource::Daemon(from)) {
-            self.sites_fresh.set(self.sites_fresh.get().map(|_| now));
+        if is_reader.is_some() || news.all_sites {
+            let is_known = news.all_sites || self.knows_sites();
+            self.sites_fresh.set(is_known.then_some(now));
         }
     }
 
@@ -474,9 +503,19 @@
     }
 }
 
+impl NewsListener for Relay {
+    fn heard(&self, from: SocketAddr, news: StoreNews) {
+        self.take_news(Some(from), &news);
+    }
+
+    fn answer(&self, question: Follow) -> StoreNews {
+        self.news_for(question)
+    }
+}
+
 impl NewsDesk for Relay {
     fn news_for(&self, follow: Follow) -> StoreNews {
-        let mut news = self.news(follow.config);
+        let mut news = self.news(Some(follow.config));
         if follow.all_sites {
             news.all_sites = true;
             news.sites = self.parts.mesh.read(|directory| {
@@ -489,4 +528,22 @@
         }
         news
     }
+
+    fn question(&self) -> Option<Follow> {
+        let now = Instant::now();
+        let asked = self.questioned.get();
+        let is_early = asked.is_some_and(|at| now.saturating_duration_since(at) < QUESTION_PAUSE);
+        if is_early || self.shelf.borrow().version().is_some() {
+            return None;
+        }
+        self.questioned.set(Some(now));
+        Some(Follow {
+            config: None,
+            all_sites: true,
+        })
+    }
+
+    fn told(&self, news: StoreNews) {
+        self.take_news(None, &news);
+    }
 }
--- a/crates/marigold-sidecar/src/ingress.rs
+++ b/crates/marigold-sidecar/src/ingress.rs
@@ -9,5 +9,5 @@
 
 pub use connection::listen;
 pub use ingress_core::{Ingress, IngressOptions};
-pub use mesh::{Mesh, MeshOptions};
+pub use mesh::{Mesh, MeshOptions, NewsListener};
 pub use verdict::Verdict;
--- a/crates/marigold-sidecar/src/ingress/mesh.rs
+++ b/crates/marigold-sidecar/src/ingress/mesh.rs
@@ -29,8 +29,14 @@
     pub retry_window: Duration,
 }
 
-/// Hears of the store from other daemons.
-pub type NewsListener = Rc<dyn Fn(SocketAddr, StoreNews)>;
+/// Exchanges news of the store with other daemons.
+pub trait NewsListener {
+    /// Takes news from the daemon at `from`.
+    fn heard(&self, from: SocketAddr, news: StoreNews);
+
+    /// Returns what a daemon that holds this much does not have yet.
+    fn answer(&self, question: Follow) -> StoreNews;
+}
 
 /// Everything that placing a request needs.
 pub struct Mesh {
@@ -40,7 +46,7 @@
     links: RefCell<HashMap<SocketAddr, LinkClient>>,
     retries: RefCell<HashMap<ServiceName, RetryWindow>>,
     rng: RefCell<SmallRng>,
-    on_news: RefCell<Option<NewsListener>>,
+    on_news: RefCell<Option<Rc<dyn NewsListener>>>,
     myself: Weak<Self>,
 }
 
@@ -95,8 +101,8 @@
         change(&mut self.placement.borrow_mut())
     }
 
-    /// Sets who hears of the store from other daemons.
-    pub fn on_news(&self, listener: NewsListener) {
+    /// Sets who exchanges news of the store with other daemons.
+    pub fn on_news(&self, listener: Rc<dyn NewsListener>) {
         *self.on_news.borrow_mut() = Some(listener);
     }
 
@@ -197,7 +203,14 @@
             LinkNews::Store(news) => {
                 let listener = self.on_news.borrow().clone();
                 if let Some(listener) = listener {
-                    listener(from, *news);
+                    listener.heard(from, *news);
+                }
+            }
+            LinkNews::Question(question) => {
+                let listener = self.on_news.borrow().clone();
+                if let Some(listener) = listener {
+                    let news = listener.answer(question);
+                    self.link(from).tell(news);
                 }
             }
         }
--- a/crates/marigold-sidecar/src/link/client.rs
+++ b/crates/marigold-sidecar/src/link/client.rs
@@ -50,6 +50,8 @@
     Down,
     /// What it knows of the store.
     Store(Box<StoreNews>),
+    /// It asks what this daemon knows of the store.
+    Question(Follow),
 }
 
 /// A call could not be queued, since too much waits to be written already.
@@ -139,6 +141,14 @@
         self.shared.work.notify_one();
     }
 
+    /// Tells what this daemon knows of the store, to one that has asked.
+    pub fn tell(&self, mut news: StoreNews) {
+        let body = std::mem::take(&mut news.delta);
+        let frame = Frame::News(Box::new(news));
+        self.shared.state.borrow_mut().push(Packet { frame, body });
+        self.shared.work.notify_one();
+    }
+
     /// Ends the session; open calls end as unreachable.
     pub fn close(&self) {
         self.shared.closed.set(true);
@@ -395,6 +405,9 @@
                     news.delta = body;
                     (shared.listener)(shared.address, LinkNews::Store(news));
                 }
+                Frame::Follow(follow) => {
+                    (shared.listener)(shared.address, LinkNews::Question(follow));
+                }
                 Frame::Site(site) => (shared.listener)(shared.address, LinkNews::Site(site)),
                 _ => {}
             }
--- a/crates/marigold-sidecar/src/link/frame.rs
+++ b/crates/marigold-sidecar/src/link/frame.rs
@@ -30,7 +30,7 @@
     Site(SiteReport),
     /// Asks for a sign of life.
     Ping,
-    /// Asks for news of the store for a while.
+    /// Asks for news of the store; the end that opened the connection gets them for a while.
     Follow(Follow),
     /// News of the store; a change of the configuration follows the head.
     News(Box<StoreNews>),
@@ -85,11 +85,11 @@
     pub delta: Bytes,
 }
 
-/// A change from one configuration to another.
+/// How to come to a configuration.
 #[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
 pub struct ConfigChange {
-    /// The configuration that it changes.
-    pub base: Version,
+    /// The configuration that it changes; without one it is whole and compressed.
+    pub base: Option<Version>,
     /// The digest of the changed configuration's bytes.
     pub digest: Digest,
     /// Where the store's next change is read from.
--- a/crates/marigold-sidecar/src/link/frame_codec.rs
+++ b/crates/marigold-sidecar/src/link/frame_codec.rs
@@ -8,7 +8,7 @@
 use super::Frame;
 
 /// The largest frame; longer bodies are split.
-const MAX_FRAME: usize = 1 << 20;
+const MAX_FRAME: usize = 8 << 20;
 /// The longest part of a body that travels in one frame, so that a long body does not hold up others.
 pub const MAX_PART: usize = 64 << 10;
 
--- a/crates/marigold-sidecar/src/link/server.rs
+++ b/crates/marigold-sidecar/src/link/server.rs
@@ -52,6 +52,12 @@
 pub trait NewsDesk {
     /// Returns what a daemon that holds this much does not have yet.
     fn news_for(&self, follow: Follow) -> StoreNews;
+
+    /// Returns what this daemon asks of one that connects, if it has no configuration yet.
+    fn question(&self) -> Option<Follow>;
+
+    /// Takes news from a daemon that was asked.
+    fn told(&self, news: StoreNews);
 }
 
 /// The sessions of all ingresses with this executor.
@@ -172,6 +178,11 @@
         let body = bytes::Bytes::new();
         let frame = welcome;
         codec.encode(Packet { frame, body }, &mut out)?;
+        // A daemon that has just started may learn from those that come back to it, when the store is away.
+        let question = self.desk.borrow().as_ref().and_then(|desk| desk.question());
+        if let Some(question) = question {
+            session.push(Frame::Follow(question));
+        }
         let (reader, writer) = stream.into_split();
         let result = tokio::select! {
             result = self.read(&session, epoch, reader, codec, input) => result,
@@ -216,6 +227,12 @@
                             session.push_news(desk.news_for(follow));
                         }
                     }
+                    Frame::News(mut news) => {
+                        news.delta = body;
+                        if let Some(desk) = &*self.desk.borrow() {
+                            desk.told(*news);
+                        }
+                    }
                     Frame::Ping => session.push(Frame::Site(self.handler.site())),
                     _ => {}
                 }
--- /dev/null
+++ b/crates/marigold-sidecar/tests/common/mod.rs
@@ -0,0 +1,88 @@
+//! Names and small stand-ins for the tests of the sidecar.
+#![allow(dead_code, reason = "each test file uses a part")]
+
+use std::net::SocketAddr;
+use std::sync::Arc;
+use std::time::Duration;
+
+use bytes::Bytes;
+use marigold_dispatch::{Announcement, CallKind, Rank, ServingState, SiteReport};
+use marigold_sidecar::HeaderNames;
+use marigold_sidecar::link::{Call, CallId};
+use marigold_types::{ServiceName, SlotCount, Version};
+use tokio::net::TcpListener;
+
+/// How long anything may take before a test gives up; nothing is asserted of it.
+pub const PATIENCE: Duration = Duration::from_secs(20);
+
+/// Returns the header fields that tests use.
+pub fn names() -> Arc<HeaderNames> {
+    Arc::new(HeaderNames {
+        request_id: Arc::from("X-Id"),
+        deadline: Arc::from("X-Left"),
+        signature: Arc::from("X-Signed"),
+        expected: Arc::from("X-Expected"),
+        not_run: Arc::from("X-Not-Run"),
+        retry_after: Arc::from("Retry-After"),
+        origin: Arc::from("X-Origin"),
+        identity: Arc::from("X-Identity"),
+    })
+}
+
+/// Returns the service called `name`.
+pub fn service(name: &str) -> ServiceName {
+    name.parse().expect("a service")
+}
+
+/// Listens at any free port of this machine.
+pub async fn listener() -> (TcpListener, SocketAddr) {
+    let listener = TcpListener::bind("127.0.0.1:0").await.expect("a free port");
+    let address = listener.local_addr().expect("an address");
+    (listener, address)
+}
+
+/// Returns a request for the service `desk` as it goes between daemons.
+pub fn call(request: &str, idempotent: bool) -> Call {
+    Call {
+        id: CallId::default(),
+        floor: CallId::default(),
+        version: Version(1),
+        service: service("desk"),
+        origin: service("ledger"),
+        kind: CallKind(Arc::from("read")),
+        rank: Rank(1),
+        idempotent,
+        objective: PATIENCE,
+        patience: PATIENCE,
+        request: Arc::from(request),
+        method: Arc::from("GET"),
+        target: Arc::from("/a/b"),
+        fields: Bytes::from(format!("Host: x\r\nX-Id: {request}\r\n")),
+        body: Bytes::new(),
+    }
+}
+
+/// Returns what an executor without load says of itself.
+pub fn site() -> SiteReport {
+    SiteReport {
+        service: Some(service("desk")),
+        slots: SlotCount(4),
+        busy: SlotCount(0),
+        queued: SlotCount(0),
+        mean_run: Duration::ZERO,
+    }
+}
+
+/// Returns an announcement of the backend server at `address`.
+pub fn announcement(address: SocketAddr, sequence: u64, state: ServingState) -> Announcement {
+    Announcement {
+        identity: Arc::from("life-1"),
+        born: Some(1),
+        sequence,
+        service: service("desk"),
+        address,
+        slots: SlotCount(2),
+        state,
+        warmup: Duration::ZERO,
+    }
+}
