--- a/crates/marigold-dispatch/src/gate.rs
+++ b/crates/marigold-dispatch/src/gate.rs
@@ -217,7 +217,7 @@
         };
         let left = work.deadline.saturating_duration_since(now);
         let late_wait = self.wait_in(&late, rank, now);
-        if run < left && late_wait <= (left - run) / LATE_PART {
+        if run < left && late_wait <= left.saturating_sub(run) / LATE_PART {
             return Admit::Wait(self.enter(work, late, run));
         }
         let spare = work
@@ -258,9 +258,7 @@
         self.turn = (self.turn + 1) % FAIR_TURN;
         loop {
             let ticket = self.next_ticket()?;
-            let Some(waiting) = self.waiting.get(ticket) else {
-                return None;
-            };
+            let waiting = self.waiting.get(ticket)?;
             let run = self.expected(&waiting.work, now);
             let is_overdue = !waiting.key.late && now + run > waiting.work.objective;
             if is_overdue && self.has_on_time_after(ticket) {
--- a/crates/marigold-dispatch/src/track.rs
+++ b/crates/marigold-dispatch/src/track.rs
@@ -18,7 +18,7 @@
 
 #[derive(Debug, Clone)]
 struct Report {
-    report: SiteReport,
+    site: SiteReport,
     at: Instant,
     own: u32,
 }
@@ -71,7 +71,7 @@
     pub fn reported(&mut self, report: SiteReport, now: Instant) {
         self.is_up = true;
         self.report = Some(Report {
-            report,
+            site: report,
             at: now,
             own: self.in_flight,
         });
@@ -113,7 +113,7 @@
     /// Returns the last report, fresh or not.
     #[must_use]
     pub fn report(&self) -> Option<&SiteReport> {
-        self.report.as_ref().map(|heard| &heard.report)
+        self.report.as_ref().map(|heard| &heard.site)
     }
 
     /// Estimates the requests at the executor: what it said last, and this ingress's own calls since.
@@ -122,7 +122,7 @@
         let Some(heard) = self.fresh(now) else {
             return self.in_flight;
         };
-        let said = heard.report.busy.0 + heard.report.queued.0;
+        let said = heard.site.busy.0 + heard.site.queued.0;
         let known = said.saturating_add(self.in_flight);
         known.saturating_sub(heard.own).max(self.in_flight)
     }
--- a/crates/marigold-dispatch/tests/gate.rs
+++ b/crates/marigold-dispatch/tests/gate.rs
@@ -126,13 +126,13 @@
     let mut now = Instant::now();
     let mut gate = gate(1, &[("urgent", 0, 10), ("slow", 2, 100)], now);
     let mut slot = run_now(&mut gate, work("urgent", 0, 90_000, 90_000, now), now);
-    let slow = wait(&mut gate, work("slow", 2, 90_000, 90_000, now), now);
+    let patient = wait(&mut gate, work("slow", 2, 90_000, 90_000, now), now);
     for _ in 0..32 {
         wait(&mut gate, work("urgent", 0, 90_000, 90_000, now), now);
         now += ms(10);
         gate.release(slot, true, now);
         let (ticket, permit) = gate.grant(now).expect("a slot is free");
-        if ticket == slow {
+        if ticket == patient {
             return;
         }
         slot = permit;
--- a/crates/marigold-sidecar/src/control.rs
+++ b/crates/marigold-sidecar/src/control.rs
@@ -10,4 +10,4 @@
 pub use control_server::{ControlServer, Status};
 pub use protocol::{ConfigSource, ControlCall, ControlProtocol, Undecodable};
 pub use relay::{Relay, RelayParts};
-pub use site_publisher::SitePublisher;
+pub use site_publisher::{Place, SitePublisher};
--- a/crates/marigold-sidecar/src/control/config_shelf.rs
+++ b/crates/marigold-sidecar/src/control/config_shelf.rs
@@ -82,21 +82,18 @@
 
     /// Returns the configuration that `change` leads to; none if it does not fit what is kept.
     pub fn changed(&self, change: &ConfigChange, delta: &[u8]) -> Option<Bytes> {
-        let bytes = match change.base {
-            Some(base) => {
-                let old = self.kept.iter().find(|kept| kept.version == base)?;
-                let mut bytes = Vec::with_capacity(old.bytes.len());
-                // What cannot be applied is asked for as a whole.
-                apply_limited(&old.bytes, delta, &mut bytes, MAX_CONFIG).ok()?;
-                bytes
-            }
-            None => {
-                let (size, _) = uncompressed_size(delta).ok()?;
-                if size > MAX_CONFIG {
-                    return None;
-                }
-                decompress_size_prepended(delta).ok()?
+        let bytes = if let Some(base) = change.base {
+            let old = self.kept.iter().find(|kept| kept.version == base)?;
+            let mut bytes = Vec::with_capacity(old.bytes.len());
+            // What cannot be applied is asked for as a whole.
+            apply_limited(&old.bytes, delta, &mut bytes, MAX_CONFIG).ok()?;
+            bytes
+        } else {
+            let (size, _) = uncompressed_size(delta).ok()?;
+            if size > MAX_CONFIG {
+                return None;
             }
+            decompress_size_prepended(delta).ok()?
         };
         (Digest::of(&bytes) == change.digest).then(|| Bytes::from(bytes))
     }
--- a/crates/marigold-sidecar/src/control/control_server.rs
+++ b/crates/marigold-sidecar/src/control/control_server.rs
@@ -81,12 +81,12 @@
             let server = server.clone();
             async move { Ok::<_, Infallible>(server.answer(request).await) }
         });
-        let served = http1::Builder::new()
+        let result = http1::Builder::new()
             .timer(TokioTimer::new())
             .header_read_timeout(HEAD_TIMEOUT)
             .serve_connection(TokioIo::new(stream), service)
             .await;
-        if let Err(error) = served {
+        if let Err(error) = result {
             spdlog::debug!("a control connection ended: {error}");
         }
     }
--- a/crates/marigold-sidecar/src/control/relay.rs
+++ b/crates/marigold-sidecar/src/control/relay.rs
@@ -34,7 +34,7 @@
 const FOLLOW_TICK: Duration = Duration::from_secs(1);
 /// How old the knowledge of the newest configuration may grow before a follower looks itself: a
 /// configuration has to be in force within two seconds.
-const MAX_AGE: Duration = Duration::from_millis(1_000);
+const MAX_AGE: Duration = Duration::from_secs(1);
 /// How long a version that a call was routed by may take to come before this daemon looks itself.
 const CATCH_UP: Duration = Duration::from_millis(300);
 /// How long a daemon that starts waits for its first configuration from another one, and how often it
@@ -44,7 +44,7 @@
 /// The least time between two questions to daemons that connect.
 const QUESTION_PAUSE: Duration = Duration::from_millis(500);
 /// The least time between two looks of a follower.
-const LOOK_PAUSE: Duration = Duration::from_millis(1_000);
+const LOOK_PAUSE: Duration = Duration::from_secs(1);
 /// How long a follower may be without a reader before it reads daemons' records itself.
 const SITES_AGE: Duration = Duration::from_secs(3);
 /// The wait after a failed call, at first and at most; what was missed must be back within two seconds
@@ -259,7 +259,7 @@
         let before = self.shelf.borrow().version();
         self.shelf.borrow_mut().push(version, value);
         if let Some(before) = before {
-            self.tell(|| self.news(Some(Some(before))));
+            self.tell(|| self.news_since(Some(before)));
         }
         true
     }
@@ -307,7 +307,7 @@
         if changed {
             self.tell(|| StoreNews {
                 sites: records,
-                ..self.news(None)
+                ..self.news()
             });
         }
         Ok(changed)
@@ -350,6 +350,9 @@
 
     /// Takes records of daemons; returns whether any is new.
     fn take_sites(&self, records: &[SiteRecord]) -> bool {
+        if records.is_empty() {
+            return false;
+        }
         let mesh = &self.parts.mesh;
         let before = mesh.read(marigold_dispatch::Directory::generation);
         mesh.update(|directory| {
@@ -378,7 +381,7 @@
     async fn beat(self: Rc<Self>) {
         let mut asked: Option<(Instant, NewsSource)> = None;
         loop {
-            self.tell(|| self.news(None));
+            self.tell(|| self.news());
             let source = self.source();
             let now = Instant::now();
             let is_due = asked.is_none_or(|(at, of)| {
@@ -401,18 +404,22 @@
         }
     }
 
-    /// Returns what is known of the store, with what leads on from `base` if a base is given.
-    fn news(&self, base: Option<Option<Version>>) -> StoreNews {
-        let shelf = self.shelf.borrow();
-        let change = base.and_then(|base| shelf.change_from(base));
-        let (change, delta) = change.unzip();
+    /// Returns how much is known of the store.
+    fn news(&self) -> StoreNews {
         StoreNews {
             config_age: self.fresh.get().map(|at| at.elapsed()),
-            config: shelf.version(),
+            config: self.shelf.borrow().version(),
+            ..StoreNews::default()
+        }
+    }
+
+    /// Returns how much is known of the store, with what leads on from the configuration `base`.
+    fn news_since(&self, base: Option<Version>) -> StoreNews {
+        let (change, delta) = self.shelf.borrow().change_from(base).unzip();
+        StoreNews {
             change,
-            sites: Vec::new(),
-            all_sites: false,
             delta: delta.unwrap_or_default(),
+            ..self.news()
         }
     }
 
@@ -443,13 +450,11 @@
             };
             self.parts.mesh.follow(from, follow);
         }
-        if news.all_sites || !news.sites.is_empty() {
-            if self.take_sites(&news.sites) {
-                self.tell(|| StoreNews {
-                    sites: news.sites.clone(),
-                    ..self.news(None)
-                });
-            }
+        if self.take_sites(&news.sites) {
+            self.tell(|| StoreNews {
+                sites: news.sites.clone(),
+                ..self.news()
+            });
         }
         if is_reader.is_some() || news.all_sites {
             let is_known = news.all_sites || self.knows_sites();
@@ -515,7 +520,7 @@
 
 impl NewsDesk for Relay {
     fn news_for(&self, follow: Follow) -> StoreNews {
-        let mut news = self.news(Some(follow.config));
+        let mut news = self.news_since(follow.config);
         if follow.all_sites {
             news.all_sites = true;
             news.sites = self.parts.mesh.read(|directory| {
--- a/crates/marigold-sidecar/src/control/site_publisher.rs
+++ b/crates/marigold-sidecar/src/control/site_publisher.rs
@@ -19,27 +19,34 @@
 /// The wait after a failed write.
 const BACKOFF: Duration = Duration::from_millis(500);
 
+/// Where this daemon is found.
+#[derive(Debug, Clone)]
+pub struct Place {
+    /// Where it takes calls of other daemons.
+    pub address: SocketAddr,
+    /// Where it stands.
+    pub data_centre: DataCentre,
+    /// How much its link carries.
+    pub link: LinkRate,
+}
+
 /// Keeps this daemon's record in the table of daemons.
 pub struct SitePublisher {
     store: Rc<dyn KeyedStore>,
     table: TableName,
-    address: SocketAddr,
-    data_centre: DataCentre,
-    link: LinkRate,
+    place: Place,
     executor: Rc<LocalExecutor>,
     mesh: Rc<Mesh>,
     events: Rc<EventLog>,
 }
 
 impl SitePublisher {
-    /// Builds the publisher of the daemon that takes calls at `address`.
+    /// Builds the publisher of the daemon at `place`.
     #[must_use]
     pub fn new(
         store: Rc<dyn KeyedStore>,
         table: TableName,
-        address: SocketAddr,
-        data_centre: DataCentre,
-        link: LinkRate,
+        place: Place,
         executor: Rc<LocalExecutor>,
         mesh: Rc<Mesh>,
         events: Rc<EventLog>,
@@ -47,9 +54,7 @@
         Self {
             store,
             table,
-            address,
-            data_centre,
-            link,
+            place,
             executor,
             mesh,
             events,
@@ -67,13 +72,13 @@
                 continue;
             };
             let site = Site {
-                address: self.address,
-                data_centre: self.data_centre.clone(),
+                address: self.place.address,
+                data_centre: self.place.data_centre.clone(),
                 service,
                 slots,
-                link: self.link,
+                link: self.place.link,
             };
-            let stands = |directory: &Directory| directory.get(self.address) == Some(&site);
+            let stands = |directory: &Directory| directory.get(self.place.address) == Some(&site);
             if self.mesh.read(stands) {
                 continue;
             }
@@ -102,7 +107,7 @@
     }
 
     async fn put(&self, value: Option<Bytes>) -> Result<(), marigold_log::LogError> {
-        let key = self.address.to_string();
+        let key = self.place.address.to_string();
         self.store.put(&self.table, &key, value).await
     }
 
--- a/crates/marigold-sidecar/src/executor/local_executor.rs
+++ b/crates/marigold-sidecar/src/executor/local_executor.rs
@@ -6,7 +6,7 @@
 use std::time::Duration;
 
 use bytes::Bytes;
-use marigold_dispatch::{Announcement, BackendState, Heard, SiteReport, Work};
+use marigold_dispatch::{Announcement, BackendState, Gate, Heard, SiteReport, Work};
 use marigold_request::RefusalReason;
 use marigold_types::{ServiceName, SlotCount, Version};
 use tokio::time::{Instant, sleep, timeout_at};
@@ -113,7 +113,7 @@
                 self.refresh();
             }
             Heard::Same => {
-                if self.queue.read(|gate| gate.slots()) != self.usable_slots() {
+                if self.queue.read(Gate::slots) != self.usable_slots() {
                     self.refresh();
                 }
             }
--- a/crates/marigold-sidecar/src/http1/response_reader.rs
+++ b/crates/marigold-sidecar/src/http1/response_reader.rs
@@ -15,6 +15,10 @@
 const MAX_HEAD: usize = 64 << 10;
 
 /// An answer with what its connection and its marks say.
+#[expect(
+    clippy::struct_excessive_bools,
+    reason = "each is one mark of the answer, independent of the others"
+)]
 #[derive(Debug, Clone, Default)]
 pub struct ReadAnswer {
     /// The answer itself.
--- a/crates/marigold-sidecar/src/ingress/ingress_core.rs
+++ b/crates/marigold-sidecar/src/ingress/ingress_core.rs
@@ -215,10 +215,10 @@
                 None
             };
             let Some(choice) = choice else {
-                return self.give_up(soonest, last_answer, arrivals, route.idempotent);
+                return give_up(soonest, last_answer, arrivals, route.idempotent);
             };
             if arrivals > 0 && !self.may_repeat(plan, arrivals) {
-                return self.give_up(soonest, last_answer, arrivals, route.idempotent);
+                return give_up(soonest, last_answer, arrivals, route.idempotent);
             }
             let address = choice.address;
             tried.push(address);
@@ -319,25 +319,6 @@
         left >= run.mul_f64(MIN_LEFT_PART) && self.mesh.spend_repeat(plan.service)
     }
 
-    /// Ends a request that no executor is left for.
-    fn give_up(
-        &self,
-        soonest: Option<Duration>,
-        answer: Option<Response>,
-        arrivals: u32,
-        idempotent: bool,
-    ) -> Verdict {
-        if let Some(answer) = answer {
-            return Verdict::Answered(answer);
-        }
-        if arrivals > 0 && idempotent && soonest.is_none() {
-            return lost("no backend server answered");
-        }
-        let spread = 1.0 + SPREAD * rand::random::<f64>();
-        let delay = soonest.unwrap_or(AWAY_RETRY).mul_f64(spread);
-        not_run("no backend server has room", delay)
-    }
-
     fn learn(&self, address: std::net::SocketAddr, kind: &CallKind, reply: &Reply) {
         let sign = match &reply.outcome {
             CallOutcome::Answered { status, .. } if *status >= 500 && *status != 504 => Sign::Bad,
@@ -373,7 +354,7 @@
         let usual = known.entry(kind.clone()).or_default();
         *usual = (*usual).max(patience);
         if patience < usual.mul_f64(RETURNED_PART) {
-            *usual - patience
+            usual.saturating_sub(patience)
         } else {
             Duration::ZERO
         }
@@ -472,6 +453,24 @@
     }
 }
 
+/// Ends a request that no executor is left for.
+fn give_up(
+    soonest: Option<Duration>,
+    answer: Option<Response>,
+    arrivals: u32,
+    idempotent: bool,
+) -> Verdict {
+    if let Some(answer) = answer {
+        return Verdict::Answered(answer);
+    }
+    if arrivals > 0 && idempotent && soonest.is_none() {
+        return lost("no backend server answered");
+    }
+    let spread = 1.0 + SPREAD * rand::random::<f64>();
+    let delay = soonest.unwrap_or(AWAY_RETRY).mul_f64(spread);
+    not_run("no backend server has room", delay)
+}
+
 fn not_run(reason: &'static str, retry_after: Duration) -> Verdict {
     Verdict::NotRun {
         reason,
--- a/crates/marigold-sidecar/src/ingress/mesh.rs
+++ b/crates/marigold-sidecar/src/ingress/mesh.rs
@@ -155,7 +155,7 @@
 
     /// Counts a request for `service`.
     pub fn count_request(&self, service: &ServiceName) {
-        self.with_window(service, |window, now| window.request(now));
+        self.with_window(service, RetryWindow::request);
     }
 
     /// Takes one repeat for `service` if the budget has one.
--- a/crates/marigold-sidecar/src/sidecar.rs
+++ b/crates/marigold-sidecar/src/sidecar.rs
@@ -18,13 +18,13 @@
 
 use crate::HeaderNames;
 use crate::control::{
-    ConfigSource, ControlProtocol, ControlServer, Relay, RelayParts, SitePublisher,
+    ConfigSource, ControlProtocol, ControlServer, Place, Relay, RelayParts, SitePublisher,
 };
 use crate::events::{EventLog, Severity};
 use crate::executor::{LocalExecutor, LocalOptions};
 use crate::ingress::{Ingress, IngressOptions, Mesh, MeshOptions, listen};
 use crate::link::LinkServer;
-use crate::settings::Settings;
+use crate::settings::{ListenSettings, Settings};
 
 /// Connections that may wait to be accepted.
 const BACKLOG: u32 = 1024;
@@ -40,7 +40,7 @@
 /// What the platform's adapter brings.
 pub struct Adapter {
     /// The header fields that have a meaning.
-    pub names: HeaderNames,
+    pub names: Arc<HeaderNames>,
     /// Decodes calls to the daemon.
     pub protocol: Rc<dyn ControlProtocol>,
     /// Where the configuration is.
@@ -142,6 +142,28 @@
     publisher: Rc<SitePublisher>,
 }
 
+/// Every address that the daemon listens at, before anything is started.
+struct Sockets {
+    callers: TcpListener,
+    daemons: TcpListener,
+    readiness: TcpListener,
+    announcements: TcpListener,
+    metrics: Option<TcpListener>,
+}
+
+impl Sockets {
+    fn bind(listen: &ListenSettings) -> Result<Self, SidecarError> {
+        let metrics = listen.metrics.map(|address| bind(address, "metrics"));
+        Ok(Self {
+            callers: bind(listen.callers, "callers")?,
+            daemons: bind(listen.daemons, "daemons")?,
+            readiness: bind(listen.readiness, "readiness")?,
+            announcements: bind(listen.announcements, "announcements")?,
+            metrics: metrics.transpose()?,
+        })
+    }
+}
+
 fn start(
     settings: &Settings,
     adapter: &Adapter,
@@ -149,50 +171,11 @@
     life: u64,
     metrics: PrometheusHandle,
 ) -> Result<Parts, SidecarError> {
-    let names = Arc::new(adapter.names.clone());
-    let listen_at = &settings.listen;
-    let callers = bind(listen_at.callers, "callers")?;
-    let daemons = bind(listen_at.daemons, "daemons")?;
-    let readiness = bind(listen_at.readiness, "readiness")?;
-    let announcements = bind(listen_at.announcements, "announcements")?;
-    let metrics_at = listen_at.metrics.map(|address| bind(address, "metrics"));
-    let metrics_at = metrics_at.transpose()?;
-
+    let sockets = Sockets::bind(&settings.listen)?;
     let store = (adapter.store)(settings.store);
-    let mesh = Mesh::new(
-        MeshOptions {
-            data_centre: settings.instance.data_centre.clone(),
-            byte_cost: settings.routing.byte_cost.duration(),
-            retry_ratio: settings.bounds.retry_ratio,
-            retry_slack: settings.bounds.retry_slack,
-            retry_window: settings.bounds.retry_window,
-        },
-        SmallRng::seed_from_u64(life),
-    );
-    let body_budget = settings.instance.memory.0 / BODY_PART;
-    let ingress = Ingress::new(
-        IngressOptions {
-            names: names.clone(),
-            origin: settings.instance.service.clone(),
-            grace: settings.bounds.grace,
-            body_budget: usize::try_from(body_budget).unwrap_or(usize::MAX),
-        },
-        mesh.clone(),
-        events.clone(),
-    );
-    let options = LocalOptions {
-        names,
-        answer_limit: body_budget,
-    };
-    let executor = LocalExecutor::new(options, events.clone());
-    let wanted = ingress.wanted.clone();
-    executor.on_version(Box::new(move |version| {
-        wanted.send_if_modified(|newest| {
-            let is_newer = version > *newest;
-            *newest = version.max(*newest);
-            is_newer
-        });
-    }));
+    let mesh = build_mesh(settings, life);
+    let ingress = build_ingress(settings, adapter, &mesh, events);
+    let executor = build_executor(settings, adapter, &ingress, events);
     let server = LinkServer::new(life, executor.clone());
     executor.attach(&server);
     let relay = Relay::new(
@@ -211,6 +194,18 @@
         ),
     );
     server.set_desk(relay.clone());
+    let publisher = Rc::new(SitePublisher::new(
+        store,
+        adapter.sites.clone(),
+        Place {
+            address: settings.listen.daemons,
+            data_centre: settings.instance.data_centre.clone(),
+            link: settings.instance.link,
+        },
+        executor.clone(),
+        mesh,
+        events.clone(),
+    ));
     let is_ready = {
         let (ingress, relay) = (ingress.clone(), relay.clone());
         Rc::new(move || {
@@ -225,26 +220,17 @@
         is_ready,
         metrics,
     );
-    let publisher = Rc::new(SitePublisher::new(
-        store,
-        adapter.sites.clone(),
-        settings.listen.daemons,
-        settings.instance.data_centre.clone(),
-        settings.instance.link,
-        executor.clone(),
-        mesh,
-        events.clone(),
-    ));
+
     relay.start();
     tokio::task::spawn_local(publisher.clone().run());
     tokio::task::spawn_local(executor.clone().upkeep());
-    tokio::task::spawn_local(server.listen(daemons));
-    tokio::task::spawn_local(control.clone().listen(readiness));
-    tokio::task::spawn_local(control.clone().listen(announcements));
-    if let Some(listener) = metrics_at {
+    tokio::task::spawn_local(server.listen(sockets.daemons));
+    tokio::task::spawn_local(control.clone().listen(sockets.readiness));
+    tokio::task::spawn_local(control.clone().listen(sockets.announcements));
+    if let Some(listener) = sockets.metrics {
         tokio::task::spawn_local(control.listen(listener));
     }
-    tokio::task::spawn_local(listen(ingress.clone(), callers));
+    tokio::task::spawn_local(listen(ingress.clone(), sockets.callers));
     Ok(Parts {
         ingress,
         executor,
@@ -252,6 +238,55 @@
     })
 }
 
+fn build_mesh(settings: &Settings, life: u64) -> Rc<Mesh> {
+    let options = MeshOptions {
+        data_centre: settings.instance.data_centre.clone(),
+        byte_cost: settings.routing.byte_cost.duration(),
+        retry_ratio: settings.bounds.retry_ratio,
+        retry_slack: settings.bounds.retry_slack,
+        retry_window: settings.bounds.retry_window,
+    };
+    Mesh::new(options, SmallRng::seed_from_u64(life))
+}
+
+fn build_ingress(
+    settings: &Settings,
+    adapter: &Adapter,
+    mesh: &Rc<Mesh>,
+    events: &Rc<EventLog>,
+) -> Rc<Ingress> {
+    let body_budget = settings.instance.memory.0 / BODY_PART;
+    let options = IngressOptions {
+        names: adapter.names.clone(),
+        origin: settings.instance.service.clone(),
+        grace: settings.bounds.grace,
+        body_budget: usize::try_from(body_budget).unwrap_or(usize::MAX),
+    };
+    Ingress::new(options, mesh.clone(), events.clone())
+}
+
+fn build_executor(
+    settings: &Settings,
+    adapter: &Adapter,
+    ingress: &Rc<Ingress>,
+    events: &Rc<EventLog>,
+) -> Rc<LocalExecutor> {
+    let options = LocalOptions {
+        names: adapter.names.clone(),
+        answer_limit: settings.instance.memory.0 / BODY_PART,
+    };
+    let executor = LocalExecutor::new(options, events.clone());
+    let wanted = ingress.wanted.clone();
+    executor.on_version(Box::new(move |version| {
+        wanted.send_if_modified(|newest| {
+            let is_newer = version > *newest;
+            *newest = version.max(*newest);
+            is_newer
+        });
+    }));
+    executor
+}
+
 fn bind(address: SocketAddr, purpose: &'static str) -> Result<TcpListener, SidecarError> {
     let open = || {
         let socket = TcpSocket::new_v4()?;
