--- a/crates/marigold-dispatch/src/track.rs
+++ b/crates/marigold-dispatch/src/track.rs
@@ -16,6 +16,19 @@
 /// How long a speed is remembered when no run shows it anew, as a time constant.
 const SPEED_MEMORY: Duration = Duration::from_secs(8);
 
+/// Whether an executor can be reached, as far as is known.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+enum Reach {
+    /// It was never heard.
+    Unknown,
+    /// It was heard.
+    Up,
+    /// It was heard, and an answer is overdue.
+    Suspect,
+    /// It could not be reached.
+    Lost,
+}
+
 #[derive(Debug, Clone)]
 struct Report {
     site: SiteReport,
@@ -30,8 +43,7 @@
     report: Option<Report>,
     speed: f64,
     speed_at: Instant,
-    /// Whether the executor has been heard and not been found silent since.
-    is_up: bool,
+    reach: Reach,
     /// Its health by real calls.
     pub ejection: Ejection,
 }
@@ -45,7 +57,7 @@
             report: None,
             speed: 1.0,
             speed_at: now,
-            is_up: false,
+            reach: Reach::Unknown,
             ejection: Ejection::new(now),
         }
     }
@@ -69,7 +81,7 @@
 
     /// Takes in what the executor says of itself, which also shows that it lives.
     pub fn reported(&mut self, report: SiteReport, now: Instant) {
-        self.is_up = true;
+        self.reach = Reach::Up;
         self.report = Some(Report {
             site: report,
             at: now,
@@ -95,19 +107,26 @@
 
     /// Takes in that it could not be reached; the next report shows that it can.
     pub fn unreachable(&mut self) {
-        self.is_up = false;
+        self.reach = Reach::Lost;
+    }
+
+    /// Takes in that it is silent while an answer is due; the next report shows that it is not.
+    pub fn silent(&mut self) {
+        if self.reach == Reach::Up {
+            self.reach = Reach::Suspect;
+        }
     }
 
     /// Returns whether calls may go to it.
     #[must_use]
     pub fn takes_calls(&self, now: Instant) -> bool {
-        self.is_up && self.ejection.takes_calls(now)
+        self.reach == Reach::Up && self.ejection.takes_calls(now)
     }
 
-    /// Returns whether the executor has been heard and not been found silent since.
+    /// Returns whether the executor has been heard and not been lost since; it may be silent.
     #[must_use]
     pub fn is_up(&self) -> bool {
-        self.is_up
+        matches!(self.reach, Reach::Up | Reach::Suspect)
     }
 
     /// Returns the last report, fresh or not.
--- a/crates/marigold-sidecar/src/control/config_shelf.rs
+++ b/crates/marigold-sidecar/src/control/config_shelf.rs
@@ -1,10 +1,13 @@
 //! The bytes of the newest configurations, to make and take changes between them.
 
 use std::collections::VecDeque;
+use std::io::{Read, Write};
 
 use bytes::Bytes;
 use fast_rsync::{Signature, SignatureOptions, apply_limited, diff};
-use lz4_flex::block::{compress_prepend_size, decompress_size_prepended, uncompressed_size};
+use flate2::Compression;
+use flate2::read::DeflateDecoder;
+use flate2::write::DeflateEncoder;
 use marigold_types::{Digest, LogOffset, Version};
 
 use crate::link::ConfigChange;
@@ -70,30 +73,27 @@
         let old = self.kept.iter().find(|kept| Some(kept.version) == base);
         let delta = match old {
             Some(old) => difference(&old.bytes, &newest.bytes)?,
-            None => compress_prepend_size(&newest.bytes),
+            None => newest.bytes.to_vec(),
         };
         let change = ConfigChange {
             base: old.map(|old| old.version),
             digest: Digest::of(&newest.bytes),
             next: self.next?,
         };
-        Some((change, Bytes::from(delta)))
+        Some((change, compress(&delta)?))
     }
 
     /// Returns the configuration that `change` leads to; none if it does not fit what is kept.
     pub fn changed(&self, change: &ConfigChange, delta: &[u8]) -> Option<Bytes> {
+        let delta = decompress(delta)?;
         let bytes = if let Some(base) = change.base {
             let old = self.kept.iter().find(|kept| kept.version == base)?;
             let mut bytes = Vec::with_capacity(old.bytes.len());
             // What cannot be applied is asked for as a whole.
-            apply_limited(&old.bytes, delta, &mut bytes, MAX_CONFIG).ok()?;
+            apply_limited(&old.bytes, &delta, &mut bytes, MAX_CONFIG).ok()?;
             bytes
         } else {
-            let (size, _) = uncompressed_size(delta).ok()?;
-            if size > MAX_CONFIG {
-                return None;
-            }
-            decompress_size_prepended(delta).ok()?
+            delta
         };
         (Digest::of(&bytes) == change.digest).then(|| Bytes::from(bytes))
     }
@@ -110,3 +110,21 @@
     diff(&signature.index(), new, &mut delta).ok()?;
     Some(delta)
 }
+
+/// Compresses a change, since the narrowest links carry it in several times the time that this takes;
+/// none if it cannot be done.
+fn compress(bytes: &[u8]) -> Option<Bytes> {
+    let mut encoder = DeflateEncoder::new(Vec::new(), Compression::fast());
+    encoder.write_all(bytes).ok()?;
+    encoder.finish().ok().map(Bytes::from)
+}
+
+fn decompress(bytes: &[u8]) -> Option<Vec<u8>> {
+    let limit = u64::try_from(MAX_CONFIG).unwrap_or(u64::MAX);
+    let mut whole = Vec::new();
+    DeflateDecoder::new(bytes)
+        .take(limit)
+        .read_to_end(&mut whole)
+        .ok()?;
+    Some(whole)
+}
--- a/crates/marigold-sidecar/src/ingress/mesh.rs
+++ b/crates/marigold-sidecar/src/ingress/mesh.rs
@@ -199,6 +199,7 @@
                 let mut placement = self.placement.borrow_mut();
                 placement.track(from, now).reported(report, now);
             }
+            LinkNews::Silent => self.placement.borrow_mut().track(from, now).silent(),
             LinkNews::Down => self.placement.borrow_mut().track(from, now).unreachable(),
             LinkNews::Store(news) => {
                 let listener = self.on_news.borrow().clone();
--- a/crates/marigold-sidecar/src/link/client.rs
+++ b/crates/marigold-sidecar/src/link/client.rs
@@ -46,6 +46,8 @@
 pub enum LinkNews {
     /// What it said of itself.
     Site(SiteReport),
+    /// It is silent while an answer is due.
+    Silent,
     /// It cannot be reached.
     Down,
     /// What it knows of the store.
@@ -349,7 +351,7 @@
                 encode_empty(&mut codec, Frame::Ping, &mut out)?;
                 pinged = Some(now);
                 // No further call goes there until the sign of life has come.
-                (shared.listener)(shared.address, LinkNews::Down);
+                (shared.listener)(shared.address, LinkNews::Silent);
             }
             if pinged.is_some_and(|at| now.saturating_duration_since(at) >= PING_TIMEOUT) {
                 return Err(io::ErrorKind::TimedOut.into());
