--- a/crates/marigold-sidecar/src/control/relay.rs
+++ b/crates/marigold-sidecar/src/control/relay.rs
@@ -395,6 +395,10 @@
         let mut asked: Option<(Instant, NewsSource)> = None;
         loop {
             self.tell(|| self.news());
+            if let Some(at) = self.fresh.get() {
+                let age = at.elapsed().as_secs_f64();
+                metrics::gauge!("marigold_config_age_seconds").set(age);
+            }
             let source = self.source();
             let now = Instant::now();
             let is_due = asked.is_none_or(|(at, of)| {
@@ -483,6 +487,8 @@
         dependency: &mut Dependency,
     ) -> bool {
         let events = &self.parts.events;
+        let word = if result.is_ok() { "ok" } else { "failed" };
+        metrics::counter!("marigold_store_calls_total", "result" => word).increment(1);
         let error = match result {
             Ok(changed) => {
                 dependency.backoff = MIN_BACKOFF;
--- a/crates/marigold-sidecar/src/executor/local_executor.rs
+++ b/crates/marigold-sidecar/src/executor/local_executor.rs
@@ -100,6 +100,7 @@
             if let Some(pool) = &*self.pool.borrow() {
                 pool.prune();
             }
+            self.measure();
         }
     }
 
@@ -155,6 +156,12 @@
         Some((life.service.clone(), life.slots))
     }
 
+    fn measure(&self) {
+        let (busy, queued) = self.queue.read(|gate| (gate.busy(), gate.queued()));
+        metrics::gauge!("marigold_slots_busy").set(f64::from(count(busy).0));
+        metrics::gauge!("marigold_slots_queued").set(f64::from(count(queued).0));
+    }
+
     fn is_down(&self) -> bool {
         self.down_until.get().is_some()
     }
--- a/crates/marigold-sidecar/src/ingress/ingress_core.rs
+++ b/crates/marigold-sidecar/src/ingress/ingress_core.rs
@@ -363,7 +363,12 @@
     fn note(&self, request: &Request, verdict: &Verdict, note: &OutcomeNote, took: Duration) {
         let outcome = verdict.name();
         let service = note.service.as_ref().map_or("", ServiceName::as_str);
-        metrics::counter!("marigold_requests_total", "outcome" => outcome).increment(1);
+        let label = service.to_owned();
+        metrics::counter!("marigold_requests_total", "service" => label, "outcome" => outcome)
+            .increment(1);
+        if let Verdict::NotRun { reason, .. } = verdict {
+            metrics::counter!("marigold_refusals_total", "reason" => *reason).increment(1);
+        }
         metrics::histogram!("marigold_request_seconds", "outcome" => outcome)
             .record(took.as_secs_f64());
         let severity = match verdict {
--- a/crates/marigold-sidecar/src/ingress/mesh.rs
+++ b/crates/marigold-sidecar/src/ingress/mesh.rs
@@ -163,7 +163,10 @@
         let daemons = self.directory.borrow().len().max(1);
         let share = f64::from(u32::try_from(daemons).unwrap_or(u32::MAX));
         let slack = self.options.retry_slack / share;
-        self.with_window(service, |window, now| window.spend(slack, now))
+        let granted = self.with_window(service, |window, now| window.spend(slack, now));
+        let granted_label = if granted { "yes" } else { "no" };
+        metrics::counter!("marigold_repeats_total", "granted" => granted_label).increment(1);
+        granted
     }
 
     fn with_window<T>(
--- a/crates/marigoldctl/src/cli.rs
+++ b/crates/marigoldctl/src/cli.rs
@@ -97,6 +97,13 @@
     },
     /// Let the first daemon given leave: it takes no new work and ends once it has none.
     Drain,
+    /// Tell from the log lines of sidecars what happened to one request and why.
+    Explain {
+        /// The request's id.
+        request: String,
+        /// Log files of any number of sidecars; without one, the standard input.
+        files: Vec<PathBuf>,
+    },
     /// Reports.
     #[command(subcommand)]
     Report(Report),
--- a/crates/marigoldctl/src/commands.rs
+++ b/crates/marigoldctl/src/commands.rs
@@ -6,6 +6,7 @@
 mod confirm;
 mod diff;
 mod drain;
+mod explain;
 mod history;
 mod keys;
 mod man;
@@ -45,6 +46,7 @@
         Command::History => history::run(&client(arguments)?, json),
         Command::Diff { file } => diff::run(&client(arguments)?, file, json),
         Command::Drain => drain::run(&client(arguments)?, json),
+        Command::Explain { request, files } => explain::run(request, files, json),
         Command::Report(report) => report::run(&client(arguments)?, report, json),
         Command::Keys(keys) => keys::run(keys, json),
         Command::Completions { shell } => Ok(completions::run(*shell)),
