Reconnect to executors whose connection has ended; keep repeats below the shared bound

Cause: an executor that leaves says that it takes no calls; its ingresses closed the idle link and, since no call went there any more, never heard that it was back. Ruled out: lost records of daemons (the directory was complete). Change: a link whose connection has ended connects again; 0.35 of the ratio and 0.8 of the slack are used.

--- a/crates/marigold-dispatch/src/retry_window.rs
+++ b/crates/marigold-dispatch/src/retry_window.rs
@@ -10,8 +10,11 @@
 
 /// The buckets that a window is counted in.
 const BUCKETS: u32 = 20;
-/// The part of the budget that is used, since windows of those who count slide.
-const USED_PART: f64 = 0.8;
+/// The part of the slack that is used, since windows of those who count slide.
+const SLACK_PART: f64 = 0.8;
+/// The part of the ratio that is used. Requests that backend servers make of each other look like those of
+/// callers here but earn nothing, and each repeat of a request repeats the ones that it makes.
+const RATIO_PART: f64 = 0.35;
 
 #[derive(Debug, Clone, Copy)]
 struct Bucket {
@@ -52,7 +55,8 @@
         self.bucket(now);
         let requests: u32 = self.buckets.iter().map(|bucket| bucket.requests).sum();
         let repeats: u32 = self.buckets.iter().map(|bucket| bucket.repeats).sum();
-        let allowed = (self.ratio * f64::from(requests) + slack) * USED_PART;
+        let earned = self.ratio * RATIO_PART * f64::from(requests);
+        let allowed = earned + slack * SLACK_PART;
         let fits = f64::from(repeats) + 1.0 <= allowed;
         if fits {
             self.bucket(now).repeats += 1;
--- a/crates/marigold-sidecar/src/link/client.rs
+++ b/crates/marigold-sidecar/src/link/client.rs
@@ -229,7 +229,8 @@
 /// Keeps a connection while there is work for it.
 async fn run(shared: Rc<Shared>) {
     let mut backoff = MIN_BACKOFF;
-    // An executor that was not reached yet is tried until it is, so that no call has to find out.
+    // An executor that was not reached yet, or whose connection has ended, is tried until it is reached:
+    // what it said last may be that it takes no calls, so that no call would ever find out.
     let mut is_down = true;
     while !shared.closed.get() {
         if shared.state.borrow().pending.is_empty() {
@@ -243,7 +244,7 @@
         match timeout(CONNECT_TIMEOUT, open(&shared)).await {
             Ok(Ok((stream, input))) => {
                 backoff = MIN_BACKOFF;
-                is_down = false;
+                is_down = true;
                 if let Err(error) = serve(&shared, stream, input).await {
                     spdlog::debug!("link to {} broke: {error}", shared.address);
                 }
--- a/crates/marigold-sidecar/tests/links.rs
+++ b/crates/marigold-sidecar/tests/links.rs
@@ -11,7 +11,8 @@
 use common::{PATIENCE, call, listener, site};
 use marigold_dispatch::SiteReport;
 use marigold_sidecar::link::{
-    Call, CallHandler, CallId, CallOutcome, Ending, LinkClient, LinkServer, Reply, ReplyHandle,
+    Call, CallHandler, CallId, CallOutcome, Ending, LinkClient, LinkNews, LinkServer, Reply,
+    ReplyHandle,
 };
 use tokio::io::copy_bidirectional;
 use tokio::net::{TcpListener, TcpStream};
@@ -227,4 +228,24 @@
         proxy.cut();
         until(|| held.calls.borrow()[0].2.is_cancelled()).await;
     }
+
+    an_executor_that_was_started_again_is_heard_without_a_call {
+        let first = Rc::new(Held::default());
+        let (address, task) = serve(1, first.clone()).await;
+        let proxy = Proxy::start(address).await;
+        let heard = Rc::new(Cell::new(0));
+        let count = heard.clone();
+        let listener = move |_, news| {
+            if matches!(news, LinkNews::Site(_)) {
+                count.set(count.get() + 1);
+            }
+        };
+        let _link = LinkClient::start(proxy.address, Rc::new(listener));
+        until(|| heard.get() == 1).await;
+        let (address, _task) = serve(2, Rc::new(Held::default())).await;
+        proxy.target.set(address);
+        task.abort();
+        proxy.cut();
+        until(|| heard.get() == 2).await;
+    }
 }
