Serve on while callers leave a stopping daemon, and find the backend server after a start

Ruled out: a shorter stay (callers go on for two seconds after readiness has ended). Change: calls are refused from the same moment as callers' requests; a daemon whose record is known asks the backend server who it is.

--- a/crates/marigold-dispatch/src/backend_state.rs
+++ b/crates/marigold-dispatch/src/backend_state.rs
@@ -111,6 +111,7 @@
             return Heard::Stale;
         }
         life.sequence = news.sequence;
+        life.born = life.born.or(news.born);
         life.heard = now;
         life.slots = news.slots;
         life.address = news.address;
@@ -153,7 +154,8 @@
 }
 
 fn is_same(life: &Current, news: &Announcement) -> bool {
-    life.identity == news.identity && (life.born == news.born || news.born.is_none())
+    let is_unknown = life.born.is_none() || news.born.is_none();
+    life.identity == news.identity && (life.born == news.born || is_unknown)
 }
 
 /// Returns whether the announcement is of a life from before the known one.
--- a/crates/marigold-dispatch/tests/backend_state.rs
+++ b/crates/marigold-dispatch/tests/backend_state.rs
@@ -50,6 +50,9 @@
     replaced_life_does_not_come_back:
         [announcement("a", 1, 1), announcement("b", 2, 1), announcement("a", 1, 2)]
         => Stale, Some(("b", Some(2)));
+    found_before_its_announcement:
+        [Announcement { born: None, ..announcement("a", 1, 0) }, announcement("a", 1, 7)]
+        => Same, Some(("a", Some(1)));
     first_seen_while_leaving: [draining("a", 1, 4)] => Leaving, None;
 }
 
--- a/crates/marigold-sidecar/src/executor.rs
+++ b/crates/marigold-sidecar/src/executor.rs
@@ -6,8 +6,10 @@
 mod backend_pool;
 mod exchange;
 mod local_executor;
+mod probe;
 mod queue;
 
 pub use backend_pool::BackendPool;
 pub use exchange::{BackendRequest, Exchange, exchange};
 pub use local_executor::{LocalExecutor, LocalOptions};
+pub use probe::probe;
--- a/crates/marigold-sidecar/src/executor/local_executor.rs
+++ b/crates/marigold-sidecar/src/executor/local_executor.rs
@@ -135,8 +135,15 @@
 
     /// Refuses new calls from now on, since the daemon ends.
     pub fn close(&self) {
-        self.closing.set(true);
-        self.refresh();
+        if !self.closing.replace(true) {
+            self.refresh();
+        }
+    }
+
+    /// Returns whether any life of the backend server is known, leaving or not.
+    #[must_use]
+    pub fn knows_backend(&self) -> bool {
+        self.backend.borrow().current().is_some()
     }
 
     /// Returns the calls that are open.
--- a/crates/marigold-sidecar/src/settings.rs
+++ b/crates/marigold-sidecar/src/settings.rs
@@ -22,6 +22,8 @@
     pub data_centre: DataCentre,
     /// The service on whose instance it runs.
     pub service: ServiceName,
+    /// Where the backend server takes requests.
+    pub backend_server: SocketAddr,
     /// The memory that the process may use.
     pub memory: ByteSize,
     /// How much its link carries.
@@ -115,6 +117,7 @@
     let name: Option<String> = required(instance, "name", "a text", faults);
     let data_centre = required(instance, "data_centre", "a name", faults);
     let service = required(instance, "service", "a name", faults);
+    let backend_server = required(instance, "backend_server", address, faults);
     let memory = required(instance, "memory", "a size, as 256MB", faults);
     let link = required(instance, "link", "megabits a second, as 100", faults);
     let callers = required(listen, "callers", address, faults);
@@ -134,6 +137,7 @@
             name: Arc::from(name?),
             data_centre: data_centre?,
             service: service?,
+            backend_server: backend_server?,
             memory: memory?,
             link: link?,
         },
--- a/crates/marigold-sidecar/src/sidecar.rs
+++ b/crates/marigold-sidecar/src/sidecar.rs
@@ -18,7 +18,8 @@
 
 use crate::HeaderNames;
 use crate::control::{
-    ConfigSource, ControlProtocol, ControlServer, Place, Relay, RelayParts, SitePublisher,
+    BackendFinder, ConfigSource, ControlProtocol, ControlServer, Place, Relay, RelayParts,
+    SitePublisher,
 };
 use crate::events::{EventLog, Severity};
 use crate::executor::{LocalExecutor, LocalOptions};
@@ -221,7 +222,18 @@
         metrics,
     );
 
+    let finder = BackendFinder {
+        backend: settings.instance.backend_server,
+        own: settings.listen.daemons,
+        service: settings.instance.service.clone(),
+        names: adapter.names.clone(),
+        ingress: ingress.clone(),
+        executor: executor.clone(),
+        events: events.clone(),
+    };
+
     relay.start();
+    tokio::task::spawn_local(finder.run());
     tokio::task::spawn_local(publisher.clone().run());
     tokio::task::spawn_local(executor.clone().upkeep());
     tokio::task::spawn_local(server.listen(sockets.daemons));
@@ -328,14 +340,20 @@
     events.emit("stopping", Severity::Info, &[]);
     let has_left = parts.executor.serving().is_none();
     parts.ingress.begin_shutdown();
-    parts.executor.close();
+    let began = Instant::now();
     if has_left {
         timeout(WITHDRAW_TIMEOUT, parts.publisher.withdraw())
             .await
             .ok();
     }
-    let began = Instant::now();
-    while parts.ingress.stage(parts.executor.in_flight()) != Stage::Ended {
+    loop {
+        match parts.ingress.stage(parts.executor.in_flight()) {
+            // Until callers have gone elsewhere the backend server serves on: it stays when the daemon
+            // is only started again.
+            Stage::Serving | Stage::Leaving => {}
+            Stage::Refusing => parts.executor.close(),
+            Stage::Ended => break,
+        }
         sleep(SHUTDOWN_TICK).await;
     }
     let took_ms = u64::try_from(began.elapsed().as_millis()).unwrap_or(u64::MAX);
