Ask callers back soon after a random rejection

A caller's own retry is a new request. Change: 20 ms where a backend server turned the request away that had a slot for it.

--- a/crates/marigold-sidecar/src/ingress/ingress_core.rs
+++ b/crates/marigold-sidecar/src/ingress/ingress_core.rs
@@ -29,6 +29,9 @@
 const MAX_ASKED: usize = 4;
 /// When to come back to a daemon that knows too little to serve, or is leaving.
 const AWAY_RETRY: Duration = Duration::from_millis(200);
+/// When to come back after a backend server turned the request away that had a slot for it: it sheds at
+/// random, so the next try has the same chance now as later.
+const REJECTED_RETRY: Duration = Duration::from_millis(20);
 /// The part of a usual run that must be left for another attempt to be worth it.
 const MIN_LEFT_PART: f64 = 0.6;
 /// The random part of a time to come back, so that callers do not return together.
@@ -272,7 +275,7 @@
                 CallOutcome::Rejected { status } => {
                     note.steps.push(format!("rejected {status}"));
                     arrivals += 1;
-                    soonest.get_or_insert(AWAY_RETRY);
+                    soonest = Some(soonest.map_or(REJECTED_RETRY, |old| old.min(REJECTED_RETRY)));
                 }
                 CallOutcome::Lost { broken } => {
                     note.steps.push(format!("lost, broken: {broken}"));
