Conclude that a request has not run from all of its attempts

Ruled out: an executor that refuses what it has sent (the executor's lines say lost, then refused elsewhere). Change: what the attempts come to together is decided in one place, and a refusal after a run hides nothing.

--- a/crates/marigold-sidecar/src/ingress/ingress_core.rs
+++ b/crates/marigold-sidecar/src/ingress/ingress_core.rs
@@ -7,7 +7,8 @@
 use std::time::Duration;
 
 use marigold_dispatch::{
-    CallKind, CallerLimits, Choice, RoutePolicy, RouteTable, ShareCycle, Shutdown, Stage, Wanted,
+    CallKind, CallerLimits, Choice, Conclusion, Progress, RoutePolicy, RouteTable, ShareCycle,
+    Shutdown, Stage, Wanted,
 };
 use marigold_request::router::Sign;
 use marigold_types::{ServiceName, Version};
@@ -208,8 +209,7 @@
     ) -> Verdict {
         let route = plan.route;
         let mut tried = Vec::new();
-        let mut arrivals = 0;
-        let mut soonest: Option<Duration> = None;
+        let mut progress = Progress::default();
         let mut last_answer = None;
         loop {
             let choice = if tried.len() < MAX_ASKED {
@@ -218,10 +218,10 @@
                 None
             };
             let Some(choice) = choice else {
-                return give_up(soonest, last_answer, arrivals, route.idempotent);
+                return conclude(&progress, last_answer);
             };
-            if arrivals > 0 && !self.may_repeat(plan, arrivals) {
-                return give_up(soonest, last_answer, arrivals, route.idempotent);
+            if progress.arrivals() > 0 && !self.may_repeat(plan, progress.arrivals()) {
+                return conclude(&progress, last_answer);
             }
             let address = choice.address;
             tried.push(address);
@@ -240,7 +240,7 @@
                 }
                 Ending::ExecutorEnded | Ending::Unreachable => {
                     note.steps.push("executor lost".to_owned());
-                    arrivals += 1;
+                    progress.may_have_run();
                     if route.idempotent {
                         continue;
                     }
@@ -258,7 +258,7 @@
                         fields,
                         body: reply.body,
                     };
-                    arrivals += 1;
+                    progress.may_have_run();
                     // A failure of one backend server may be its own; 504 tells that time is up.
                     if status < 500 || status == 504 || !route.idempotent {
                         return Verdict::Answered(answer);
@@ -270,16 +270,15 @@
                     retry_after,
                 } => {
                     note.steps.push(format!("refused: {reason}"));
-                    soonest = Some(soonest.map_or(retry_after, |old| old.min(retry_after)));
+                    progress.refused(retry_after);
                 }
                 CallOutcome::Rejected { status } => {
                     note.steps.push(format!("rejected {status}"));
-                    arrivals += 1;
-                    soonest = Some(soonest.map_or(REJECTED_RETRY, |old| old.min(REJECTED_RETRY)));
+                    progress.rejected(REJECTED_RETRY);
                 }
                 CallOutcome::Lost { broken } => {
                     note.steps.push(format!("lost, broken: {broken}"));
-                    arrivals += 1;
+                    progress.may_have_run();
                     if !route.idempotent {
                         return if broken {
                             lost("the backend server broke off")
@@ -291,7 +290,6 @@
                         };
                     }
                     last_answer = None;
-                    soonest = None;
                 }
             }
         }
@@ -462,21 +460,18 @@
 }
 
 /// Ends a request that no executor is left for.
-fn give_up(
-    soonest: Option<Duration>,
-    answer: Option<Response>,
-    arrivals: u32,
-    idempotent: bool,
-) -> Verdict {
+fn conclude(progress: &Progress, answer: Option<Response>) -> Verdict {
     if let Some(answer) = answer {
         return Verdict::Answered(answer);
     }
-    if arrivals > 0 && idempotent && soonest.is_none() {
-        return lost("no backend server answered");
+    match progress.conclusion() {
+        Conclusion::Unknown => lost("no backend server answered"),
+        Conclusion::NotRun(soonest) => {
+            let spread = 1.0 + SPREAD * rand::random::<f64>();
+            let delay = soonest.unwrap_or(AWAY_RETRY).mul_f64(spread);
+            not_run("no backend server has room", delay)
+        }
     }
-    let spread = 1.0 + SPREAD * rand::random::<f64>();
-    let delay = soonest.unwrap_or(AWAY_RETRY).mul_f64(spread);
-    not_run("no backend server has room", delay)
 }
 
 fn not_run(reason: &'static str, retry_after: Duration) -> Verdict {
