--- a/crates/marigold-dispatch/tests/progress.rs
+++ b/crates/marigold-dispatch/tests/progress.rs
@@ -24,8 +24,11 @@
     ($($name:ident: [$($step:ident),*] => $conclusion:expr, $arrivals:literal;)*) => {$(
         #[test]
         fn $name() {
+            let steps: &[fn(&mut Progress)] = &[$($step),*];
             let mut progress = Progress::default();
-            $($step(&mut progress);)*
+            for step in steps {
+                step(&mut progress);
+            }
             assert_eq!(progress.conclusion(), $conclusion);
             assert_eq!(progress.arrivals(), $arrivals);
         }
