--- a/crates/marigold-sidecar/src/control.rs
+++ b/crates/marigold-sidecar/src/control.rs
@@ -9,6 +9,7 @@
 mod site_publisher;
 
 pub use backend_finder::BackendFinder;
+pub use config_shelf::ConfigShelf;
 pub use control_server::{ControlServer, Status};
 pub use protocol::{ConfigSource, ControlCall, ControlProtocol, Undecodable};
 pub use relay::{Relay, RelayParts};
--- a/crates/marigold-sidecar/src/control/config_shelf.rs
+++ b/crates/marigold-sidecar/src/control/config_shelf.rs
@@ -36,11 +36,13 @@
 
 impl ConfigShelf {
     /// Returns the newest version.
+    #[must_use]
     pub fn version(&self) -> Option<Version> {
         self.kept.back().map(|kept| kept.version)
     }
 
     /// Returns where the store's next change is read from.
+    #[must_use]
     pub fn next(&self) -> Option<LogOffset> {
         self.next
     }
@@ -65,6 +67,7 @@
 
     /// Makes the change from `base` to the newest version, or the whole of it if `base` is not kept; none
     /// if `base` is the newest.
+    #[must_use]
     pub fn change_from(&self, base: Option<Version>) -> Option<(ConfigChange, Bytes)> {
         let newest = self
             .kept
@@ -84,6 +87,7 @@
     }
 
     /// Returns the configuration that `change` leads to; none if it does not fit what is kept.
+    #[must_use]
     pub fn changed(&self, change: &ConfigChange, delta: &[u8]) -> Option<Bytes> {
         let delta = decompress(delta)?;
         let bytes = if let Some(base) = change.base {
