--- a/crates/marigold-sidecar/src/control.rs
+++ b/crates/marigold-sidecar/src/control.rs
@@ -7,6 +7,8 @@
 mod protocol;
 mod relay;
 mod site_publisher;
+mod site_table;
+mod store_health;
 
 pub use backend_finder::BackendFinder;
 pub use config_shelf::ConfigShelf;
--- a/crates/marigold-sidecar/src/control/relay.rs
+++ b/crates/marigold-sidecar/src/control/relay.rs
@@ -10,11 +10,13 @@
 use bytes::Bytes;
 use marigold_dispatch::{NewsSource, RelayChoice, Site};
 use marigold_log::{KeyedBatch, KeyedRecord, KeyedStore, LogError, LogFailure, TableName};
-use marigold_types::{LogOffset, Version};
+use marigold_types::Version;
 use tokio::time::{Instant, sleep};
 
 use super::config_shelf::ConfigShelf;
 use super::protocol::ConfigSource;
+use super::site_table::SiteTable;
+use super::store_health::StoreHealth;
 use crate::events::{EventLog, Severity};
 use crate::ingress::{Ingress, Mesh, NewsListener};
 use crate::link::{Follow, LinkServer, NewsDesk, SiteRecord, StoreNews};
@@ -49,10 +51,9 @@
 const LOOK_PAUSE: Duration = Duration::from_secs(1);
 /// How long a follower may be without a reader before it reads daemons' records itself.
 const SITES_AGE: Duration = Duration::from_secs(3);
-/// The wait after a failed call, at first and at most; what was missed must be back within two seconds
-/// of the store's return.
-const MIN_BACKOFF: Duration = Duration::from_millis(100);
-const MAX_BACKOFF: Duration = Duration::from_millis(900);
+/// The tables in log lines.
+const CONFIG: &str = "config";
+const SITES: &str = "sites";
 
 /// The parts that a relay joins.
 pub struct RelayParts {
@@ -72,12 +73,6 @@
     pub events: Rc<EventLog>,
 }
 
-#[derive(Debug, Default)]
-struct Dependency {
-    lost: Option<Instant>,
-    backoff: Duration,
-}
-
 /// Keeps configuration and directory up to date.
 pub struct Relay {
     parts: RelayParts,
@@ -85,7 +80,7 @@
     shelf: RefCell<ConfigShelf>,
     /// When the configuration that is held was known to be the newest.
     fresh: Cell<Option<Instant>>,
-    sites_next: Cell<Option<LogOffset>>,
+    site_table: SiteTable,
     /// When the directory was last known to be complete.
     sites_fresh: Cell<Option<Instant>>,
     role: Cell<Option<NewsSource>>,
@@ -97,12 +92,14 @@
     /// Builds the relay of the daemon that chooses its source by `choice`.
     #[must_use]
     pub fn new(parts: RelayParts, choice: RelayChoice) -> Rc<Self> {
+        let (store, events) = (parts.store.clone(), parts.events.clone());
+        let site_table = SiteTable::new(store, parts.sites.clone(), events);
         Rc::new(Self {
             parts,
             choice: RefCell::new(choice),
             shelf: RefCell::default(),
             fresh: Cell::new(None),
-            sites_next: Cell::new(None),
+            site_table,
             sites_fresh: Cell::new(None),
             role: Cell::new(None),
             questioned: Cell::new(None),
@@ -145,7 +142,7 @@
     }
 
     async fn bring_config(self: Rc<Self>) {
-        let mut dependency = Dependency::default();
+        let mut health = StoreHealth::new(CONFIG, self.parts.events.clone());
         let mut looked = Instant::now();
         let mut wanted_since: Option<Instant> = None;
         self.ask_first().await;
@@ -154,7 +151,7 @@
             let is_reader = self.source() == NewsSource::Store;
             if !has_any || is_reader {
                 let result = self.read_config(CONFIG_WAIT).await;
-                let changed = self.settle("config", result, &mut dependency).await;
+                let changed = self.settle(result, &mut health).await;
                 if changed {
                     sleep(PAUSE).await;
                 }
@@ -173,7 +170,7 @@
                     self.choice.borrow_mut().pass_over(reader, now);
                 }
                 let result = self.look_at_config().await;
-                self.settle("config", result, &mut dependency).await;
+                self.settle(result, &mut health).await;
             }
         }
     }
@@ -278,7 +275,7 @@
     }
 
     async fn bring_sites(self: Rc<Self>) {
-        let mut dependency = Dependency::default();
+        let mut health = StoreHealth::new(SITES, self.parts.events.clone());
         loop {
             let now = Instant::now();
             let passed = |since: Instant| now.saturating_duration_since(since);
@@ -288,12 +285,12 @@
                 .is_none_or(|at| passed(at) >= SITES_AGE);
             if self.source() == NewsSource::Store {
                 let result = self.read_sites(SITES_WAIT).await;
-                if self.settle("sites", result, &mut dependency).await {
+                if self.settle(result, &mut health).await {
                     sleep(PAUSE).await;
                 }
             } else if is_old {
                 let result = self.read_sites(Duration::ZERO).await;
-                self.settle("sites", result, &mut dependency).await;
+                self.settle(result, &mut health).await;
                 sleep(LOOK_PAUSE).await;
             } else {
                 sleep(TICK).await;
@@ -302,18 +299,8 @@
     }
 
     async fn read_sites(&self, wait: Duration) -> Result<bool, LogError> {
-        let table = &self.parts.sites;
-        let batch = match self.sites_next.get() {
-            None => self.parts.store.newest(table).await?,
-            Some(from) => self.parts.store.changes(table, from, wait).await?,
-        };
-        self.sites_next.set(Some(batch.next));
+        let records = self.site_table.read(wait).await?;
         self.sites_fresh.set(Some(Instant::now()));
-        let records: Vec<_> = batch
-            .records
-            .iter()
-            .filter_map(|record| self.decode_site(record))
-            .collect();
         // A record that a whole reading misses may only have been lost; its daemon writes it again, and
         // one that is gone is found out by calls to it.
         let changed = self.take_sites(&records);
@@ -326,41 +313,6 @@
         Ok(changed)
     }
 
-    fn decode_site(&self, record: &KeyedRecord) -> Option<SiteRecord> {
-        let foreign = |problem: &str| {
-            self.parts.events.emit(
-                "daemon_record_passed_over",
-                Severity::Warn,
-                &[
-                    ("key", record.key.as_ref().into()),
-                    ("cause", problem.into()),
-                ],
-            );
-        };
-        let Ok(address) = record.key.parse::<SocketAddr>() else {
-            foreign("the key is no address");
-            return None;
-        };
-        let Some(value) = &record.value else {
-            let site = None;
-            return Some(SiteRecord { address, site });
-        };
-        match serde_json::from_slice::<Site>(value) {
-            Ok(site) if site.address == address => Some(SiteRecord {
-                address,
-                site: Some(site),
-            }),
-            Ok(_) => {
-                foreign("key and address differ");
-                None
-            }
-            Err(error) => {
-                foreign(&error.to_string());
-                None
-            }
-        }
-    }
-
     /// Takes records of daemons; returns whether any is new.
     fn take_sites(&self, records: &[SiteRecord]) -> bool {
         if records.is_empty() {
@@ -480,49 +432,23 @@
     }
 
     /// Notes how a call to the store ended and waits after a failure; returns whether it brought news.
-    async fn settle(
-        &self,
-        what: &'static str,
-        result: Result<bool, LogError>,
-        dependency: &mut Dependency,
-    ) -> bool {
-        let events = &self.parts.events;
-        let word = if result.is_ok() { "ok" } else { "failed" };
-        metrics::counter!("marigold_store_calls_total", "result" => word).increment(1);
+    async fn settle(&self, result: Result<bool, LogError>, health: &mut StoreHealth) -> bool {
         let error = match result {
             Ok(changed) => {
-                dependency.backoff = MIN_BACKOFF;
-                if let Some(since) = dependency.lost.take() {
-                    let lost_ms = u64::try_from(since.elapsed().as_millis()).unwrap_or(u64::MAX);
-                    events.emit(
-                        "store_regained",
-                        Severity::Info,
-                        &[("table", what.into()), ("lost_ms", lost_ms.into())],
-                    );
-                }
+                health.succeeded();
                 return changed;
             }
             Err(error) => error,
         };
         if matches!(error.failure, LogFailure::Trimmed { .. }) {
             // Some changes are gone; the table is read anew.
-            match what {
-                "config" => self.shelf.borrow_mut().clear_next(),
-                _ => self.sites_next.set(None),
+            match health.table() {
+                CONFIG => self.shelf.borrow_mut().clear_next(),
+                _ => self.site_table.restart(),
             }
-            return false;
-        }
-        if dependency.lost.is_none() {
-            dependency.lost = Some(Instant::now());
-            events.emit(
-                "store_lost",
-                Severity::Warn,
-                &[("table", what.into()), ("cause", error.to_string().into())],
-            );
+        } else {
+            health.failed(&error).await;
         }
-        let jitter = 0.5 + rand::random::<f64>();
-        sleep(dependency.backoff.max(MIN_BACKOFF).mul_f64(jitter)).await;
-        dependency.backoff = (dependency.backoff.max(MIN_BACKOFF) * 2).min(MAX_BACKOFF);
         false
     }
 }
