--- a/crates/marigold-sidecar/tests/pages.rs
+++ b/crates/marigold-sidecar/tests/pages.rs
@@ -1,4 +1,4 @@
-//! docs/LOGS.md and docs/METRICS.md name what the sources write.
+//! docs/LOGS.md and docs/SIDECAR-METRICS.md name what the sources write.
 
 use std::collections::BTreeSet;
 use std::fs;
@@ -61,7 +61,7 @@
         .flat_map(|kind| quoted_after(&text, kind))
         .collect();
     assert!(metrics.len() > 8, "{metrics:?}");
-    let page = names_on("docs/METRICS.md");
+    let page = names_on("docs/SIDECAR-METRICS.md");
     let missing: Vec<_> = metrics.difference(&page).collect();
     assert!(missing.is_empty(), "{missing:?}");
 }
