Link each ingress to a few executors of the other data centres

Cause: each ingress opened a link to every executor. Ruled out: news of the store (one reader a data centre); idle links (they carry nothing).

--- a/crates/marigold-dispatch/src/directory.rs
+++ b/crates/marigold-dispatch/src/directory.rs
@@ -69,11 +69,6 @@
         self.sites.values()
     }
 
-    /// Returns where the daemons take calls.
-    pub fn addresses(&self) -> impl Iterator<Item = SocketAddr> {
-        self.sites.keys().copied()
-    }
-
     /// Takes in a daemon's record.
     pub fn put(&mut self, site: Site) {
         if self.sites.get(&site.address) != Some(&site) {
--- a/crates/marigold-dispatch/src/placement.rs
+++ b/crates/marigold-dispatch/src/placement.rs
@@ -93,6 +93,12 @@
         self.tracks.get(&address).is_some_and(Track::is_up)
     }
 
+    /// Returns whether the executor at `address` could not be reached.
+    #[must_use]
+    pub fn is_lost(&self, address: SocketAddr) -> bool {
+        self.tracks.get(&address).is_some_and(Track::is_lost)
+    }
+
     /// Forgets executors that are in the directory no more and have nothing in flight.
     pub fn retain(&mut self, directory: &Directory) {
         self.tracks
--- a/crates/marigold-dispatch/src/track.rs
+++ b/crates/marigold-dispatch/src/track.rs
@@ -129,6 +129,12 @@
         matches!(self.reach, Reach::Up | Reach::Suspect)
     }
 
+    /// Returns whether it could not be reached since it was last heard.
+    #[must_use]
+    pub fn is_lost(&self) -> bool {
+        self.reach == Reach::Lost
+    }
+
     /// Returns the last report, fresh or not.
     #[must_use]
     pub fn report(&self) -> Option<&SiteReport> {
--- a/crates/marigold-sidecar/src/ingress/mesh.rs
+++ b/crates/marigold-sidecar/src/ingress/mesh.rs
@@ -1,22 +1,28 @@
 //! The executors that an ingress knows, and its links to them.
 
-use std::cell::RefCell;
+use std::cell::{Cell, RefCell};
 use std::collections::HashMap;
 use std::net::SocketAddr;
 use std::rc::{Rc, Weak};
 use std::time::Duration;
 
-use marigold_dispatch::{Choice, Directory, Placement, RetryWindow, Wanted};
+use marigold_dispatch::{Choice, Directory, Neighbours, Placement, RetryWindow, Wanted};
 use marigold_request::router::Sign;
 use marigold_types::{DataCentre, ServiceName};
 use rand::rngs::SmallRng;
-use tokio::time::Instant;
+use tokio::time::{Instant, sleep};
 
 use crate::link::{Call, Follow, LinkClient, LinkNews, OpenCall, Reply, StoreNews, Unsent};
 
+/// The wait before lost executors are replaced: many are lost at once when an instance or a data centre
+/// is.
+const RELINK_PAUSE: Duration = Duration::from_millis(50);
+
 /// How a mesh is bounded.
 #[derive(Debug, Clone)]
 pub struct MeshOptions {
+    /// Where this daemon takes calls.
+    pub address: SocketAddr,
     /// Where this ingress stands.
     pub data_centre: DataCentre,
     /// The wait that a kibibyte between data centres must save.
@@ -41,6 +47,9 @@
 /// Everything that placing a request needs.
 pub struct Mesh {
     options: MeshOptions,
+    neighbours: Neighbours,
+    /// Whether lost executors are about to be replaced.
+    relinks: Cell<bool>,
     directory: RefCell<Directory>,
     placement: RefCell<Placement>,
     links: RefCell<HashMap<SocketAddr, LinkClient>>,
@@ -55,8 +64,11 @@
     #[must_use]
     pub fn new(options: MeshOptions, rng: SmallRng) -> Rc<Self> {
         let placement = Placement::new(options.data_centre.clone(), options.byte_cost);
+        let neighbours = Neighbours::new(options.address, options.data_centre.clone());
         Rc::new_cyclic(|myself| Self {
             options,
+            neighbours,
+            relinks: Cell::new(false),
             directory: RefCell::default(),
             placement: RefCell::new(placement),
             links: RefCell::default(),
@@ -83,14 +95,38 @@
             }
             stays
         });
-        // Whether an executor answers is found out before a request depends on it.
-        let addresses: Vec<_> = directory.addresses().collect();
         drop(directory);
-        for address in addresses {
+        self.relink();
+    }
+
+    /// Opens links to the executors that requests may go to, since whether one answers is found out
+    /// before a request depends on it.
+    fn relink(&self) {
+        let chosen = {
+            let placement = self.placement.borrow();
+            let is_lost = |address| placement.is_lost(address);
+            self.neighbours.choose(&self.directory.borrow(), is_lost)
+        };
+        for address in chosen {
             self.link(address);
         }
     }
 
+    /// Replaces executors that were lost, after a short time in which more of them may be.
+    fn relink_soon(&self) {
+        if self.relinks.replace(true) {
+            return;
+        }
+        let mesh = self.myself.clone();
+        tokio::task::spawn_local(async move {
+            sleep(RELINK_PAUSE).await;
+            if let Some(mesh) = mesh.upgrade() {
+                mesh.relinks.set(false);
+                mesh.relink();
+            }
+        });
+    }
+
     /// Reads the directory.
     pub fn read<T>(&self, get: impl FnOnce(&Directory) -> T) -> T {
         get(&self.directory.borrow())
@@ -203,7 +239,10 @@
                 placement.track(from, now).reported(report, now);
             }
             LinkNews::Silent => self.placement.borrow_mut().track(from, now).silent(),
-            LinkNews::Down => self.placement.borrow_mut().track(from, now).unreachable(),
+            LinkNews::Down => {
+                self.placement.borrow_mut().track(from, now).unreachable();
+                self.relink_soon();
+            }
             LinkNews::Store(news) => {
                 let listener = self.on_news.borrow().clone();
                 if let Some(listener) = listener {
--- a/crates/marigold-sidecar/src/sidecar.rs
+++ b/crates/marigold-sidecar/src/sidecar.rs
@@ -252,6 +252,7 @@
 
 fn build_mesh(settings: &Settings, life: u64) -> Rc<Mesh> {
     let options = MeshOptions {
+        address: settings.listen.daemons,
         data_centre: settings.instance.data_centre.clone(),
         byte_cost: settings.routing.byte_cost.duration(),
         retry_ratio: settings.bounds.retry_ratio,
--- a/crates/marigold-sidecar/tests/whole_path.rs
+++ b/crates/marigold-sidecar/tests/whole_path.rs
@@ -56,6 +56,7 @@
     async fn new(scripts: &[Does]) -> Self {
         let events = Rc::new(EventLog::new(Arc::from("test")));
         let options = MeshOptions {
+            address: SocketAddr::from(([127, 0, 0, 1], 1)),
             data_centre: "here".parse().expect("a name"),
             byte_cost: Duration::ZERO,
             retry_ratio: 0.0,
@@ -86,7 +87,7 @@
         }
         let all = scripts.len();
         until(|| {
-            mesh.read(|directory| directory.addresses().collect::<Vec<_>>())
+            mesh.read(|directory| directory.all().map(|site| site.address).collect::<Vec<_>>())
                 .into_iter()
                 .filter(|address| mesh.with_placement(|placement| placement.is_up(*address)))
                 .count()
