marigoldctl: say what instances believed, and count requests by cause

Cause: explain showed the lines of one request only; what its instances believed had to be looked up by hand, and nothing counted causes over many requests. Bad lines are counted, as before. Tests: beliefs, counts, filters, a wrong outcome.

--- a/crates/marigoldctl/src/cli.rs
+++ b/crates/marigoldctl/src/cli.rs
@@ -134,6 +134,17 @@
         #[arg(long, value_name = "FILE")]
         html: Option<PathBuf>,
     },
+    /// Count from the log lines of sidecars how requests ended and why.
+    Requests {
+        /// Log files of any number of sidecars; without one, the standard input.
+        files: Vec<PathBuf>,
+        /// Only requests that ended in this time before the last line.
+        #[arg(long, value_name = "TIME")]
+        since: Option<Interval>,
+        /// Only requests with this outcome.
+        #[arg(long, value_name = "OUTCOME", value_parser = ["answered", "not_run", "unknown", "invalid"])]
+        outcome: Option<String>,
+    },
 }
 
 /// The commands about keys.
--- a/crates/marigoldctl/src/commands.rs
+++ b/crates/marigoldctl/src/commands.rs
@@ -12,13 +12,15 @@
 mod man;
 mod plan;
 mod report;
+mod request_report;
 mod show;
+mod sidecar_log;
 mod status;
 
 use std::path::Path;
 use std::sync::Arc;
 
-use crate::cli::{Arguments, Command};
+use crate::cli::{Arguments, Command, Report};
 use crate::output::say;
 use crate::{Client, CtlError, Outcome};
 
@@ -47,7 +49,14 @@
         Command::Diff { file } => diff::run(&client(arguments)?, file, json),
         Command::Drain => drain::run(&client(arguments)?, json),
         Command::Explain { request, files } => explain::run(request, files, json),
-        Command::Report(report) => report::run(&client(arguments)?, report, json),
+        Command::Report(Report::Burn { html }) => {
+            report::run(&client(arguments)?, html.as_deref(), json)
+        }
+        Command::Report(Report::Requests {
+            files,
+            since,
+            outcome,
+        }) => request_report::run(files, *since, outcome.as_deref(), json),
         Command::Keys(keys) => keys::run(keys, json),
         Command::Completions { shell } => Ok(completions::run(*shell)),
         Command::Man { directory } => man::run(directory.as_deref()),
--- a/crates/marigoldctl/src/commands/explain.rs
+++ b/crates/marigoldctl/src/commands/explain.rs
@@ -1,88 +1,61 @@
 //! `marigoldctl explain`.
 
 use std::collections::BTreeMap;
-use std::io::Read;
-use std::path::{Path, PathBuf};
+use std::path::PathBuf;
 
 use serde::Serialize;
-use serde_json::{Map, Value};
 
-use super::read_file;
+use super::sidecar_log::{LogLine, SidecarLog};
 use crate::output::{print_json, say, table};
 use crate::{CtlError, Outcome};
 
-/// Fields that every line has, or that are shown in columns of their own.
-const COLUMNS: [&str; 4] = ["time_ms", "instance", "event", "request"];
+/// Events that change what an instance believes, each with the field that names what it is of; the
+/// newest of each is what was believed.
+const BELIEFS: [(&str, &str); 14] = [
+    ("started", ""),
+    ("stopping", ""),
+    ("config_in_force", ""),
+    ("config_refused", ""),
+    ("daemons_changed", ""),
+    ("news_source_changed", ""),
+    ("store_lost", "table"),
+    ("store_regained", "table"),
+    ("backend_announced", ""),
+    ("backend_found", ""),
+    ("backend_unreachable", ""),
+    ("link_lost", "executor"),
+    ("link_silent", "executor"),
+    ("link_up", "executor"),
+];
 
 /// What the logs say of one request, as JSON.
 #[derive(Debug, Serialize)]
 struct Explanation<'a> {
     request: &'a str,
-    lines: &'a [Line],
+    lines: &'a [LogLine],
+    /// What each instance that had to do with the request believed when it came.
+    believed: &'a [LogLine],
     /// Lines that are no log lines of a sidecar.
     passed_over: usize,
 }
 
-/// One log line.
-#[derive(Debug, Serialize)]
-struct Line {
-    time_ms: u64,
-    instance: String,
-    event: String,
-    #[serde(flatten)]
-    fields: BTreeMap<String, Value>,
-}
-
-impl Line {
-    /// Reads a line, with or without something in front of it, as log collectors add.
-    fn parse(text: &str) -> Option<(Self, Option<String>)> {
-        let start = text.find('{')?;
-        let mut object: Map<String, Value> = serde_json::from_str(&text[start..]).ok()?;
-        let line = Self {
-            time_ms: object.get("time_ms")?.as_u64()?,
-            instance: object.get("instance")?.as_str()?.to_owned(),
-            event: object.get("event")?.as_str()?.to_owned(),
-            fields: BTreeMap::new(),
-        };
-        let request = object.get("request").and_then(Value::as_str);
-        let request = request.map(str::to_owned);
-        object.retain(|name, _| !COLUMNS.contains(&name.as_str()));
-        let fields = object.into_iter().collect();
-        Some((Self { fields, ..line }, request))
-    }
-
-    fn details(&self) -> String {
-        let field = |(name, value): (&String, &Value)| match value {
-            Value::String(text) => format!("{name} {text}"),
-            other => format!("{name} {other}"),
-        };
-        let details: Vec<_> = self.fields.iter().map(field).collect();
-        details.join(", ")
-    }
-}
-
 /// Prints what the logs say of one request, in the order of time; the negative outcome means that they
 /// say nothing.
 pub fn run(request: &str, files: &[PathBuf], json: bool) -> Result<Outcome, CtlError> {
-    let text = read(files)?;
-    let mut lines = Vec::new();
-    let mut passed_over = 0;
-    for line in text.lines().filter(|line| !line.trim().is_empty()) {
-        match Line::parse(line) {
-            Some((line, Some(id))) if id == request => lines.push(line),
-            Some(_) => {}
-            None => passed_over += 1,
-        }
-    }
-    lines.sort_by_key(|line| line.time_ms);
+    let log = SidecarLog::read(files)?;
+    let names = |line: &&LogLine| line.request.as_deref() == Some(request);
+    let lines: Vec<_> = log.lines.iter().filter(names).cloned().collect();
+    let believed = believed(&log, &lines);
     if json {
         print_json(&Explanation {
             request,
             lines: &lines,
-            passed_over,
+            believed: &believed,
+            passed_over: log.passed_over,
         })?;
     } else {
-        print(request, &lines, passed_over);
+        print(request, &lines, &believed);
+        log.say_passed_over();
     }
     Ok(if lines.is_empty() {
         Outcome::Negative
@@ -91,35 +64,60 @@
     })
 }
 
-fn read(files: &[PathBuf]) -> Result<String, CtlError> {
-    if files.is_empty() {
-        let mut text = String::new();
-        let read = std::io::stdin().read_to_string(&mut text);
-        read.map_err(|error| super::file_error("read", Path::new("-"), &error))?;
-        return Ok(text);
+/// Returns the newest line of each belief, from before the request, of the instances in `lines`.
+fn believed(log: &SidecarLog, lines: &[LogLine]) -> Vec<LogLine> {
+    let Some(first) = lines.first() else {
+        return Vec::new();
+    };
+    let mut newest: BTreeMap<(String, &str, String), &LogLine> = BTreeMap::new();
+    for line in &log.lines {
+        let belief = BELIEFS.iter().find(|(event, _)| *event == line.event);
+        let Some((_, of)) = belief else {
+            continue;
+        };
+        let is_involved = lines.iter().any(|named| named.instance == line.instance);
+        if !is_involved || line.time_ms > first.time_ms {
+            continue;
+        }
+        if line.event == "started" {
+            // What the process before it believed is gone.
+            newest.retain(|(instance, ..), _| *instance != line.instance);
+        }
+        let topic = topic(&line.event);
+        newest.insert(
+            (line.instance.clone(), topic, line.text(of).to_owned()),
+            line,
+        );
     }
-    let texts: Result<Vec<_>, _> = files.iter().map(|file| read_file(file)).collect();
-    Ok(texts?.join("\n"))
+    newest.into_values().cloned().collect()
 }
 
-fn print(request: &str, lines: &[Line], passed_over: usize) {
-    if lines.is_empty() {
+/// Returns what an event is of: a later event of the same topic replaces it.
+fn topic(event: &str) -> &str {
+    event.split_once('_').map_or(event, |(topic, _)| topic)
+}
+
+fn print(request: &str, lines: &[LogLine], believed: &[LogLine]) {
+    let Some(first) = lines.first() else {
         say!("no line names request {request}; of plain successes only some are written");
-    } else {
-        let began = lines[0].time_ms;
-        let mut table = table(&["after", "instance", "event", "what decided it"]);
-        for line in lines {
-            let after = format!("{}ms", line.time_ms - began);
-            table.add_row([
-                after,
-                line.instance.clone(),
-                line.event.clone(),
-                line.details(),
-            ]);
-        }
-        say!("{table}");
+        return;
+    };
+    let mut what = table(&["after", "instance", "event", "what decided it"]);
+    for line in lines {
+        let after = format!("{}ms", line.time_ms - first.time_ms);
+        let details = line.details();
+        what.add_row([after, line.instance.clone(), line.event.clone(), details]);
+    }
+    say!("{what}");
+    if believed.is_empty() {
+        return;
     }
-    if passed_over > 0 {
-        say!("{passed_over} lines are no log lines of a sidecar and were passed over");
+    say!("What these instances believed when the request came:");
+    let mut state = table(&["since", "instance", "event", "details"]);
+    for line in believed {
+        let since = format!("{}ms", first.time_ms - line.time_ms);
+        let details = line.details();
+        state.add_row([since, line.instance.clone(), line.event.clone(), details]);
     }
+    say!("{state}");
 }
--- a/crates/marigoldctl/src/commands/report.rs
+++ b/crates/marigoldctl/src/commands/report.rs
@@ -1,17 +1,15 @@
-//! `marigoldctl report`.
+//! `marigoldctl report burn`.
 
 use std::path::Path;
 
 use marigold_request::burn::{BurnReport, ServiceBurn};
 
 use super::{burn_page, file_error};
-use crate::cli::Report;
 use crate::output::{print_json, say, table};
 use crate::{Client, CtlError, Outcome};
 
-/// Prints a report.
-pub fn run(client: &Client, report: &Report, json: bool) -> Result<Outcome, CtlError> {
-    let Report::Burn { html } = report;
+/// Prints how fast services use up their objectives.
+pub fn run(client: &Client, html: Option<&Path>, json: bool) -> Result<Outcome, CtlError> {
     let burn = gather(client)?;
     if let Some(file) = html {
         write_page(file, &burn)?;
--- a/crates/marigoldctl/tests/explain.rs
+++ b/crates/marigoldctl/tests/explain.rs
@@ -4,7 +4,10 @@
 
 use common::{Scratch, run};
 
-const INGRESS: &str = r#"{"time_ms":2010,"instance":"a-1","event":"request_ended","request":"r1","outcome":"unknown","status":502,"steps":["lost, broken: true"]}
+const INGRESS: &str = r#"{"time_ms":1500,"instance":"a-1","event":"config_in_force","version":3,"bytes":9}
+{"time_ms":1600,"instance":"a-1","event":"config_in_force","version":4,"bytes":9}
+{"time_ms":1700,"instance":"a-9","event":"config_in_force","version":2,"bytes":9}
+{"time_ms":2010,"instance":"a-1","event":"request_ended","request":"r1","outcome":"unknown","status":502,"steps":["lost, broken: true"]}
 {"time_ms":2011,"instance":"a-1","event":"request_ended","request":"r2","outcome":"answered"}
 {"time_ms":2012,"instance":"a-1","event":"store_lost","cause":"no answer"}
 "#;
@@ -38,6 +41,73 @@
     assert!(!ran.out.contains("r2"), "{}", ran.out);
 }
 
+/// What the instances of the request believed: the newest of each kind from before it, of no other
+/// instance.
+#[test]
+fn shows_what_was_believed_when_the_request_came() {
+    let ran = explain("r1", &["--json"]);
+    let value: serde_json::Value = serde_json::from_str(&ran.out).expect("JSON");
+    let believed = value["believed"].as_array().expect("a list");
+    assert_eq!(believed.len(), 1, "{value}");
+    assert_eq!(believed[0]["version"], 4);
+}
+
+fn report(more: &[&str]) -> common::Output {
+    let scratch = Scratch::new();
+    let file = scratch.file("a-1.log", ENDED);
+    let mut arguments = more.to_vec();
+    arguments.splice(0..0, ["report", "requests", &file]);
+    run(&arguments)
+}
+
+const ENDED: &str = r#"{"time_ms":1000,"instance":"a","event":"request_ended","request":"r1","outcome":"not_run","status":503,"reason":"no room","steps":["refused: overloaded"]}
+{"time_ms":9000,"instance":"a","event":"request_ended","request":"r2","outcome":"not_run","status":503,"reason":"no room","steps":["rejected 503","refused: overloaded"],"skipped":7}
+{"time_ms":9001,"instance":"b","event":"request_ended","request":"r3","outcome":"unknown","status":502,"reason":"broke off","steps":["lost, broken: true"]}
+{"time_ms":9002,"instance":"b","event":"call_ended","request":"r3","outcome":"lost"}
+"#;
+
+#[test]
+fn counts_requests_by_cause() {
+    let ran = report(&["--json"]);
+    assert_eq!(ran.code, 0, "{ran:?}");
+    let value: serde_json::Value = serde_json::from_str(&ran.out).expect("JSON");
+    assert_eq!(value["causes"][0]["count"], 2);
+    assert_eq!(value["causes"][0]["request"], "r1");
+    assert_eq!(value["causes"][1]["last_step"], "lost, broken: true");
+    assert_eq!(value["left_out"], 7);
+}
+
+/// Names the further arguments and the requests that are counted.
+macro_rules! counts {
+    ($($name:ident: $more:expr => $count:literal;)*) => {$(
+        #[test]
+        fn $name() {
+            let more: &[&str] = &$more;
+            let scratch = Scratch::new();
+            let file = scratch.file("a-1.log", ENDED);
+            let mut arguments = vec!["--json", "report", "requests", &file];
+            arguments.extend(more);
+            let ran = run(&arguments);
+            let value: serde_json::Value = serde_json::from_str(&ran.out).expect("JSON");
+            let causes = value["causes"].as_array().expect("a list");
+            let total: u64 = causes.iter().filter_map(|cause| cause["count"].as_u64()).sum();
+            assert_eq!(total, $count, "{value}");
+        }
+    )*};
+}
+
+counts! {
+    counts_those_of_one_outcome: ["--outcome", "unknown"] => 1;
+    counts_those_of_the_last_second: ["--since", "1s"] => 2;
+    counts_none_of_an_outcome_that_did_not_occur: ["--outcome", "invalid"] => 0;
+}
+
+#[test]
+fn an_outcome_that_does_not_exist_is_refused() {
+    let ran = report(&["--outcome", "gone"]);
+    assert!(ran.code > 1, "{ran:?}");
+}
+
 #[test]
 fn gives_the_same_as_json() {
     let ran = explain("r1", &["--json"]);
