--- a/crates/marigold-dispatch/src/gate.rs
+++ b/crates/marigold-dispatch/src/gate.rs
@@ -13,6 +13,7 @@
 use tokio::time::Instant;
 
 use crate::line::Line;
+use crate::rank::LATE_VALUE;
 use crate::{CallKind, Rank, RunTime};
 
 /// Before the first run, work is taken to last this part of its objective.
@@ -21,16 +22,17 @@
 const DEMAND_MEMORY: Duration = Duration::from_secs(2);
 /// The share of the slots that more urgent demand can take at most in an estimate.
 const MAX_DEMAND: f64 = 0.9;
-/// The value of a late answer, as a part of one in time.
-const LATE_VALUE: f64 = 0.3;
 /// Late work waits at most this part of the time that it has left, since much may overtake it.
 const LATE_PART: u32 = 2;
 /// Requests that wait for each slot at most, in all lines; bounds memory.
 const MAX_DEPTH: usize = 16;
-/// One grant in so many goes to the least urgent line, so that it is never starved.
-const FAIR_TURN: u32 = 16;
+/// One grant in so many goes to the least urgent line of those in time, so that it is never starved. A late
+/// line has none: what it holds lost most of its value already.
+const FAIR_TURN: u32 = 32;
 /// The shortest time after which a refused caller is asked to come back.
 const MIN_RETRY: Duration = Duration::from_millis(30);
+/// The time that work counts for its run when it joins a line, in mean runs: three in four take no longer.
+const RUN_MARGIN: f64 = 1.2;
 /// The kinds of work that are told apart; more share the first guess.
 const MAX_KINDS: usize = 512;
 /// The shortest run that urgency tells apart.
@@ -118,11 +120,10 @@
     /// Returns the value that a second of a slot brings.
     ///
     /// Short work goes before long work of the next rank: it delays that one little, and calls that
-    /// other requests wait for are short. Each rank counts twice the next.
+    /// other requests wait for are short.
     fn urgency(&self, late: bool) -> f64 {
-        let value = 0.5_f64.powi(i32::from(self.rank.0));
         let part = if late { LATE_VALUE } else { 1.0 };
-        part * value / self.run().max(MIN_RUN).as_secs_f64()
+        part * self.rank.value() / self.run().max(MIN_RUN).as_secs_f64()
     }
 
     fn add_demand(&mut self, now: Instant) {
@@ -210,7 +211,7 @@
         }
         let wait = self.wait_in(&on_time, now);
         let left = work.objective.saturating_duration_since(now);
-        if wait + run <= left {
+        if wait + run.mul_f64(RUN_MARGIN) <= left {
             return Admit::Wait(self.enter(work, on_time, run));
         }
         let late = LineKey {
@@ -348,12 +349,10 @@
 
     fn next_ticket(&self) -> Option<Ticket> {
         let order = |a: &&LineKey, b: &&LineKey| self.urgency(a).total_cmp(&self.urgency(b));
-        let keys = self.lines.keys();
-        let is_fair = self.turn == 0;
-        let key = if is_fair {
-            keys.min_by(order)
-        } else {
-            keys.max_by(order)
+        let least = self.lines.keys().filter(|key| !key.late).min_by(order);
+        let key = match least {
+            Some(key) if self.turn == 0 => Some(key),
+            _ => self.lines.keys().max_by(order),
         };
         self.lines.get(key?).and_then(Line::first)
     }
--- a/crates/marigold-dispatch/src/lib.rs
+++ b/crates/marigold-dispatch/src/lib.rs
@@ -5,6 +5,7 @@
 //! the network. See docs/design/platform.md.
 
 mod announcement;
+mod attempt_end;
 mod backend_state;
 mod call_kind;
 mod caller_limits;
@@ -13,6 +14,7 @@
 mod line;
 mod link_rate;
 mod neighbours;
+mod patience;
 mod placement;
 mod progress;
 mod rank;
@@ -28,6 +30,7 @@
 mod track;
 
 pub use announcement::{Announcement, ServingState};
+pub use attempt_end::AttemptEnd;
 pub use backend_state::{BackendState, Current, Heard};
 pub use call_kind::CallKind;
 pub use caller_limits::CallerLimits;
@@ -35,6 +38,7 @@
 pub use gate::{Admit, Gate, Permit, Ticket, Work};
 pub use link_rate::LinkRate;
 pub use neighbours::Neighbours;
+pub use patience::Patience;
 pub use placement::{Choice, Placement, Wanted};
 pub use progress::{Conclusion, Progress};
 pub use rank::Rank;
@@ -47,4 +51,4 @@
 pub use shutdown::{Shutdown, Stage};
 pub use site::SiteReport;
 pub use target::Target;
-pub use track::Track;
+pub use track::{Reached, Track};
--- a/crates/marigold-dispatch/src/placement.rs
+++ b/crates/marigold-dispatch/src/placement.rs
@@ -1,26 +1,34 @@
 //! Chooses the executor of a request.
 //!
 //! Answers the load pattern in which one data centre is full while another has room, backend servers
-//! differ in speed, and some have just joined: each choice weighs the expected wait and run against
-//! what it costs to leave the data centre.
+//! differ in speed, and some have just joined: each choice weighs the value that the expected wait and
+//! run put at risk against what it costs to leave the data centre. A server that fails a part of its
+//! requests, or turns them away, gets less.
 
 use std::collections::HashMap;
 use std::net::SocketAddr;
 use std::time::Duration;
 
-use marigold_request::router::Sign;
 use marigold_types::{DataCentre, ServiceName};
 use rand::{Rng, RngExt};
 use tokio::time::Instant;
 
-use crate::{CallKind, Directory, RunTime, Site, SiteReport, Track};
+use crate::rank::LATE_VALUE;
+use crate::{AttemptEnd, CallKind, Directory, Rank, RunTime, Site, SiteReport, Track};
 
 /// The run time that is assumed before any of a kind was seen.
 const FIRST_RUN: Duration = Duration::from_millis(50);
 /// The part of a run that a full backend server costs beyond its line, since runs bunch up.
 const CROWD_PART: f64 = 0.25;
-/// The random part of a cost, in runs, that spreads equal choices over executors.
+/// The random part of a time, in runs, that spreads equal choices over executors.
 const JITTER_PART: f64 = 0.05;
+/// What an answer loses that takes its whole objective, as a part of its value. It leads to the shortest
+/// of the waits that all end in time.
+const TIME_PART: f64 = 0.3;
+/// The part of its value that a failed request loses which may be sent to another server.
+const REPEAT_PART: f64 = 0.4;
+/// The shortest time that is left to a request, so that its part can be worked out.
+const MIN_LEFT: Duration = Duration::from_millis(1);
 /// The weight of the newest answer in the usual size of a kind, as a part of the whole.
 const SIZE_PART: f64 = 32.0;
 /// The bytes that a call and its outcome take besides their bodies.
@@ -37,6 +45,14 @@
     pub service: &'a ServiceName,
     /// What kind of work it is.
     pub kind: &'a CallKind,
+    /// How urgent it is.
+    pub rank: Rank,
+    /// How long its answer still earns full value.
+    pub objective: Duration,
+    /// How long anybody waits for its answer.
+    pub patience: Duration,
+    /// Whether it may run more than once.
+    pub idempotent: bool,
     /// The bytes of the request's body.
     pub bytes: u64,
     /// Executors that were tried already.
@@ -58,8 +74,8 @@
 #[derive(Debug)]
 pub struct Placement {
     data_centre: DataCentre,
-    /// The wait that one more kibibyte between data centres must save.
-    byte_cost: Duration,
+    /// What a kibibyte between data centres costs, as a part of the value of the most urgent answer.
+    byte_cost: f64,
     tracks: HashMap<SocketAddr, Track>,
     runs: HashMap<CallKind, RunTime>,
     /// The usual size of an answer's body, in bytes.
@@ -67,10 +83,10 @@
 }
 
 impl Placement {
-    /// Builds the placement of an ingress in `data_centre`, where a kibibyte that leaves it must save
-    /// `byte_cost`.
+    /// Builds the placement of an ingress in `data_centre`, where a kibibyte that leaves it costs
+    /// `byte_cost` of the value of the most urgent answer.
     #[must_use]
-    pub fn new(data_centre: DataCentre, byte_cost: Duration) -> Self {
+    pub fn new(data_centre: DataCentre, byte_cost: f64) -> Self {
         Self {
             data_centre,
             byte_cost,
@@ -129,11 +145,17 @@
         }
     }
 
-    /// Learns the health of the executor at `address` from the end of a call to it.
+    /// Learns the health of the executor at `address` from the end of an attempt there.
     ///
     /// Half of a service's executors at most are left out at a time: when more fail, the cause is not
     /// theirs alone, and the others could not carry the load.
-    pub fn judge(&mut self, directory: &Directory, address: SocketAddr, sign: Sign, now: Instant) {
+    pub fn ended(
+        &mut self,
+        directory: &Directory,
+        address: SocketAddr,
+        end: AttemptEnd,
+        now: Instant,
+    ) {
         let mut all = 0;
         let mut out = 0;
         if let Some(site) = directory.get(address) {
@@ -145,7 +167,10 @@
         }
         let may_eject = (out + 1) * MAX_EJECTED_PART <= all;
         let track = self.track(address, now);
-        track.ejection.finished(sign, may_eject, now);
+        track.ejection.finished(end.sign(), may_eject, now);
+        if let Some(lost) = end.lost() {
+            track.harmed(lost, now);
+        }
     }
 
     /// Returns how long a run of `kind` usually takes.
@@ -166,11 +191,12 @@
     ) -> Option<Choice> {
         let mut best: Option<(f64, Choice)> = None;
         let mut fallback = None;
+        let usual = self.usual_fill(directory, wanted.service, now);
         for site in directory.of(wanted.service) {
             if wanted.tried.contains(&site.address) {
                 continue;
             }
-            let (cost, choice) = self.cost(site, wanted, rng, now);
+            let (cost, choice) = self.cost(site, wanted, usual, rng, now);
             let track = self.track(site.address, now);
             let report = track.report();
             let is_other = report.is_some_and(|report| !serves(report, wanted.service));
@@ -182,6 +208,11 @@
                 }
                 continue;
             }
+            // The refusal of a full data centre is no reason to ask one that is as full.
+            let is_full = choice.wait + self.usual_run(wanted.kind) > wanted.objective;
+            if choice.is_remote && is_full && !wanted.tried.is_empty() {
+                continue;
+            }
             if best.is_none_or(|(least, _)| cost < least) {
                 best = Some((cost, choice));
             }
@@ -189,10 +220,24 @@
         best.map(|(_, choice)| choice).or(fallback)
     }
 
+    /// Returns the requests for each slot of a service that recent reports tell of.
+    fn usual_fill(&self, directory: &Directory, service: &ServiceName, now: Instant) -> f64 {
+        let tracks = directory
+            .of(service)
+            .filter_map(|site| self.tracks.get(&site.address));
+        let (mut sum, mut weights) = (0.0, 0.0);
+        for (fill, weight) in tracks.filter_map(|track| track.fill(now)) {
+            sum += fill * weight;
+            weights += weight;
+        }
+        if weights > 0.0 { sum / weights } else { 0.0 }
+    }
+
     fn cost<R: Rng>(
         &self,
         site: &Site,
         wanted: &Wanted<'_>,
+        usual: f64,
         rng: &mut R,
         now: Instant,
     ) -> (f64, Choice) {
@@ -203,7 +248,7 @@
             .and_then(Track::report)
             .map_or(site.slots.0, |r| r.slots.0);
         let slots = f64::from(slots.max(1));
-        let requests = f64::from(track.map_or(0, |track| track.requests(now)));
+        let requests = track.map_or(0.0, |track| track.requests(usual, now));
         let mean = track.and_then(Track::report).map_or(run * speed, |report| {
             report.mean_run.as_secs_f64().max(0.001)
         });
@@ -211,14 +256,18 @@
         let wait = ahead * mean / slots;
         let fill = ((requests + 1.0) / slots).min(1.0);
         let is_remote = site.data_centre != self.data_centre;
-        let mut cost = wait + run * speed + CROWD_PART * mean * fill * fill;
+        let crowd = CROWD_PART * mean * fill * fill;
+        let jitter = JITTER_PART * run * rng.random::<f64>();
+        let harm = track.map_or(0.0, |track| track.harm(now));
+        let mut cost = loss(wanted, wait + crowd + jitter, run * speed);
+        let part = if wanted.idempotent { REPEAT_PART } else { 1.0 };
+        cost += wanted.rank.value() * harm * part;
         if is_remote {
             let request = f64::from(u32::try_from(wanted.bytes).unwrap_or(u32::MAX));
             let answer = self.sizes.get(wanted.kind).copied().unwrap_or_default();
             let kib = (HOP_BYTES + request + answer) / 1024.0;
-            cost += self.byte_cost.as_secs_f64() * kib;
+            cost += self.byte_cost * kib;
         }
-        cost += JITTER_PART * run * rng.random::<f64>();
         let choice = Choice {
             address: site.address,
             wait: Duration::from_secs_f64(wait),
@@ -228,6 +277,33 @@
     }
 }
 
+/// Estimates the value that a request loses which waits so long, in seconds, for a run of this mean.
+///
+/// The longer the wait, the likelier the answer is late, and the likelier the request is refused or given
+/// up.
+fn loss(wanted: &Wanted<'_>, wait: f64, run: f64) -> f64 {
+    let exceeds = |limit: Duration| {
+        let left = limit.as_secs_f64() - wait;
+        run_exceeds(left / run.max(MIN_LEFT.as_secs_f64()))
+    };
+    let objective = wanted.objective.max(MIN_LEFT).as_secs_f64();
+    let late = (1.0 - LATE_VALUE) * exceeds(wanted.objective);
+    let lost = LATE_VALUE * exceeds(wanted.patience);
+    wanted.rank.value() * (late + lost + TIME_PART * (wait + run) / objective)
+}
+
+/// Returns the share of runs that take longer than so many mean runs.
+///
+/// Runs of one kind spread by about half of their mean, as the sum of four exponential phases does.
+fn run_exceeds(means: f64) -> f64 {
+    if means <= 0.0 {
+        return 1.0;
+    }
+    let phases = 4.0 * means;
+    let series = 1.0 + phases + phases.powi(2) / 2.0 + phases.powi(3) / 6.0;
+    (-phases).exp() * series
+}
+
 fn serves(report: &SiteReport, service: &ServiceName) -> bool {
     report.service.as_ref() == Some(service) && report.slots.0 > 0
 }
--- a/crates/marigold-dispatch/src/track.rs
+++ b/crates/marigold-dispatch/src/track.rs
@@ -7,12 +7,19 @@
 
 use crate::SiteReport;
 
-/// How long a report is believed; load changes within a few run times.
-const REPORT_TTL: Duration = Duration::from_millis(500);
+/// How long a report tells anything; load changes within a few run times.
+const REPORT_TTL: Duration = Duration::from_secs(4);
+/// How long a report outweighs what is usual at others, as a time constant.
+const REPORT_MEMORY: Duration = Duration::from_millis(1_500);
 /// The weight of the newest run in the speed of a backend server, as a part of the whole.
 const SPEED_PART: f64 = 16.0;
 /// The bounds of one run's ratio to the usual run, so that a single stall does not decide.
 const SPEED_RANGE: (f64, f64) = (0.3, 8.0);
+/// The weight of the newest call in the harm of a backend server, as a part of the whole.
+const HARM_PART: f64 = 16.0;
+/// How long harm is remembered when no call shows it anew, as a time constant: a server that has recovered
+/// gets its share back within some seconds.
+const HARM_MEMORY: Duration = Duration::from_secs(4);
 /// How long a speed is remembered when no run shows it anew, as a time constant.
 const SPEED_MEMORY: Duration = Duration::from_secs(8);
 
@@ -29,6 +36,15 @@
     Lost,
 }
 
+/// How an executor came to be reached.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum Reached {
+    /// For the first time.
+    First,
+    /// After it was silent or lost.
+    Again,
+}
+
 #[derive(Debug, Clone)]
 struct Report {
     site: SiteReport,
@@ -43,6 +59,8 @@
     report: Option<Report>,
     speed: f64,
     speed_at: Instant,
+    harm: f64,
+    harm_at: Instant,
     reach: Reach,
     /// Its health by real calls.
     pub ejection: Ejection,
@@ -57,6 +75,8 @@
             report: None,
             speed: 1.0,
             speed_at: now,
+            harm: 0.0,
+            harm_at: now,
             reach: Reach::Unknown,
             ejection: Ejection::new(now),
         }
@@ -79,14 +99,20 @@
         self.in_flight
     }
 
-    /// Takes in what the executor says of itself, which also shows that it lives.
-    pub fn reported(&mut self, report: SiteReport, now: Instant) {
-        self.reach = Reach::Up;
+    /// Takes in what the executor says of itself, which also shows that it lives; returns how it came to
+    /// be reached, none if it was before.
+    pub fn reported(&mut self, report: SiteReport, now: Instant) -> Option<Reached> {
+        let before = std::mem::replace(&mut self.reach, Reach::Up);
         self.report = Some(Report {
             site: report,
             at: now,
             own: self.in_flight,
         });
+        match before {
+            Reach::Unknown => Some(Reached::First),
+            Reach::Up => None,
+            Reach::Suspect | Reach::Lost => Some(Reached::Again),
+        }
     }
 
     /// Takes in how long a run took, as a ratio to the usual run of its kind.
@@ -105,16 +131,33 @@
         1.0 + (self.speed - 1.0) * weight
     }
 
-    /// Takes in that it could not be reached; the next report shows that it can.
-    pub fn unreachable(&mut self) {
-        self.reach = Reach::Lost;
+    /// Takes in how a call to its backend server ended, as the part of the request's value that was lost.
+    pub fn harmed(&mut self, lost: f64, now: Instant) {
+        let harm = self.harm(now);
+        self.harm = harm + (lost - harm) / HARM_PART;
+        self.harm_at = now;
+    }
+
+    /// Returns the part of a request's value that a call is expected to lose by failures.
+    #[must_use]
+    pub fn harm(&self, now: Instant) -> f64 {
+        let age = now.saturating_duration_since(self.harm_at).as_secs_f64();
+        self.harm * (-age / HARM_MEMORY.as_secs_f64()).exp()
+    }
+
+    /// Takes in that it could not be reached, until the next report; returns whether that is news.
+    pub fn unreachable(&mut self) -> bool {
+        std::mem::replace(&mut self.reach, Reach::Lost) != Reach::Lost
     }
 
-    /// Takes in that it is silent while an answer is due; the next report shows that it is not.
-    pub fn silent(&mut self) {
-        if self.reach == Reach::Up {
+    /// Takes in that it is silent while an answer is due, until the next report; returns whether that is
+    /// news.
+    pub fn silent(&mut self) -> bool {
+        let is_news = self.reach == Reach::Up;
+        if is_news {
             self.reach = Reach::Suspect;
         }
+        is_news
     }
 
     /// Returns whether calls may go to it.
@@ -142,14 +185,31 @@
     }
 
     /// Estimates the requests at the executor: what it said last, and this ingress's own calls since.
+    ///
+    /// The older its report, the more it is taken to be like others of its service, with `usual` requests
+    /// for each slot: one that was not heard for a while is not free when all others are full.
     #[must_use]
-    pub fn requests(&self, now: Instant) -> u32 {
-        let Some(heard) = self.fresh(now) else {
-            return self.in_flight;
+    pub fn requests(&self, usual: f64, now: Instant) -> f64 {
+        let own = f64::from(self.in_flight);
+        let Some(heard) = &self.report else {
+            return own;
         };
-        let said = heard.site.busy.0 + heard.site.queued.0;
-        let known = said.saturating_add(self.in_flight);
-        known.saturating_sub(heard.own).max(self.in_flight)
+        let age = now.saturating_duration_since(heard.at).as_secs_f64();
+        let weight = (-age / REPORT_MEMORY.as_secs_f64()).exp();
+        let said = f64::from(heard.site.busy.0 + heard.site.queued.0);
+        let like_others = usual * f64::from(heard.site.slots.0);
+        let since = own - f64::from(heard.own);
+        (weight * said + (1.0 - weight) * like_others + since).max(own)
+    }
+
+    /// Returns the requests for each slot that its report tells of, with how much that is still worth.
+    #[must_use]
+    pub fn fill(&self, now: Instant) -> Option<(f64, f64)> {
+        let heard = self.fresh(now)?;
+        let said = f64::from(heard.site.busy.0 + heard.site.queued.0);
+        let age = now.saturating_duration_since(heard.at).as_secs_f64();
+        let weight = (-age / REPORT_MEMORY.as_secs_f64()).exp();
+        (heard.site.slots.0 > 0).then(|| (said / f64::from(heard.site.slots.0), weight))
     }
 
     fn fresh(&self, now: Instant) -> Option<&Report> {
--- a/crates/marigold-dispatch/tests/gate.rs
+++ b/crates/marigold-dispatch/tests/gate.rs
@@ -153,6 +153,23 @@
     panic!("the slow request never ran");
 }
 
+/// Overload: what is late already gets no fair turn, which would cost a slot that others still need.
+#[tokio::test(start_paused = true)]
+async fn late_work_has_no_fair_turn() {
+    let mut now = Instant::now();
+    let mut gate = gate(1, &[("read", 1, 10)], now);
+    let mut slot = run_now(&mut gate, work("read", 1, 90_000, 90_000, now), now);
+    let late = wait(&mut gate, work("read", 1, 5, 90_000, now), now);
+    for _ in 0..64 {
+        wait(&mut gate, work("read", 1, 90_000, 90_000, now), now);
+        now += ms(10);
+        gate.release(slot, true, now);
+        let (ticket, permit) = gate.grant(now).expect("a slot is free");
+        assert_ne!(ticket, late);
+        slot = permit;
+    }
+}
+
 #[tokio::test(start_paused = true)]
 async fn a_cancelled_place_is_free() {
     let now = Instant::now();
--- a/crates/marigold-dispatch/tests/placement.rs
+++ b/crates/marigold-dispatch/tests/placement.rs
@@ -5,8 +5,7 @@
 use std::net::SocketAddr;
 
 use common::{address, data_centre, kind, ms, report, service, site};
-use marigold_dispatch::{Directory, Placement, Wanted};
-use marigold_request::router::Sign;
+use marigold_dispatch::{AttemptEnd, Directory, Placement, Rank, Wanted};
 use rand::SeedableRng;
 use rand_chacha::ChaCha8Rng;
 use tokio::time::Instant;
@@ -23,7 +22,7 @@
     fn new() -> Self {
         let mut world = Self {
             directory: Directory::default(),
-            placement: Placement::new(data_centre("here"), ms(60)),
+            placement: Placement::new(data_centre("here"), 0.04),
             rng: ChaCha8Rng::seed_from_u64(7),
             now: Instant::now(),
         };
@@ -46,9 +45,17 @@
     }
 
     fn choose(&mut self, bytes: u64, tried: &[SocketAddr]) -> Option<SocketAddr> {
+        self.choose_for(Rank(1), bytes, tried)
+    }
+
+    fn choose_for(&mut self, rank: Rank, bytes: u64, tried: &[SocketAddr]) -> Option<SocketAddr> {
         let wanted = Wanted {
             service: &service("desk"),
             kind: &kind("read"),
+            rank,
+            idempotent: false,
+            objective: ms(200),
+            patience: ms(1_000),
             bytes,
             tried,
         };
@@ -86,6 +93,29 @@
     assert_eq!(counts[0] + counts[1], 0, "{counts:?}");
 }
 
+/// A burst in one data centre, whose lines take half of the time that is left: what is worth most leaves,
+/// what is worth little stays.
+#[tokio::test(start_paused = true)]
+async fn what_is_worth_most_leaves_a_full_data_centre_first() {
+    let mut world = World::new();
+    world.heard(1, 4, 8);
+    world.heard(2, 4, 8);
+    let urgent = world.choose_for(Rank(0), 3_000, &[]);
+    let minor = world.choose_for(Rank(2), 3_000, &[]);
+    assert!(urgent >= Some(address(3)), "{urgent:?}");
+    assert!(minor <= Some(address(2)), "{minor:?}");
+}
+
+/// A wait that does no harm is no reason to leave the data centre.
+#[tokio::test(start_paused = true)]
+async fn stays_while_the_line_still_ends_in_time() {
+    let mut world = World::new();
+    world.heard(1, 4, 1);
+    world.heard(2, 4, 1);
+    let chosen = world.choose_for(Rank(0), 3_000, &[]);
+    assert!(chosen <= Some(address(2)), "{chosen:?}");
+}
+
 /// A burst in one data centre: large answers stay where small ones leave.
 #[tokio::test(start_paused = true)]
 async fn large_answers_stay_longer() {
@@ -147,21 +177,62 @@
     for _ in 0..5 {
         world
             .placement
-            .judge(&world.directory, address(1), Sign::Bad, world.now);
+            .ended(&world.directory, address(1), AttemptEnd::Failed, world.now);
     }
     let counts = world.spread();
     assert_eq!(counts[0], 0, "{counts:?}");
 }
 
+/// A burst: an executor that was not heard for a while is not taken for free when all others are full.
+#[tokio::test(start_paused = true)]
+async fn an_old_report_counts_for_less_than_the_usual_load() {
+    let mut world = World::new();
+    world.now += ms(3_000);
+    world.heard(2, 4, 2);
+    for number in [3, 4] {
+        world.heard(number, 4, 20);
+    }
+    // The first one was free three seconds ago.
+    let counts = world.spread();
+    assert_eq!(counts[0], 0, "{counts:?}");
+}
+
+/// One of two servers fails two in five of its requests, too few to be left out.
+#[tokio::test(start_paused = true)]
+async fn a_server_that_fails_a_part_of_its_requests_gets_less() {
+    let mut world = World::new();
+    for call in 0..40 {
+        let end = if call % 5 < 2 {
+            AttemptEnd::Failed
+        } else {
+            AttemptEnd::Served
+        };
+        let (directory, now) = (&world.directory, world.now);
+        world.placement.ended(directory, address(1), end, now);
+    }
+    let counts = world.spread();
+    assert!(counts[0] < 10, "{counts:?}");
+    // It is tried again when the failures are some time ago, or when the others are full.
+    world.now += ms(30_000);
+    for number in 1..=4 {
+        world.heard(number, 0, 0);
+    }
+    let counts = world.spread();
+    assert!(counts[0] > 20, "{counts:?}");
+}
+
 /// All servers of a service fail a part of their requests: half of them at least stay in use.
 #[tokio::test(start_paused = true)]
 async fn half_of_a_service_stays_in_use() {
     let mut world = World::new();
     for _ in 0..20 {
         for number in 1..=4 {
-            world
-                .placement
-                .judge(&world.directory, address(number), Sign::Bad, world.now);
+            world.placement.ended(
+                &world.directory,
+                address(number),
+                AttemptEnd::Failed,
+                world.now,
+            );
         }
     }
     let takes = (1..=4)
--- a/crates/marigold-sidecar/src/control/relay.rs
+++ b/crates/marigold-sidecar/src/control/relay.rs
@@ -397,6 +397,21 @@
         let now = Instant::now();
         if let Some(change) = &news.change {
             let changed = self.shelf.borrow().changed(change, &news.delta);
+            let base = change.base.map_or(0, |version| version.0);
+            let (event, severity) = match changed {
+                Some(_) => ("config_change_received", Severity::Info),
+                // The base is another one, or the digest differs; it is asked for again.
+                None => ("config_change_refused", Severity::Warn),
+            };
+            let fields = [
+                ("base", base.into()),
+                ("bytes", news.delta.len().into()),
+                (
+                    "source",
+                    from.map_or_else(String::new, |at| at.to_string()).into(),
+                ),
+            ];
+            self.parts.events.emit(event, severity, &fields);
             if let Some(bytes) = changed {
                 self.shelf.borrow_mut().set_next(change.next);
                 self.install(bytes);
--- a/crates/marigold-sidecar/src/events.rs
+++ b/crates/marigold-sidecar/src/events.rs
@@ -14,7 +14,8 @@
 
 /// Lines that wait for the writer at most; more are dropped so that no request waits for a reader.
 const QUEUE_LINES: usize = 1024;
-/// The lines of one event that are written in a second at most.
+/// The lines of one event that are written in a second at most, counted apart for warnings: failures have
+/// lines also while many requests are refused.
 const LINES_A_SECOND: u32 = 40;
 /// One in so many routine lines is written.
 const ROUTINE_SAMPLE: u64 = 50;
@@ -42,7 +43,7 @@
 #[derive(Debug)]
 pub struct EventLog {
     instance: Arc<str>,
-    windows: RefCell<HashMap<&'static str, Window>>,
+    windows: RefCell<HashMap<(&'static str, bool), Window>>,
     routine: RefCell<HashMap<&'static str, u64>>,
 }
 
@@ -62,7 +63,7 @@
         if severity == Severity::Routine && !self.is_sampled(event) {
             return;
         }
-        let Some(skipped) = self.admit(event) else {
+        let Some(skipped) = self.admit(event, severity == Severity::Warn) else {
             return;
         };
         let mut line = Map::new();
@@ -90,10 +91,10 @@
     }
 
     /// Returns how many lines were left out before this one, or none if this one is left out too.
-    fn admit(&self, event: &'static str) -> Option<u64> {
+    fn admit(&self, event: &'static str, is_warning: bool) -> Option<u64> {
         let now = Instant::now();
         let mut windows = self.windows.borrow_mut();
-        let window = windows.entry(event).or_insert(Window {
+        let window = windows.entry((event, is_warning)).or_insert(Window {
             since: now,
             lines: 0,
             skipped: 0,
--- a/crates/marigold-sidecar/src/ingress/ingress_core.rs
+++ b/crates/marigold-sidecar/src/ingress/ingress_core.rs
@@ -7,10 +7,9 @@
 use std::time::Duration;
 
 use marigold_dispatch::{
-    CallKind, CallerLimits, Choice, Conclusion, Progress, RoutePolicy, RouteTable, ShareCycle,
-    Shutdown, Stage, Wanted,
+    AttemptEnd, CallKind, CallerLimits, Choice, Conclusion, Patience, Progress, RoutePolicy,
+    RouteTable, ShareCycle, Shutdown, Stage, Wanted,
 };
-use marigold_request::router::Sign;
 use marigold_types::{ServiceName, Version};
 use tokio::sync::watch;
 use tokio::time::{Instant, timeout_at};
@@ -22,7 +21,7 @@
 use crate::HeaderNames;
 use crate::events::{EventLog, Severity};
 use crate::http1::{Request, Response};
-use crate::link::{Call, CallId, CallOutcome, Ending, Reply};
+use crate::link::{Call, CallId, CallOutcome, Ending};
 
 /// How long a caller waits that does not say.
 const DEFAULT_PATIENCE: Duration = Duration::from_secs(10);
@@ -37,8 +36,6 @@
 const MIN_LEFT_PART: f64 = 0.6;
 /// The random part of a time to come back, so that callers do not return together.
 const SPREAD: f64 = 0.5;
-/// A caller that waits less than this part of its usual patience has come back after a refusal.
-const RETURNED_PART: f64 = 0.97;
 
 /// The fixed parts of an ingress.
 #[derive(Debug, Clone)]
@@ -62,7 +59,7 @@
     events: Rc<EventLog>,
     table: RefCell<Option<Arc<RouteTable>>>,
     cycles: RefCell<(Version, HashMap<CallKind, ShareCycle>)>,
-    patience: RefCell<HashMap<CallKind, Duration>>,
+    patience: RefCell<Patience>,
     shutdown: RefCell<Shutdown>,
     in_flight: Cell<usize>,
     last_read: Cell<Instant>,
@@ -177,7 +174,7 @@
         };
         note.service = Some(service.clone());
         let patience = request.patience.unwrap_or(DEFAULT_PATIENCE);
-        let spent = self.spent(&route.kind, patience);
+        let spent = self.patience.borrow_mut().spent(&route.kind, patience);
         let objective = route.objective.saturating_sub(spent);
         let deadline = began + patience.min(route.timeout);
         self.mesh.count_request(&service);
@@ -249,7 +246,8 @@
             };
             note.waited = reply.waited;
             note.ran = reply.ran;
-            self.learn(address, &route.kind, &reply);
+            let end = end_of(&reply.outcome);
+            self.mesh.learn(address, &route.kind, end, &reply);
             match reply.outcome.clone() {
                 CallOutcome::Answered { status, fields } => {
                     note.steps.push(format!("answered {status}"));
@@ -301,9 +299,15 @@
         bytes: usize,
         tried: &[std::net::SocketAddr],
     ) -> Option<Choice> {
+        let now = Instant::now();
+        let passed = now.saturating_duration_since(plan.began);
         self.mesh.choose(&Wanted {
             service: plan.service,
             kind: &plan.route.kind,
+            rank: plan.route.rank,
+            idempotent: plan.route.idempotent,
+            objective: plan.objective.saturating_sub(passed),
+            patience: plan.deadline.saturating_duration_since(now),
             bytes: bytes as u64,
             tried,
         })
@@ -320,24 +324,6 @@
         left >= run.mul_f64(MIN_LEFT_PART) && self.mesh.spend_repeat(plan.service)
     }
 
-    fn learn(&self, address: std::net::SocketAddr, kind: &CallKind, reply: &Reply) {
-        let sign = match &reply.outcome {
-            CallOutcome::Answered { status, .. } if *status >= 500 && *status != 504 => Sign::Bad,
-            CallOutcome::Answered { .. } => Sign::Good,
-            CallOutcome::Lost { .. } => Sign::Bad,
-            // A server that turns work away is full or leaving, which its load shows, or sheds at random,
-            // where a share of its slots is better than none.
-            CallOutcome::Rejected { .. } | CallOutcome::Refused { .. } => Sign::None,
-        };
-        self.mesh.judge(address, sign, Some(reply));
-        if sign == Sign::Good {
-            self.mesh.with_placement(|placement| {
-                let bytes = reply.body.len();
-                placement.ran(address, kind, reply.ran, bytes, Instant::now());
-            });
-        }
-    }
-
     fn target(&self, table: &RouteTable, route: &RoutePolicy) -> Option<ServiceName> {
         let mut cycles = self.cycles.borrow_mut();
         if cycles.0 != table.version() {
@@ -349,18 +335,6 @@
         Some(route.targets[place].service.clone())
     }
 
-    /// Returns how long the caller has waited already, in attempts before this one.
-    fn spent(&self, kind: &CallKind, patience: Duration) -> Duration {
-        let mut known = self.patience.borrow_mut();
-        let usual = known.entry(kind.clone()).or_default();
-        *usual = (*usual).max(patience);
-        if patience < usual.mul_f64(RETURNED_PART) {
-            usual.saturating_sub(patience)
-        } else {
-            Duration::ZERO
-        }
-    }
-
     fn note(&self, request: &Request, verdict: &Verdict, note: &OutcomeNote, took: Duration) {
         let outcome = verdict.name();
         let service = note.service.as_ref().map_or("", ServiceName::as_str);
@@ -412,6 +386,19 @@
     deadline: Instant,
 }
 
+/// Returns what an outcome says of the executor; 504 tells that time is up, not that it fails.
+fn end_of(outcome: &CallOutcome) -> AttemptEnd {
+    match outcome {
+        CallOutcome::Answered { status, .. } if *status >= 500 && *status != 504 => {
+            AttemptEnd::Failed
+        }
+        CallOutcome::Answered { .. } => AttemptEnd::Served,
+        CallOutcome::Lost { .. } => AttemptEnd::Failed,
+        CallOutcome::Rejected { .. } => AttemptEnd::Rejected,
+        CallOutcome::Refused { .. } => AttemptEnd::Refused,
+    }
+}
+
 fn call(request: &Request, plan: &Plan<'_>, origin: &ServiceName) -> Call {
     let now = Instant::now();
     let passed = now.saturating_duration_since(plan.began);
--- a/crates/marigold-sidecar/src/ingress/mesh.rs
+++ b/crates/marigold-sidecar/src/ingress/mesh.rs
@@ -6,12 +6,15 @@
 use std::rc::{Rc, Weak};
 use std::time::Duration;
 
-use marigold_dispatch::{Choice, Directory, Neighbours, Placement, RetryWindow, Wanted};
-use marigold_request::router::Sign;
+use marigold_dispatch::{
+    AttemptEnd, CallKind, Choice, Directory, Neighbours, Placement, Reached, RetryWindow,
+    SiteReport, Wanted,
+};
 use marigold_types::{DataCentre, ServiceName};
 use rand::rngs::SmallRng;
 use tokio::time::{Instant, sleep};
 
+use crate::events::{EventLog, Severity};
 use crate::link::{Call, Follow, LinkClient, LinkNews, OpenCall, Reply, StoreNews, Unsent};
 
 /// The wait before lost executors are replaced: many are lost at once when an instance or a data centre
@@ -25,8 +28,8 @@
     pub address: SocketAddr,
     /// Where this ingress stands.
     pub data_centre: DataCentre,
-    /// The wait that a kibibyte between data centres must save.
-    pub byte_cost: Duration,
+    /// What a kibibyte between data centres costs, as a part of the value of the most urgent answer.
+    pub byte_cost: f64,
     /// The repeats allowed for each request of a service.
     pub retry_ratio: f64,
     /// The repeats allowed beyond that, for all ingresses together.
@@ -47,6 +50,7 @@
 /// Everything that placing a request needs.
 pub struct Mesh {
     options: MeshOptions,
+    events: Rc<EventLog>,
     neighbours: Neighbours,
     /// Whether lost executors are about to be replaced.
     relinks: Cell<bool>,
@@ -62,11 +66,12 @@
 impl Mesh {
     /// Builds a mesh without executors.
     #[must_use]
-    pub fn new(options: MeshOptions, rng: SmallRng) -> Rc<Self> {
+    pub fn new(options: MeshOptions, rng: SmallRng, events: Rc<EventLog>) -> Rc<Self> {
         let placement = Placement::new(options.data_centre.clone(), options.byte_cost);
         let neighbours = Neighbours::new(options.address, options.data_centre.clone());
         Rc::new_cyclic(|myself| Self {
             options,
+            events,
             neighbours,
             relinks: Cell::new(false),
             directory: RefCell::default(),
@@ -177,16 +182,15 @@
         self.placement.borrow_mut().track(address, now).ended();
     }
 
-    /// Learns from what became of a call.
-    pub fn judge(&self, address: SocketAddr, sign: Sign, reply: Option<&Reply>) {
+    /// Learns from what became of a call of `kind`.
+    pub fn learn(&self, address: SocketAddr, kind: &CallKind, end: AttemptEnd, reply: &Reply) {
         let now = Instant::now();
+        self.reported(address, reply.site.clone());
         let mut placement = self.placement.borrow_mut();
-        if let Some(reply) = reply {
-            placement
-                .track(address, now)
-                .reported(reply.site.clone(), now);
+        placement.ended(&self.directory.borrow(), address, end, now);
+        if end == AttemptEnd::Served {
+            placement.ran(address, kind, reply.ran, reply.body.len(), now);
         }
-        placement.judge(&self.directory.borrow(), address, sign, now);
     }
 
     /// Counts a request for `service`.
@@ -231,16 +235,37 @@
         links.entry(address).or_insert_with(start).clone()
     }
 
+    fn reported(&self, from: SocketAddr, report: SiteReport) {
+        let now = Instant::now();
+        let mut placement = self.placement.borrow_mut();
+        let reached = placement.track(from, now).reported(report, now);
+        drop(placement);
+        match reached {
+            // A start brings many of these.
+            Some(Reached::First) => self.note("link_up", Severity::Routine, from),
+            Some(Reached::Again) => self.note("link_up", Severity::Info, from),
+            None => {}
+        }
+    }
+
+    fn note(&self, event: &'static str, severity: Severity, executor: SocketAddr) {
+        let executor = executor.to_string().into();
+        self.events.emit(event, severity, &[("executor", executor)]);
+    }
+
     fn heard(&self, from: SocketAddr, news: LinkNews) {
         let now = Instant::now();
         match news {
-            LinkNews::Site(report) => {
-                let mut placement = self.placement.borrow_mut();
-                placement.track(from, now).reported(report, now);
+            LinkNews::Site(report) => self.reported(from, report),
+            LinkNews::Silent => {
+                if self.placement.borrow_mut().track(from, now).silent() {
+                    self.note("link_silent", Severity::Warn, from);
+                }
             }
-            LinkNews::Silent => self.placement.borrow_mut().track(from, now).silent(),
             LinkNews::Down => {
-                self.placement.borrow_mut().track(from, now).unreachable();
+                if self.placement.borrow_mut().track(from, now).unreachable() {
+                    self.note("link_lost", Severity::Warn, from);
+                }
                 self.relink_soon();
             }
             LinkNews::Store(news) => {
--- a/crates/marigold-sidecar/src/settings.rs
+++ b/crates/marigold-sidecar/src/settings.rs
@@ -8,10 +8,12 @@
 
 use marigold_dispatch::LinkRate;
 use marigold_ini::{Document, Faults, Section};
-use marigold_types::{ByteSize, DataCentre, Interval, ServiceName};
+use marigold_types::{ByteSize, DataCentre, ServiceName};
 
 /// What a bound must be.
 const ALLOWED_NUMBER: &str = "a number of 0 to 86400, as 2.5; times are in seconds";
+/// The cost of a kibibyte between data centres that is taken where the operator says none.
+const DEFAULT_BYTE_COST: f64 = 0.01;
 
 /// Who the daemon is.
 #[derive(Debug, Clone, PartialEq, Eq)]
@@ -46,16 +48,16 @@
 }
 
 /// How requests are placed.
-#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+#[derive(Debug, Clone, Copy, PartialEq)]
 pub struct RoutingSettings {
-    /// The wait that a kibibyte between data centres must save.
-    pub byte_cost: Interval,
+    /// What a kibibyte between data centres costs, as a part of the value of the most urgent answer.
+    pub byte_cost: f64,
 }
 
 impl Default for RoutingSettings {
     fn default() -> Self {
         Self {
-            byte_cost: Interval::from_millis(20),
+            byte_cost: DEFAULT_BYTE_COST,
         }
     }
 }
@@ -127,7 +129,9 @@
     let metrics = listen.optional("metrics", faults);
     let store = required(store, "address", address, faults);
     let routing = document.sections.iter().find(|s| &*s.kind == "routing");
-    let byte_cost = routing.and_then(|section| section.optional("byte_cost", faults));
+    let byte_cost = routing
+        .filter(|section| section.find("byte_cost").is_some())
+        .and_then(|section| number(section, "byte_cost", faults));
     let grace = number(bounds, "grace", faults);
     let retry_ratio = number(bounds, "retry_ratio", faults);
     let retry_slack = number(bounds, "retry_slack", faults);
--- a/crates/marigold-sidecar/src/sidecar.rs
+++ b/crates/marigold-sidecar/src/sidecar.rs
@@ -174,7 +174,7 @@
 ) -> Result<Parts, SidecarError> {
     let sockets = Sockets::bind(&settings.listen)?;
     let store = (adapter.store)(settings.store);
-    let mesh = build_mesh(settings, life);
+    let mesh = build_mesh(settings, life, events);
     let ingress = build_ingress(settings, adapter, &mesh, events);
     let executor = build_executor(settings, adapter, &ingress, events);
     let server = LinkServer::new(life, executor.clone());
@@ -250,16 +250,16 @@
     })
 }
 
-fn build_mesh(settings: &Settings, life: u64) -> Rc<Mesh> {
+fn build_mesh(settings: &Settings, life: u64, events: &Rc<EventLog>) -> Rc<Mesh> {
     let options = MeshOptions {
         address: settings.listen.daemons,
         data_centre: settings.instance.data_centre.clone(),
-        byte_cost: settings.routing.byte_cost.duration(),
+        byte_cost: settings.routing.byte_cost,
         retry_ratio: settings.bounds.retry_ratio,
         retry_slack: settings.bounds.retry_slack,
         retry_window: settings.bounds.retry_window,
     };
-    Mesh::new(options, SmallRng::seed_from_u64(life))
+    Mesh::new(options, SmallRng::seed_from_u64(life), events.clone())
 }
 
 fn build_ingress(
--- a/crates/marigold-sidecar/tests/whole_path.rs
+++ b/crates/marigold-sidecar/tests/whole_path.rs
@@ -58,12 +58,12 @@
         let options = MeshOptions {
             address: SocketAddr::from(([127, 0, 0, 1], 1)),
             data_centre: "here".parse().expect("a name"),
-            byte_cost: Duration::ZERO,
+            byte_cost: 0.0,
             retry_ratio: 0.0,
             retry_slack: 100.0,
             retry_window: Duration::from_secs(10),
         };
-        let mesh = Mesh::new(options, SmallRng::seed_from_u64(5));
+        let mesh = Mesh::new(options, SmallRng::seed_from_u64(5), events.clone());
         let options = IngressOptions {
             names: names(),
             origin: service("ledger"),
