--- a/crates/marigold-dispatch/src/gate.rs
+++ b/crates/marigold-dispatch/src/gate.rs
@@ -5,7 +5,7 @@
 //! it cannot be served, what is worth most for its time goes first, and an answer that will be late is
 //! worth less.
 
-use std::collections::{BTreeMap, HashMap};
+use std::collections::BTreeMap;
 use std::time::Duration;
 
 use marigold_types::SlotCount;
@@ -94,7 +94,7 @@
     waiting: SlotMap<Ticket, Waiting>,
     /// The lines in which work waits; none is empty.
     lines: BTreeMap<LineKey, Line>,
-    kinds: HashMap<CallKind, WorkKind>,
+    kinds: BTreeMap<CallKind, WorkKind>,
     any: RunTime,
     turn: u32,
 }
@@ -108,7 +108,7 @@
             running: SlotMap::with_key(),
             waiting: SlotMap::with_key(),
             lines: BTreeMap::new(),
-            kinds: HashMap::new(),
+            kinds: BTreeMap::new(),
             any: RunTime::default(),
             turn: 0,
         }
--- a/crates/marigold-dispatch/src/track.rs
+++ b/crates/marigold-dispatch/src/track.rs
@@ -7,9 +7,10 @@
 
 use crate::SiteReport;
 
-/// How long a report tells anything; load changes within a few run times.
+/// How long a report tells anything: some times the time in which it loses most of its weight.
 const REPORT_TTL: Duration = Duration::from_secs(4);
-/// How long a report outweighs what is usual at others, as a time constant.
+/// How long a report outweighs what is usual at others, as a time constant: some runs of usual length, since
+/// the load model's many small servers hear of each other about that often.
 const REPORT_MEMORY: Duration = Duration::from_millis(1_500);
 /// The weight of the newest run in the speed of a backend server, as a part of the whole.
 const SPEED_PART: f64 = 16.0;
@@ -52,6 +53,19 @@
     own: u32,
 }
 
+impl Report {
+    /// Returns the requests that it tells of.
+    fn requests(&self) -> f64 {
+        f64::from(self.site.busy.0.saturating_add(self.site.queued.0))
+    }
+
+    /// Returns how much it is still worth.
+    fn weight(&self, now: Instant) -> f64 {
+        let age = now.saturating_duration_since(self.at).as_secs_f64();
+        (-age / REPORT_MEMORY.as_secs_f64()).exp()
+    }
+}
+
 /// The load, speed and health of one executor, as its answers show them.
 #[derive(Debug, Clone)]
 pub struct Track {
@@ -194,9 +208,8 @@
         let Some(heard) = &self.report else {
             return own;
         };
-        let age = now.saturating_duration_since(heard.at).as_secs_f64();
-        let weight = (-age / REPORT_MEMORY.as_secs_f64()).exp();
-        let said = f64::from(heard.site.busy.0 + heard.site.queued.0);
+        let weight = heard.weight(now);
+        let said = heard.requests();
         let like_others = usual * f64::from(heard.site.slots.0);
         let since = own - f64::from(heard.own);
         (weight * said + (1.0 - weight) * like_others + since).max(own)
@@ -206,10 +219,8 @@
     #[must_use]
     pub fn fill(&self, now: Instant) -> Option<(f64, f64)> {
         let heard = self.fresh(now)?;
-        let said = f64::from(heard.site.busy.0 + heard.site.queued.0);
-        let age = now.saturating_duration_since(heard.at).as_secs_f64();
-        let weight = (-age / REPORT_MEMORY.as_secs_f64()).exp();
-        (heard.site.slots.0 > 0).then(|| (said / f64::from(heard.site.slots.0), weight))
+        let slots = f64::from(heard.site.slots.0);
+        (slots > 0.0).then(|| (heard.requests() / slots, heard.weight(now)))
     }
 
     fn fresh(&self, now: Instant) -> Option<&Report> {
