--- a/crates/marigold-dispatch/tests/load/world.rs
+++ b/crates/marigold-dispatch/tests/load/world.rs
@@ -1,11 +1,12 @@
 //! A day, played from event to event.
 
+mod routing;
+mod serving;
+
 use std::net::SocketAddr;
 use std::time::Duration;
 
-use marigold_dispatch::{
-    Admit, AttemptEnd, Conclusion, Directory, LinkRate, Permit, Progress, Site, Wanted, Work,
-};
+use marigold_dispatch::{Conclusion, Directory, LinkRate, Progress, Site};
 use marigold_types::SlotCount;
 use rand::{RngExt, SeedableRng};
 use rand_chacha::ChaCha8Rng;
@@ -220,61 +221,6 @@
         self.walk(number);
     }
 
-    /// Sends a request to the next executor, or ends it.
-    fn walk(&mut self, number: usize) {
-        let request = &self.requests[number];
-        let class = &self.day.classes[request.class];
-        let ingress = &mut self.ingresses[request.ingress];
-        let passed = self.now.saturating_duration_since(request.came);
-        let tried: Vec<SocketAddr> = request.tried.iter().map(|at| address(*at)).collect();
-        let patience = request.deadline.saturating_duration_since(self.now);
-        let wanted = Wanted {
-            service: &class.service,
-            kind: &class.kind,
-            rank: class.rank,
-            idempotent: class.idempotent,
-            objective: request.objective.saturating_sub(passed),
-            patience,
-            bytes: BODY as u64,
-            tried: &tried,
-        };
-        let choice = if tried.len() < MAX_ASKED {
-            ingress
-                .placement
-                .choose(&self.directory, &wanted, &mut self.rng, self.now)
-        } else {
-            None
-        };
-        let arrivals = request.progress.arrivals();
-        let usual = ingress.placement.usual_run(&class.kind);
-        let may_go = arrivals == 0
-            || (arrivals < MAX_ATTEMPTS
-                && patience >= usual.mul_f64(MIN_LEFT_PART)
-                && choice.is_some()
-                && ingress.spend(&class.service, self.now));
-        let Some(choice) = choice.filter(|_| may_go) else {
-            let conclusion = request.progress.conclusion();
-            return self.conclude(number, conclusion);
-        };
-        let executor = number_of(choice.address);
-        ingress
-            .placement
-            .track(choice.address, self.now)
-            .started(self.now);
-        let way = if choice.is_remote { FAR } else { NEAR };
-        let class = request.class;
-        self.requests[number].tried.push(executor);
-        self.played.tallies[class].crossed += u32::from(choice.is_remote);
-        self.attempts.push(Attempt {
-            request: number,
-            executor,
-            began: None,
-            permit: None,
-            is_over: false,
-        });
-        self.after(way, Event::Attempt(self.attempts.len() - 1));
-    }
-
     fn conclude(&mut self, number: usize, conclusion: Conclusion) {
         match conclusion {
             Conclusion::Unknown => self.failed(number),
@@ -331,176 +277,6 @@
         }
     }
 
-    /// An attempt reaches its executor.
-    fn attempt(&mut self, number: usize) {
-        let attempt = self.attempts[number];
-        let request = &self.requests[attempt.request];
-        let class = &self.day.classes[request.class];
-        let executor = &mut self.executors[attempt.executor];
-        if executor.has_left {
-            return self.answer(number, End::Refused(AWAY_RETRY));
-        }
-        let passed = self.now.saturating_duration_since(request.came);
-        let work = Work {
-            kind: class.kind.clone(),
-            rank: class.rank,
-            objective: self.now + request.objective.saturating_sub(passed),
-            deadline: request.deadline,
-        };
-        match executor.gate.offer(work, self.now) {
-            Admit::Run(permit) => self.begin(number, permit),
-            Admit::Wait(ticket) => {
-                executor.waiting.insert(ticket, number);
-            }
-            Admit::Refuse(after) => self.answer(number, End::Refused(after)),
-        }
-    }
-
-    /// An attempt has a slot and reaches the backend server.
-    fn begin(&mut self, number: usize, permit: Permit) {
-        let attempt = self.attempts[number];
-        let request = &self.requests[attempt.request];
-        let class = self.day.classes[request.class].clone();
-        let deadline = request.deadline;
-        if request.progress.arrivals() > 0 {
-            self.played.repeats += 1;
-        }
-        let executor = &self.executors[attempt.executor];
-        let (sheds, fails) = (executor.sheds, executor.fails);
-        let mean = class.run.mul_f64(executor.slowness);
-        if self.rng.random::<f64>() < sheds {
-            self.executors[attempt.executor]
-                .gate
-                .release(permit, false, self.now);
-            self.advance(attempt.executor);
-            return self.answer(number, End::Rejected);
-        }
-        self.attempts[number].permit = Some(permit);
-        self.attempts[number].began = Some(self.now);
-        let run = self.draw_run(mean);
-        let ok = self.rng.random::<f64>() >= fails;
-        if let Some((called, share)) = class.calls
-            && self.rng.random::<f64>() < share
-        {
-            // The run goes on when its call has ended.
-            let at = attempt.executor;
-            let until = deadline.min(self.now + self.day.classes[called].patience);
-            return self.start(called, at, until, 0, Some(number));
-        }
-        self.after(
-            run,
-            Event::RunEnd {
-                attempt: number,
-                ok,
-            },
-        );
-    }
-
-    /// A call that a run waits for has ended.
-    fn call_ended(&mut self, attempt: usize, ok: bool) {
-        let executor = self.attempts[attempt].executor;
-        let class = &self.day.classes[self.requests[self.attempts[attempt].request].class];
-        let mean = class.run.mul_f64(self.executors[executor].slowness);
-        let run = if ok {
-            self.draw_run(mean)
-        } else {
-            Duration::ZERO
-        };
-        self.after(run, Event::RunEnd { attempt, ok });
-    }
-
-    fn run_end(&mut self, number: usize, ok: bool) {
-        let attempt = &mut self.attempts[number];
-        if attempt.is_over {
-            return;
-        }
-        attempt.is_over = true;
-        let executor = attempt.executor;
-        let ran = attempt.began.map_or(Duration::ZERO, |at| self.now - at);
-        let permit = attempt.permit.take();
-        let is_late = self.now > self.requests[attempt.request].deadline;
-        if let Some(permit) = permit {
-            self.executors[executor]
-                .gate
-                .release(permit, !is_late, self.now);
-        }
-        self.advance(executor);
-        let end = match (is_late, ok) {
-            (true, _) => End::Lost,
-            (false, true) => End::Served(ran),
-            (false, false) => End::Failed,
-        };
-        self.answer(number, end);
-    }
-
-    fn advance(&mut self, number: usize) {
-        while let Some((ticket, permit)) = self.executors[number].gate.grant(self.now) {
-            let attempt = self.executors[number].waiting.remove(&ticket);
-            self.begin(attempt.expect("an attempt waits"), permit);
-        }
-    }
-
-    fn answer(&mut self, attempt: usize, end: End) {
-        let there = self.executors[self.attempts[attempt].executor].place;
-        let request = &self.requests[self.attempts[attempt].request];
-        let here = self.ingresses[request.ingress].place;
-        let way = if here == there { NEAR } else { FAR };
-        self.after(way, Event::Reply { attempt, end });
-    }
-
-    fn reply(&mut self, number: usize, end: End) {
-        let attempt = self.attempts[number];
-        let request = &mut self.requests[attempt.request];
-        let kind = &self.day.classes[request.class].kind;
-        let idempotent = self.day.classes[request.class].idempotent;
-        let at = address(attempt.executor);
-        let placement = &mut self.ingresses[request.ingress].placement;
-        let track = placement.track(at, self.now);
-        track.ended();
-        track.reported(self.executors[attempt.executor].report(), self.now);
-        let sign = match end {
-            End::Served(_) => AttemptEnd::Served,
-            End::Failed | End::Lost => AttemptEnd::Failed,
-            End::Rejected => AttemptEnd::Rejected,
-            End::Refused(_) => AttemptEnd::Refused,
-        };
-        placement.ended(&self.directory, at, sign, self.now);
-        match end {
-            End::Served(ran) => {
-                placement.ran(at, kind, ran, BODY, self.now);
-                self.served(attempt.request);
-            }
-            End::Failed if idempotent => {
-                request.progress.may_have_run();
-                self.walk(attempt.request);
-            }
-            End::Failed | End::Lost => self.failed(attempt.request),
-            End::Rejected => {
-                request.progress.rejected(REJECTED_RETRY);
-                self.walk(attempt.request);
-            }
-            End::Refused(after) => {
-                request.progress.refused(after);
-                self.walk(attempt.request);
-            }
-        }
-    }
-
-    fn sweep(&mut self) {
-        for number in 0..self.executors.len() {
-            for (ticket, after) in self.executors[number].gate.sweep(self.now) {
-                let attempt = self.executors[number].waiting.remove(&ticket);
-                self.answer(attempt.expect("an attempt waits"), End::Refused(after));
-            }
-            self.advance(number);
-        }
-        // Callers have stopped, and everybody's patience is over.
-        let last = self.day.classes.iter().map(|class| class.patience).max();
-        if self.now < self.base + self.day.length + last.unwrap_or_default() {
-            self.after(SWEEP, Event::Sweep);
-        }
-    }
-
     fn change(&mut self, change: &Change) {
         match *change {
             Change::Load(place, times) => self.loads[place] = times,
@@ -510,22 +286,6 @@
             Change::Leave(server) => self.leave(server),
         }
     }
-
-    fn leave(&mut self, number: usize) {
-        self.executors[number].has_left = true;
-        let mut waiting: Vec<_> = self.executors[number].waiting.drain().collect();
-        // A map has no order, and the day must be the same each time.
-        waiting.sort_unstable_by_key(|(_, attempt)| *attempt);
-        for (ticket, attempt) in waiting {
-            self.executors[number].gate.cancel(ticket);
-            self.answer(attempt, End::Refused(AWAY_RETRY));
-        }
-        let report = self.executors[number].report();
-        for ingress in &mut self.ingresses {
-            let track = ingress.placement.track(address(number), self.now);
-            track.reported(report.clone(), self.now);
-        }
-    }
 }
 
 fn address(number: usize) -> SocketAddr {
--- a/crates/marigold-sidecar/src/control/relay.rs
+++ b/crates/marigold-sidecar/src/control/relay.rs
@@ -1,16 +1,17 @@
 //! Brings the store's tables to this daemon: by reading them, or from the daemon that reads them for the
 //! data centre.
 
+mod desk;
+mod sites;
+
 use std::cell::{Cell, RefCell};
-use std::net::SocketAddr;
 use std::rc::{Rc, Weak};
 use std::sync::Arc;
 use std::time::Duration;
 
 use bytes::Bytes;
-use marigold_dispatch::{NewsSource, RelayChoice, Site};
+use marigold_dispatch::{NewsSource, RelayChoice};
 use marigold_log::{KeyedBatch, KeyedRecord, KeyedStore, LogError, LogFailure, TableName};
-use marigold_types::Version;
 use tokio::time::{Instant, sleep};
 
 use super::config_shelf::ConfigShelf;
@@ -18,8 +19,8 @@
 use super::site_table::SiteTable;
 use super::store_health::StoreHealth;
 use crate::events::{EventLog, Severity};
-use crate::ingress::{Ingress, Mesh, NewsListener};
-use crate::link::{Follow, LinkServer, NewsDesk, SiteRecord, StoreNews};
+use crate::ingress::{Ingress, Mesh};
+use crate::link::{Follow, LinkServer};
 
 /// How long a reader's question for a new configuration waits; its answer shows that the store is
 /// there, which followers depend on.
@@ -274,74 +275,6 @@
         true
     }
 
-    async fn bring_sites(self: Rc<Self>) {
-        let mut health = StoreHealth::new(SITES, self.parts.events.clone());
-        loop {
-            let now = Instant::now();
-            let passed = |since: Instant| now.saturating_duration_since(since);
-            let is_old = self
-                .sites_fresh
-                .get()
-                .is_none_or(|at| passed(at) >= SITES_AGE);
-            if self.source() == NewsSource::Store {
-                let result = self.read_sites(SITES_WAIT).await;
-                if self.settle(result, &mut health).await {
-                    sleep(PAUSE).await;
-                }
-            } else if is_old {
-                let result = self.read_sites(Duration::ZERO).await;
-                self.settle(result, &mut health).await;
-                sleep(LOOK_PAUSE).await;
-            } else {
-                sleep(TICK).await;
-            }
-        }
-    }
-
-    async fn read_sites(&self, wait: Duration) -> Result<bool, LogError> {
-        let records = self.site_table.read(wait).await?;
-        self.sites_fresh.set(Some(Instant::now()));
-        // A record that a whole reading misses may only have been lost; its daemon writes it again, and
-        // one that is gone is found out by calls to it.
-        let changed = self.take_sites(&records);
-        if changed {
-            self.tell(|| StoreNews {
-                sites: records,
-                ..self.news()
-            });
-        }
-        Ok(changed)
-    }
-
-    /// Takes records of daemons; returns whether any is new.
-    fn take_sites(&self, records: &[SiteRecord]) -> bool {
-        if records.is_empty() {
-            return false;
-        }
-        let mesh = &self.parts.mesh;
-        let before = mesh.read(marigold_dispatch::Directory::generation);
-        mesh.update(|directory| {
-            for record in records {
-                match &record.site {
-                    Some(site) => directory.put(site.clone()),
-                    None => directory.remove(record.address),
-                }
-            }
-        });
-        let (after, known) = mesh.read(|directory| (directory.generation(), directory.len()));
-        if after == before {
-            return false;
-        }
-        #[expect(clippy::cast_precision_loss, reason = "a gauge is a float")]
-        metrics::gauge!("marigold_daemons_known").set(known as f64);
-        self.parts.events.emit(
-            "daemons_changed",
-            Severity::Info,
-            &[("records", records.len().into()), ("known", known.into())],
-        );
-        true
-    }
-
     /// Tells followers that this daemon is there, and the one that this daemon follows what it holds.
     async fn beat(self: Rc<Self>) {
         let mut asked: Option<(Instant, NewsSource)> = None;
@@ -367,85 +300,6 @@
         }
     }
 
-    fn tell(&self, news: impl FnOnce() -> StoreNews) {
-        if let Some(server) = self.parts.server.upgrade() {
-            server.tell_followers(news);
-        }
-    }
-
-    /// Returns how much is known of the store.
-    fn news(&self) -> StoreNews {
-        StoreNews {
-            config_age: self.fresh.get().map(|at| at.elapsed()),
-            config: self.shelf.borrow().version(),
-            ..StoreNews::default()
-        }
-    }
-
-    /// Returns how much is known of the store, with what leads on from the configuration `base`.
-    fn news_since(&self, base: Option<Version>) -> StoreNews {
-        let (change, delta) = self.shelf.borrow().change_from(base).unzip();
-        StoreNews {
-            change,
-            delta: delta.unwrap_or_default(),
-            ..self.news()
-        }
-    }
-
-    /// Takes news from another daemon; `from` is where it takes calls, if that is known.
-    fn take_news(&self, from: Option<SocketAddr>, news: &StoreNews) {
-        let now = Instant::now();
-        if let Some(change) = &news.change {
-            let changed = self.shelf.borrow().changed(change, &news.delta);
-            let base = change.base.map_or(0, |version| version.0);
-            let (event, severity) = match changed {
-                Some(_) => ("config_change_received", Severity::Info),
-                // The base is another one, or the digest differs; it is asked for again.
-                None => ("config_change_refused", Severity::Warn),
-            };
-            let fields = [
-                ("base", base.into()),
-                ("bytes", news.delta.len().into()),
-                (
-                    "source",
-                    from.map_or_else(String::new, |at| at.to_string()).into(),
-                ),
-            ];
-            self.parts.events.emit(event, severity, &fields);
-            if let Some(bytes) = changed {
-                self.shelf.borrow_mut().set_next(change.next);
-                self.install(bytes);
-            }
-        }
-        let holds = self.shelf.borrow().version();
-        let is_reader = from.filter(|from| self.role.get() == Some(NewsSource::Daemon(*from)));
-        if let Some(age) = news.config_age
-            && holds >= news.config
-        {
-            let at = now.checked_sub(age);
-            self.fresh.set(self.fresh.get().max(at));
-        } else if let Some(from) = is_reader
-            && holds < news.config
-            && news.change.is_none()
-        {
-            let follow = Follow {
-                config: holds,
-                all_sites: false,
-            };
-            self.parts.mesh.follow(from, follow);
-        }
-        if self.take_sites(&news.sites) {
-            self.tell(|| StoreNews {
-                sites: news.sites.clone(),
-                ..self.news()
-            });
-        }
-        if is_reader.is_some() || news.all_sites {
-            let is_known = news.all_sites || self.knows_sites();
-            self.sites_fresh.set(is_known.then_some(now));
-        }
-    }
-
     /// Notes how a call to the store ended and waits after a failure; returns whether it brought news.
     async fn settle(&self, result: Result<bool, LogError>, health: &mut StoreHealth) -> bool {
         let error = match result {
@@ -467,48 +321,3 @@
         false
     }
 }
-
-impl NewsListener for Relay {
-    fn heard(&self, from: SocketAddr, news: StoreNews) {
-        self.take_news(Some(from), &news);
-    }
-
-    fn answer(&self, question: Follow) -> StoreNews {
-        self.news_for(question)
-    }
-}
-
-impl NewsDesk for Relay {
-    fn news_for(&self, follow: Follow) -> StoreNews {
-        let mut news = self.news_since(follow.config);
-        if follow.all_sites {
-            news.all_sites = true;
-            news.sites = self.parts.mesh.read(|directory| {
-                let record = |site: &Site| SiteRecord {
-                    address: site.address,
-                    site: Some(site.clone()),
-                };
-                directory.all().map(record).collect()
-            });
-        }
-        news
-    }
-
-    fn question(&self) -> Option<Follow> {
-        let now = Instant::now();
-        let asked = self.questioned.get();
-        let is_early = asked.is_some_and(|at| now.saturating_duration_since(at) < QUESTION_PAUSE);
-        if is_early || self.shelf.borrow().version().is_some() {
-            return None;
-        }
-        self.questioned.set(Some(now));
-        Some(Follow {
-            config: None,
-            all_sites: true,
-        })
-    }
-
-    fn told(&self, news: StoreNews) {
-        self.take_news(None, &news);
-    }
-}
--- /dev/null
+++ b/crates/marigold-sidecar/src/control/relay/desk.rs
@@ -0,0 +1,138 @@
+//! What a relay tells other daemons and takes from them.
+
+use std::net::SocketAddr;
+
+use marigold_dispatch::{NewsSource, Site};
+use marigold_types::Version;
+use tokio::time::Instant;
+
+use super::{QUESTION_PAUSE, Relay};
+use crate::events::Severity;
+use crate::ingress::NewsListener;
+use crate::link::{Follow, NewsDesk, SiteRecord, StoreNews};
+
+impl Relay {
+    pub(super) fn tell(&self, news: impl FnOnce() -> StoreNews) {
+        if let Some(server) = self.parts.server.upgrade() {
+            server.tell_followers(news);
+        }
+    }
+
+    /// Returns how much is known of the store.
+    pub(super) fn news(&self) -> StoreNews {
+        StoreNews {
+            config_age: self.fresh.get().map(|at| at.elapsed()),
+            config: self.shelf.borrow().version(),
+            ..StoreNews::default()
+        }
+    }
+
+    /// Returns how much is known of the store, with what leads on from the configuration `base`.
+    pub(super) fn news_since(&self, base: Option<Version>) -> StoreNews {
+        let (change, delta) = self.shelf.borrow().change_from(base).unzip();
+        StoreNews {
+            change,
+            delta: delta.unwrap_or_default(),
+            ..self.news()
+        }
+    }
+
+    /// Takes news from another daemon; `from` is where it takes calls, if that is known.
+    pub(super) fn take_news(&self, from: Option<SocketAddr>, news: &StoreNews) {
+        let now = Instant::now();
+        if let Some(change) = &news.change {
+            let changed = self.shelf.borrow().changed(change, &news.delta);
+            let base = change.base.map_or(0, |version| version.0);
+            let (event, severity) = match changed {
+                Some(_) => ("config_change_received", Severity::Info),
+                // The base is another one, or the digest differs; it is asked for again.
+                None => ("config_change_refused", Severity::Warn),
+            };
+            let fields = [
+                ("base", base.into()),
+                ("bytes", news.delta.len().into()),
+                (
+                    "source",
+                    from.map_or_else(String::new, |at| at.to_string()).into(),
+                ),
+            ];
+            self.parts.events.emit(event, severity, &fields);
+            if let Some(bytes) = changed {
+                self.shelf.borrow_mut().set_next(change.next);
+                self.install(bytes);
+            }
+        }
+        let holds = self.shelf.borrow().version();
+        let is_reader = from.filter(|from| self.role.get() == Some(NewsSource::Daemon(*from)));
+        if let Some(age) = news.config_age
+            && holds >= news.config
+        {
+            let at = now.checked_sub(age);
+            self.fresh.set(self.fresh.get().max(at));
+        } else if let Some(from) = is_reader
+            && holds < news.config
+            && news.change.is_none()
+        {
+            let follow = Follow {
+                config: holds,
+                all_sites: false,
+            };
+            self.parts.mesh.follow(from, follow);
+        }
+        if self.take_sites(&news.sites) {
+            self.tell(|| StoreNews {
+                sites: news.sites.clone(),
+                ..self.news()
+            });
+        }
+        if is_reader.is_some() || news.all_sites {
+            let is_known = news.all_sites || self.knows_sites();
+            self.sites_fresh.set(is_known.then_some(now));
+        }
+    }
+}
+
+impl NewsListener for Relay {
+    fn heard(&self, from: SocketAddr, news: StoreNews) {
+        self.take_news(Some(from), &news);
+    }
+
+    fn answer(&self, question: Follow) -> StoreNews {
+        self.news_for(question)
+    }
+}
+
+impl NewsDesk for Relay {
+    fn news_for(&self, follow: Follow) -> StoreNews {
+        let mut news = self.news_since(follow.config);
+        if follow.all_sites {
+            news.all_sites = true;
+            news.sites = self.parts.mesh.read(|directory| {
+                let record = |site: &Site| SiteRecord {
+                    address: site.address,
+                    site: Some(site.clone()),
+                };
+                directory.all().map(record).collect()
+            });
+        }
+        news
+    }
+
+    fn question(&self) -> Option<Follow> {
+        let now = Instant::now();
+        let asked = self.questioned.get();
+        let is_early = asked.is_some_and(|at| now.saturating_duration_since(at) < QUESTION_PAUSE);
+        if is_early || self.shelf.borrow().version().is_some() {
+            return None;
+        }
+        self.questioned.set(Some(now));
+        Some(Follow {
+            config: None,
+            all_sites: true,
+        })
+    }
+
+    fn told(&self, news: StoreNews) {
+        self.take_news(None, &news);
+    }
+}
