Log the fingerprint of requests whose exchange breaks

The lines of broken exchanges named requests by id only, so nothing told whether one request was in flight each time a backend server ended. The sidecar's fingerprint has the caller's service in addition to the service, method, target and start of the body, as the platform identifies a repeated request.

--- a/crates/marigold-request/src/quarantine/fingerprint.rs
+++ b/crates/marigold-request/src/quarantine/fingerprint.rs
@@ -3,7 +3,7 @@
 use std::fmt;
 use std::str::FromStr;
 
-use marigold_types::{Digest, ParseError};
+use marigold_types::{Digest, ParseError, ServiceName};
 use serde::{Deserialize, Serialize};
 
 use crate::CallHead;
@@ -26,14 +26,34 @@
     /// [`Fingerprint::BODY_BYTES`] bytes.
     #[must_use]
     pub fn of(head: &CallHead, body: &[u8]) -> Self {
-        let parts = [
-            head.service.as_str().as_bytes(),
-            head.method.as_bytes(),
-            head.target.as_bytes(),
-            &body[..body.len().min(BODY_BYTES)],
-        ];
+        let service = head.service.as_str().as_bytes();
+        Self::of_parts(
+            &[service, head.method.as_bytes(), head.target.as_bytes()],
+            body,
+        )
+    }
+
+    /// Returns the fingerprint of a request that is also identified by the service of its caller, which the
+    /// mesh itself states to the backend server.
+    #[must_use]
+    pub fn with_caller(
+        service: &ServiceName,
+        caller: &ServiceName,
+        method: &str,
+        target: &str,
+        body: &[u8],
+    ) -> Self {
+        let (service, caller) = (service.as_str().as_bytes(), caller.as_str().as_bytes());
+        Self::of_parts(
+            &[service, caller, method.as_bytes(), target.as_bytes()],
+            body,
+        )
+    }
+
+    fn of_parts(parts: &[&[u8]], body: &[u8]) -> Self {
+        let body = &body[..body.len().min(BODY_BYTES)];
         let mut bytes = Vec::new();
-        for part in parts {
+        for part in parts.iter().chain([&body]) {
             bytes.extend_from_slice(&(part.len() as u64).to_be_bytes());
             bytes.extend_from_slice(part);
         }
--- a/crates/marigold-sidecar/src/executor/local_executor.rs
+++ b/crates/marigold-sidecar/src/executor/local_executor.rs
@@ -317,6 +317,7 @@
                     Severity::Warn,
                     &[
                         ("request", call.request_id.to_string().into()),
+                        ("fingerprint", call.fingerprint().to_string().into()),
                         ("cause", error.to_string().into()),
                         ("ran_ms", millis(now.elapsed()).into()),
                     ],
--- a/crates/marigold-sidecar/src/link/frame.rs
+++ b/crates/marigold-sidecar/src/link/frame.rs
@@ -6,6 +6,7 @@
 
 use bytes::Bytes;
 use marigold_dispatch::{CallKind, Rank, Site, SiteReport};
+use marigold_request::quarantine::Fingerprint;
 use marigold_types::{Digest, LogOffset, ServiceName, Version};
 use serde::{Deserialize, Serialize};
 
@@ -151,6 +152,20 @@
     pub body: Bytes,
 }
 
+impl Call {
+    /// Returns what identifies the request when its caller sends it again under another id.
+    #[must_use]
+    pub fn fingerprint(&self) -> Fingerprint {
+        Fingerprint::with_caller(
+            &self.service,
+            &self.origin,
+            &self.method,
+            &self.target,
+            &self.body,
+        )
+    }
+}
+
 /// Outcome of a call and statistics of its run.
 #[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
 pub struct Reply {
