Refuse a request only after a crash during a run of its own

What callers saw: a request that was in flight by coincidence at two crashes was refused for five minutes, although it had been answered in between; and a copy of a crashing request that waited for a slot while another one crashed the backend server was sent there, too. Both stood on marigoldd's path; the first would have come to the sidecar's with the shared quarantine.

Cause: two crashes refused a request whatever happened between them, and the status was read before the wait only. Class: evidence of coincidence taken as proof; a decision that is not renewed after a wait.

Change: a crash during an exclusive run is what refuses a request; an answer sets its crashes to zero, told by a generation that outweighs older records in any order; the status is read again after the wait. A run that ended without an answer counts as in flight for one second more.

--- a/crates/marigold-request/src/quarantine.rs
+++ b/crates/marigold-request/src/quarantine.rs
@@ -2,10 +2,12 @@
 
 mod crash_record;
 mod fingerprint;
+mod policy;
 mod run_token;
 mod table;
 
 pub use crash_record::{CrashId, CrashRecord};
 pub use fingerprint::Fingerprint;
+pub use policy::QuarantinePolicy;
 pub use run_token::RunToken;
 pub use table::{Quarantine, QuarantineStatus};
--- a/crates/marigold-request/src/quarantine/crash_record.rs
+++ b/crates/marigold-request/src/quarantine/crash_record.rs
@@ -1,14 +1,16 @@
 //! Records of requests that were in flight at a crash, exchanged between daemons.
 
+use std::cmp::Ordering;
 use std::collections::BTreeSet;
+use std::time::Duration;
 
 use marigold_types::{InstanceId, Interval};
 use serde::{Deserialize, Serialize};
 
-use crate::quarantine::Fingerprint;
+use crate::quarantine::{Fingerprint, QuarantinePolicy};
 
-/// The number of crashes after which a request is refused. Further crashes are not recorded.
-const REFUSAL_CRASHES: usize = 2;
+/// Limit on the recorded crashes of a request. More of them make no difference.
+const MAX_CRASHES: usize = 4;
 
 /// Identifies one crash of one backend server, so that a crash reported twice counts once.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord, Hash, Serialize, Deserialize)]
@@ -25,50 +27,112 @@
 pub struct CrashRecord {
     /// The fingerprint of the request.
     pub fingerprint: Fingerprint,
-    /// The crashes at which the request was in flight, at most two.
+    /// The number of times that the request was cleared by an answer.
+    pub generation: u32,
+    /// The crashes since then at which the request was in flight beside others, at most four.
     pub crashes: BTreeSet<CrashId>,
-    /// Whether the request has been answered since the last of these crashes.
-    pub cleared: bool,
-    /// The time until the record expires.
-    pub left: Interval,
+    /// The number of crashes since then during an exclusive run of the request.
+    pub trials: u32,
+    /// The time since the last crash.
+    pub age: Interval,
 }
 
 impl CrashRecord {
-    /// Returns whether the request is refused.
+    /// Returns the record of a request without any crash.
     #[must_use]
-    pub fn is_refused(&self) -> bool {
-        !self.cleared && self.crashes.len() >= REFUSAL_CRASHES
+    pub fn new(fingerprint: Fingerprint) -> Self {
+        Self {
+            fingerprint,
+            generation: 0,
+            crashes: BTreeSet::new(),
+            trials: 0,
+            age: Interval::default(),
+        }
     }
 
-    /// Returns whether the request is a suspect, which runs alone.
+    /// Returns whether the request was answered since its last crash.
     #[must_use]
-    pub fn is_suspect(&self) -> bool {
-        !self.cleared && !self.is_refused()
+    pub fn is_cleared(&self) -> bool {
+        self.crashes.is_empty() && self.trials == 0
     }
 
-    /// Merges another record of the same request; returns whether this one changed.
+    /// Returns for how much longer the request is refused, or `None` if it is not.
     ///
-    /// The order of merges does not matter. The sets of crashes are united. A clearance applies
-    /// only to the crashes of the record that carries it. Of two remaining times for the same
-    /// crashes the shorter one is correct, since a delay in transit makes the other one too long.
+    /// Only a crash during an exclusive run counts, since at any other one the request may have been in flight
+    /// by coincidence.
+    #[must_use]
+    pub fn refused_for(&self, policy: &QuarantinePolicy) -> Option<Duration> {
+        let left = policy.refusal(self.trials).checked_sub(self.age.duration());
+        left.filter(|left| !left.is_zero())
+    }
+
+    /// Returns whether the request only runs exclusively.
+    #[must_use]
+    pub fn is_suspect(&self, policy: &QuarantinePolicy) -> bool {
+        self.trials > 0 || self.crashes.len() >= policy.crashes
+    }
+
+    /// Adds a crash during a run of the request beside others.
+    pub fn add_crash(&mut self, crash: CrashId) {
+        let is_new = self.crashes.insert(crash);
+        self.drop_excess();
+        if is_new && self.crashes.contains(&crash) {
+            self.age = Interval::default();
+        }
+    }
+
+    /// Adds a crash during an exclusive run of the request.
+    pub fn add_trial(&mut self) {
+        self.trials = self.trials.saturating_add(1);
+        self.age = Interval::default();
+    }
+
+    /// Clears the request after an answer.
+    pub fn clear(&mut self) {
+        self.generation = self.generation.saturating_add(1);
+        self.crashes.clear();
+        self.trials = 0;
+    }
+
+    /// Merges another record of the same request; returns whether this one changed other than in its age.
+    ///
+    /// The order of merges does not matter. A clearance outweighs all crashes recorded without knowledge of
+    /// it: a request that crashes backend servers is never answered. Of two ages of the same crashes the
+    /// greater one is correct, since a delay in transit makes the other one too short.
     pub fn merge(&mut self, other: &Self) -> bool {
-        let mut crashes: BTreeSet<_> = self.crashes.union(&other.crashes).copied().collect();
-        while crashes.len() > REFUSAL_CRASHES {
-            crashes.pop_last();
+        match other.generation.cmp(&self.generation) {
+            Ordering::Less => return false,
+            Ordering::Greater => {
+                *self = other.clone();
+                self.drop_excess();
+                return true;
+            }
+            Ordering::Equal => {}
         }
-        let before = (self.cleared, self.crashes.len());
-        let is_own = crashes == self.crashes;
-        let is_other = crashes == other.crashes;
-        let cleared = is_own && self.cleared || is_other && other.cleared;
-        self.left = match (is_own, is_other) {
-            (true, false) => self.left,
-            (false, true) => other.left,
-            (true, true) => self.left.min(other.left),
-            (false, false) => self.left.max(other.left),
+        let mut merged = Self {
+            crashes: self.crashes.union(&other.crashes).copied().collect(),
+            trials: self.trials.max(other.trials),
+            ..self.clone()
+        };
+        merged.drop_excess();
+        let is_own = merged.has_crashes_of(self);
+        merged.age = match (is_own, merged.has_crashes_of(other)) {
+            (true, true) => self.age.max(other.age),
+            (true, false) => self.age,
+            (false, true) => other.age,
+            (false, false) => self.age.min(other.age),
         };
-        let changed = before != (cleared, crashes.len()) || !is_own;
-        self.crashes = crashes;
-        self.cleared = cleared;
-        changed
+        *self = merged;
+        !is_own
+    }
+
+    fn has_crashes_of(&self, other: &Self) -> bool {
+        (&self.crashes, self.trials) == (&other.crashes, other.trials)
+    }
+
+    fn drop_excess(&mut self) {
+        while self.crashes.len() > MAX_CRASHES {
+            self.crashes.pop_last();
+        }
     }
 }
--- a/crates/marigold-request/src/quarantine/run_token.rs
+++ b/crates/marigold-request/src/quarantine/run_token.rs
@@ -9,6 +9,8 @@
 pub struct RunToken {
     /// The fingerprint of the request.
     pub fingerprint: Fingerprint,
+    /// Whether the request runs exclusively.
+    pub(super) exclusive: bool,
     /// The number of crashes of the backend server before the run started.
     pub(super) crashes: u32,
 }
--- a/crates/marigold-request/src/quarantine/table.rs
+++ b/crates/marigold-request/src/quarantine/table.rs
@@ -1,66 +1,90 @@
 //! The quarantine of one daemon: which requests are suspect, refused or cleared.
 
-use std::collections::{BTreeMap, BTreeSet};
+use std::collections::{BTreeMap, BTreeSet, VecDeque};
 use std::time::Duration;
 
 use marigold_types::{InstanceId, Interval};
 use tokio::time::Instant;
 
-use crate::quarantine::{CrashId, CrashRecord, Fingerprint, RunToken};
+use crate::quarantine::{CrashId, CrashRecord, Fingerprint, QuarantinePolicy, RunToken};
 use crate::{Refusal, RefusalReason};
 
 /// The maximum number of recorded requests.
 const MAX_RECORDS: usize = 1024;
 /// The maximum number of updates pending for other daemons.
 const MAX_UPDATES: usize = 1024;
+/// How long a run counts as in flight after it ended without an answer, since the backend server may not have
+/// noticed yet.
+const ABANDONED_TTL: Duration = Duration::from_secs(1);
+/// The maximum number of such runs.
+const MAX_ABANDONED: usize = 64;
 
 /// How a request is handled.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub enum QuarantineStatus {
     /// The request runs concurrently with others.
     Clear,
-    /// The request was in flight at one crash: it runs alone and the mesh does not retry it.
+    /// The request was in flight at crashes: it only runs exclusively, and the mesh does not retry it.
     Suspect,
-    /// The request was in flight at two crashes: it is refused and has not run.
+    /// A backend server crashed during an exclusive run of the request: it is refused and has not run.
     Refused(Refusal),
 }
 
 #[derive(Debug, Clone)]
 struct Entry {
+    /// The age is as of `crashed_at`.
     record: CrashRecord,
-    expiry: Instant,
+    crashed_at: Instant,
+}
+
+/// The runs of one request in progress at the daemon's backend server.
+#[derive(Debug, Clone, Copy, Default)]
+struct Running {
+    count: u32,
+    exclusive: bool,
+}
+
+/// A run that ended without an answer.
+#[derive(Debug, Clone, Copy)]
+struct Abandoned {
+    fingerprint: Fingerprint,
+    exclusive: bool,
+    at: Instant,
 }
 
 /// Records the requests in flight at each crash of this daemon's backend server and of others.
 ///
-/// Every operation on a request takes logarithmic time.
+/// Every operation on a request takes logarithmic time, unless the table is full.
 #[derive(Debug, Clone)]
 pub struct Quarantine {
     local: InstanceId,
-    /// How long a request is recorded after a crash.
-    term: Interval,
-    /// The requests in progress at the daemon's backend server, with the number of runs of each.
-    running: BTreeMap<Fingerprint, u32>,
+    policy: QuarantinePolicy,
+    running: BTreeMap<Fingerprint, Running>,
+    abandoned: VecDeque<Abandoned>,
     /// The number of crashes of the backend server so far.
     crashes: u32,
     entries: BTreeMap<Fingerprint, Entry>,
     expiries: BTreeSet<(Instant, Fingerprint)>,
     /// The requests whose records other daemons have not been sent yet.
     updates: BTreeSet<Fingerprint>,
+    /// The records dropped since the last call of [`Quarantine::take_dropped`].
+    dropped: u32,
 }
 
 impl Quarantine {
-    /// Creates an empty quarantine that records a request for `term`.
+    /// Creates an empty quarantine.
     #[must_use]
-    pub fn new(local: InstanceId, term: Interval) -> Self {
+    pub fn new(local: InstanceId, policy: QuarantinePolicy) -> Self {
         Self {
             local,
-            term,
+            policy,
             running: BTreeMap::new(),
+            abandoned: VecDeque::new(),
             crashes: 0,
             entries: BTreeMap::new(),
             expiries: BTreeSet::new(),
             updates: BTreeSet::new(),
+            dropped: 0,
         }
     }
 
@@ -76,70 +100,110 @@
         self.entries.is_empty()
     }
 
+    /// Returns the number of records dropped for lack of room since the last call.
+    pub fn take_dropped(&mut self) -> u32 {
+        std::mem::take(&mut self.dropped)
+    }
+
     /// Returns how to handle a request now.
     pub fn status(&mut self, fingerprint: &Fingerprint, now: Instant) -> QuarantineStatus {
         self.expire(now);
-        let Some(entry) = self.entries.get(fingerprint) else {
+        let Some(record) = self.record(fingerprint, now) else {
             return QuarantineStatus::Clear;
         };
-        if entry.record.is_refused() {
-            let left = interval(entry.expiry.saturating_duration_since(now));
-            return QuarantineStatus::Refused(Refusal::retryable(RefusalReason::Quarantined, left));
-        }
-        if entry.record.is_suspect() {
+        if let Some(left) = record.refused_for(&self.policy) {
+            let left = interval(left);
+            QuarantineStatus::Refused(Refusal::retryable(RefusalReason::Quarantined, left))
+        } else if record.is_suspect(&self.policy) {
             QuarantineStatus::Suspect
         } else {
             QuarantineStatus::Clear
         }
     }
 
-    /// Records that a request is forwarded to the backend server.
+    /// Records that a request is forwarded to the backend server; `exclusive` states whether it runs as
+    /// [`QuarantineStatus::Suspect`] demands.
     #[must_use]
-    pub fn record_start(&mut self, fingerprint: Fingerprint) -> RunToken {
-        *self.running.entry(fingerprint).or_default() += 1;
+    pub fn record_start(&mut self, fingerprint: Fingerprint, exclusive: bool) -> RunToken {
+        let running = self.running.entry(fingerprint).or_default();
+        running.count += 1;
+        running.exclusive |= exclusive;
         RunToken {
             fingerprint,
+            exclusive,
             crashes: self.crashes,
         }
     }
 
-    /// Records the answer of the backend server, which clears a suspect request.
+    /// Records the answer of the backend server, which clears a request that was in flight at crashes.
     pub fn record_answer(&mut self, run: RunToken, now: Instant) {
         self.record_end(run);
         self.expire(now);
         if let Some(entry) = self.entries.get_mut(&run.fingerprint)
-            && entry.record.is_suspect()
+            && !entry.record.is_cleared()
         {
-            entry.record.cleared = true;
+            entry.record.clear();
             self.queue_update(run.fingerprint);
         }
     }
 
-    /// Records that a request ended without an answer and without a crash.
+    /// Records that the backend server is known to be done with a request that it did not answer.
     pub fn record_end(&mut self, run: RunToken) {
         // The crash already ended all runs that started before it.
         if run.crashes != self.crashes {
             return;
         }
-        if let Some(count) = self.running.get_mut(&run.fingerprint) {
-            *count -= 1;
-            if *count == 0 {
+        if let Some(running) = self.running.get_mut(&run.fingerprint) {
+            running.count -= 1;
+            if running.count == 0 {
                 self.running.remove(&run.fingerprint);
             }
         }
     }
 
-    /// Records a crash of the daemon's backend server.
-    pub fn record_crash(&mut self, now: Instant) {
+    /// Records that nobody waits for the answer to a request any more. The backend server may still run it.
+    pub fn record_abandoned(&mut self, run: RunToken, now: Instant) {
+        if run.crashes == self.crashes {
+            if self.abandoned.len() == MAX_ABANDONED {
+                self.abandoned.pop_front();
+            }
+            self.abandoned.push_back(Abandoned {
+                fingerprint: run.fingerprint,
+                exclusive: run.exclusive,
+                at: now,
+            });
+        }
+        self.record_end(run);
+    }
+
+    /// Records a crash of the daemon's backend server; returns the records of the requests in flight.
+    pub fn record_crash(&mut self, now: Instant) -> Vec<CrashRecord> {
         let crash = CrashId {
             instance: self.local,
             number: self.crashes,
         };
         self.crashes += 1;
         let running = std::mem::take(&mut self.running);
-        for fingerprint in running.into_keys() {
-            self.add_crash(fingerprint, crash, now);
+        let mut suspects: BTreeMap<_, _> = running
+            .into_iter()
+            .map(|(fingerprint, running)| (fingerprint, running.exclusive))
+            .collect();
+        for run in self.abandoned.drain(..) {
+            if now.saturating_duration_since(run.at) < ABANDONED_TTL {
+                *suspects.entry(run.fingerprint).or_default() |= run.exclusive;
+            }
         }
+        let add = |(fingerprint, exclusive)| {
+            self.add_crash(fingerprint, now, |record| {
+                if exclusive {
+                    record.add_trial();
+                } else {
+                    record.add_crash(crash);
+                }
+            });
+            self.record(&fingerprint, now)
+        };
+        suspects.into_iter().filter_map(add).collect()
     }
 
     /// Records the loss of an instance while these requests from this ingress were in flight to it.
@@ -154,7 +218,7 @@
             number: u32::MAX,
         };
         for fingerprint in fingerprints {
-            self.add_crash(*fingerprint, crash, now);
+            self.add_crash(*fingerprint, now, |record| record.add_crash(crash));
         }
     }
 
@@ -162,7 +226,15 @@
     pub fn receive(&mut self, records: &[CrashRecord], now: Instant) {
         self.expire(now);
         for record in records {
-            self.merge(record, now);
+            let Some(known) = self.record(&record.fingerprint, now) else {
+                self.put(record.clone(), now, true);
+                continue;
+            };
+            let mut merged = known.clone();
+            let has_news = merged.merge(record);
+            if merged != known {
+                self.put(merged, now, has_news);
+            }
         }
     }
 
@@ -179,9 +251,8 @@
     /// Returns all records, for a daemon that has just started.
     pub fn records(&mut self, now: Instant) -> Vec<CrashRecord> {
         self.expire(now);
-        let fingerprints: Vec<_> = self.entries.keys().copied().collect();
+        let fingerprints = self.entries.keys();
         fingerprints
-            .iter()
             .filter_map(|fingerprint| self.record(fingerprint, now))
             .collect()
     }
@@ -189,48 +260,43 @@
     fn record(&self, fingerprint: &Fingerprint, now: Instant) -> Option<CrashRecord> {
         let entry = self.entries.get(fingerprint)?;
         Some(CrashRecord {
-            left: interval(entry.expiry.saturating_duration_since(now)),
+            age: interval(now.saturating_duration_since(entry.crashed_at)),
             ..entry.record.clone()
         })
     }
 
-    fn add_crash(&mut self, fingerprint: Fingerprint, crash: CrashId, now: Instant) {
-        let record = CrashRecord {
-            fingerprint,
-            crashes: BTreeSet::from([crash]),
-            cleared: false,
-            left: self.term,
-        };
-        let is_known = self
-            .entries
-            .get(&fingerprint)
-            .is_some_and(|e| e.record.crashes.contains(&crash));
-        if !is_known {
-            self.merge(&record, now);
+    fn add_crash(
+        &mut self,
+        fingerprint: Fingerprint,
+        now: Instant,
+        change: impl FnOnce(&mut CrashRecord),
+    ) {
+        let known = self.record(&fingerprint, now);
+        let mut record = known
+            .clone()
+            .unwrap_or_else(|| CrashRecord::new(fingerprint));
+        change(&mut record);
+        if known.as_ref() != Some(&record) {
+            self.put(record, now, true);
         }
     }
 
-    fn merge(&mut self, record: &CrashRecord, now: Instant) {
+    /// Inserts or replaces a record; `has_news` states whether other daemons are to be told.
+    fn put(&mut self, record: CrashRecord, now: Instant, has_news: bool) {
         let fingerprint = record.fingerprint;
-        let merged = match self.record(&fingerprint, now) {
-            None => record.clone(),
-            Some(mut own) => {
-                if !own.merge(record) {
-                    return;
-                }
-                own
-            }
-        };
-        if merged.left == Interval::default() || merged.crashes.is_empty() {
+        let crashed_at = now.checked_sub(record.age.duration()).unwrap_or(now);
+        let expiry = crashed_at + self.policy.memory.duration();
+        if expiry <= now {
             return;
         }
         self.remove(&fingerprint);
         self.make_room();
-        let expiry = now + merged.left.min(self.term).duration();
         self.expiries.insert((expiry, fingerprint));
-        let record = merged;
-        self.entries.insert(fingerprint, Entry { record, expiry });
-        self.queue_update(fingerprint);
+        self.entries
+            .insert(fingerprint, Entry { record, crashed_at });
+        if has_news {
+            self.queue_update(fingerprint);
+        }
     }
 
     fn queue_update(&mut self, fingerprint: Fingerprint) {
@@ -239,29 +305,31 @@
         }
     }
 
-    /// If the table is full, removes the record that expires first; refused requests are removed
-    /// only if there are no others.
+    /// If the table is full, removes the record that expires first among the least important ones: cleared
+    /// requests go before suspects, and these before requests that crashed a backend server on their own.
     fn make_room(&mut self) {
         if self.entries.len() < MAX_RECORDS {
             return;
         }
-        let is_not_refused =
-            |fingerprint: &Fingerprint| !self.entries[fingerprint].record.is_refused();
-        let candidate = self
+        let importance = |fingerprint: &Fingerprint| {
+            let record = &self.entries[fingerprint].record;
+            (record.trials > 0, !record.is_cleared())
+        };
+        let first = self
             .expiries
             .iter()
-            .find(|(_, fingerprint)| is_not_refused(fingerprint));
-        let first = candidate
-            .or(self.expiries.first())
-            .map(|(_, fingerprint)| *fingerprint);
+            .map(|(_, fingerprint)| *fingerprint)
+            .min_by_key(importance);
         if let Some(fingerprint) = first {
             self.remove(&fingerprint);
+            self.dropped += 1;
         }
     }
 
     fn remove(&mut self, fingerprint: &Fingerprint) {
         if let Some(entry) = self.entries.remove(fingerprint) {
-            self.expiries.remove(&(entry.expiry, *fingerprint));
+            let expiry = entry.crashed_at + self.policy.memory.duration();
+            self.expiries.remove(&(expiry, *fingerprint));
         }
     }
 
--- a/crates/marigold-scenarios/src/request/executor.rs
+++ b/crates/marigold-scenarios/src/request/executor.rs
@@ -44,6 +44,7 @@
             entry: None,
             ticket: None,
             permit: None,
+            exclusive: false,
             run: None,
             request,
         };
@@ -104,6 +105,7 @@
                 return;
             }
         };
+        job.exclusive = exclusive;
         let admission_request = AdmissionRequest {
             class: job.request.head.class,
             deadline: job.deadline,
@@ -219,7 +221,7 @@
             }
             return;
         }
-        job.run = Some(node.quarantine.record_start(job.fingerprint));
+        job.run = Some(node.quarantine.record_start(job.fingerprint, job.exclusive));
         node.server
             .running
             .insert(id, Arc::clone(&job.request.name));
@@ -268,7 +270,7 @@
         };
         match status {
             Some(_) => node.quarantine.record_answer(run, now),
-            None => node.quarantine.record_end(run),
+            None => node.quarantine.record_abandoned(run, now),
         }
         if let Some(entry) = entry {
             let outcome = status.map_or(RunOutcome::Lost, |status| {
--- a/crates/marigold-scenarios/src/request/node.rs
+++ b/crates/marigold-scenarios/src/request/node.rs
@@ -10,7 +10,7 @@
 use marigold_request::burn::BurnCounters;
 use marigold_request::drain::{Drain, Phase};
 use marigold_request::limits::Limiter;
-use marigold_request::quarantine::{Fingerprint, Quarantine, RunToken};
+use marigold_request::quarantine::{Fingerprint, Quarantine, QuarantinePolicy, RunToken};
 use marigold_request::retry::RetryPolicy;
 use marigold_request::router::Router;
 use marigold_types::{Address, ByteSize, DataCentre, Incarnation, InstanceId, Interval, SlotCount};
@@ -61,6 +61,8 @@
     pub ticket: Option<Ticket>,
     /// Its slot, once admitted.
     pub permit: Option<Permit>,
+    /// Whether it runs exclusively.
+    pub exclusive: bool,
     /// Its run, once forwarded to the backend server.
     pub run: Option<RunToken>,
 }
@@ -142,7 +144,7 @@
             admission: AdmissionController::new(slots, MAX_QUEUE_PER_SLOT),
             executor_table: ExecutorTable::new(instance, limits),
             witness_table: WitnessTable::new(instance, KEY_TTL, MAX_KEYS, now),
-            quarantine: Quarantine::new(instance, QUARANTINE_DURATION),
+            quarantine: Quarantine::new(instance, QuarantinePolicy::fixed(QUARANTINE_DURATION)),
             drain: Drain::new(DRAIN_TIMEOUT),
             reported_phase: Phase::Serving,
             jobs: BTreeMap::new(),
--- a/crates/marigoldd/src/executor/crash_tracker.rs
+++ b/crates/marigoldd/src/executor/crash_tracker.rs
@@ -4,7 +4,7 @@
 use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
 
 use marigold_request::quarantine::{
-    CrashRecord, Fingerprint, Quarantine, QuarantineStatus, RunToken,
+    CrashRecord, Fingerprint, Quarantine, QuarantinePolicy, QuarantineStatus, RunToken,
 };
 use marigold_types::{InstanceId, Interval};
 use tokio::sync::Notify;
@@ -28,7 +28,7 @@
     #[must_use]
     pub fn new(local: InstanceId, term: Interval) -> Arc<Self> {
         Arc::new(Self {
-            quarantine: Mutex::new(Quarantine::new(local, term)),
+            quarantine: Mutex::new(Quarantine::new(local, QuarantinePolicy::fixed(term))),
             updated: Notify::new(),
         })
     }
@@ -38,10 +38,10 @@
         self.lock().status(fingerprint, Instant::now())
     }
 
-    /// Records a request that is forwarded to the backend server.
+    /// Records a request that is forwarded to the backend server, `exclusive` if beside no other one.
     #[must_use]
-    pub fn start(self: &Arc<Self>, fingerprint: Fingerprint) -> TrackedRun {
-        let run = self.lock().record_start(fingerprint);
+    pub fn start(self: &Arc<Self>, fingerprint: Fingerprint, exclusive: bool) -> TrackedRun {
+        let run = self.lock().record_start(fingerprint, exclusive);
         TrackedRun {
             tracker: self.clone(),
             run,
@@ -92,7 +92,8 @@
 impl Drop for TrackedRun {
     fn drop(&mut self) {
         if !self.answered {
-            self.tracker.lock().record_end(self.run);
+            let mut quarantine = self.tracker.lock();
+            quarantine.record_abandoned(self.run, Instant::now());
         }
     }
 }
--- a/crates/marigoldd/src/executor/forward.rs
+++ b/crates/marigoldd/src/executor/forward.rs
@@ -34,8 +34,9 @@
             in_flight,
             address,
             fingerprint,
+            exclusive,
         } = admitted;
-        let run = self.crashes.start(fingerprint);
+        let run = self.crashes.start(fingerprint, exclusive);
         let idle_pool = pool.clone();
         let call = BackendCall {
             pool,
--- a/crates/marigoldd/src/executor/local_executor.rs
+++ b/crates/marigoldd/src/executor/local_executor.rs
@@ -36,6 +36,8 @@
     pub(super) in_flight: InFlightGuard,
     pub(super) address: SocketAddr,
     pub(super) fingerprint: Fingerprint,
+    /// Whether the request runs exclusively.
+    pub(super) exclusive: bool,
 }
 
 /// Runs requests on the local backend server, which is reached in no other way.
@@ -155,6 +157,10 @@
             exclusive,
         };
         let slot = self.slots.acquire(&request).await?;
+        // The same request may have crashed a backend server during the wait.
+        if let QuarantineStatus::Refused(refusal) = self.crashes.status(&fingerprint) {
+            return Err(refusal);
+        }
         let opened = target.pool.acquire(head.idempotent, deadline.0).await;
         let Ok(connection) = opened else {
             return refuse(RefusalReason::NoConnection);
@@ -169,6 +175,7 @@
             connection,
             in_flight,
             fingerprint,
+            exclusive,
         })
     }
 }
