Quarantine requests that crash backend servers on the sidecar's path

What callers saw: a request under which three backend servers had ended was sent on, under a new id each time, until no backend server of the service was left; callers of sound requests were not served.

Cause: the sidecar knew a request only by its id, so every repeat was a new request, while marigoldd had a quarantine whose decisions the sidecar never called. Class: a promise that one of two request paths keeps and the other lacks.

Change: the sidecar's ingress and executor share the quarantine of marigold-request. A crash is an exchange that breaks while no process accepts connections any more, or an instance that follows one which had not announced that it was leaving. Executors send changed records to the daemons that are connected to them, and data centres pass them on.

--- a/crates/marigold-dispatch/src/lib.rs
+++ b/crates/marigold-dispatch/src/lib.rs
@@ -32,6 +32,7 @@
 mod shutdown;
 mod site_report;
 mod target;
+mod trial;
 mod wait_queue;
 mod weighted_round_robin;
 
@@ -60,4 +61,5 @@
 pub use shutdown::{Shutdown, ShutdownStage};
 pub use site_report::SiteReport;
 pub use target::Target;
+pub use trial::select_trial_executor;
 pub use weighted_round_robin::WeightedRoundRobin;
--- a/crates/marigold-dispatch/src/placement.rs
+++ b/crates/marigold-dispatch/src/placement.rs
@@ -116,6 +116,14 @@
             .is_some_and(ExecutorState::is_up)
     }
 
+    /// Returns whether calls may be sent to the executor at `address`.
+    #[must_use]
+    pub fn takes_calls(&self, address: SocketAddr, now: Instant) -> bool {
+        self.executors
+            .get(&address)
+            .is_some_and(|executor| executor.takes_calls(now))
+    }
+
     /// Returns whether the link to the executor at `address` has failed.
     #[must_use]
     pub fn is_unreachable(&self, address: SocketAddr) -> bool {
--- a/crates/marigold-request/src/quarantine/table.rs
+++ b/crates/marigold-request/src/quarantine/table.rs
@@ -13,11 +13,11 @@
 const MAX_RECORDS: usize = 1024;
 /// The maximum number of updates pending for other daemons.
 const MAX_UPDATES: usize = 1024;
-/// How long a run counts as in flight after it ended without an answer, since the backend server may not have
-/// noticed yet.
+/// A run that ended without an answer counts as in flight until the backend server answers another request this
+/// much later, since it may go on with the run, and may have crashed unnoticed.
 const ABANDONED_TTL: Duration = Duration::from_secs(1);
 /// The maximum number of such runs.
-const MAX_ABANDONED: usize = 64;
+const MAX_ABANDONED: usize = 256;
 
 /// How a request is handled.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
@@ -138,6 +138,10 @@
     /// Records the answer of the backend server, which clears a request that was in flight at crashes.
     pub fn record_answer(&mut self, run: RunToken, now: Instant) {
         self.record_end(run);
+        let is_over = |run: &Abandoned| now.saturating_duration_since(run.at) >= ABANDONED_TTL;
+        while self.abandoned.front().is_some_and(is_over) {
+            self.abandoned.pop_front();
+        }
         self.expire(now);
         if let Some(entry) = self.entries.get_mut(&run.fingerprint)
             && !entry.record.is_cleared()
@@ -189,9 +193,7 @@
             .map(|(fingerprint, running)| (fingerprint, running.exclusive))
             .collect();
         for run in self.abandoned.drain(..) {
-            if now.saturating_duration_since(run.at) < ABANDONED_TTL {
-                *suspects.entry(run.fingerprint).or_default() |= run.exclusive;
-            }
+            *suspects.entry(run.fingerprint).or_default() |= run.exclusive;
         }
         let add = |(fingerprint, exclusive)| {
             self.add_crash(fingerprint, now, |record| {
@@ -238,6 +240,12 @@
         }
     }
 
+    /// Returns whether [`Quarantine::take_updates`] may return any records.
+    #[must_use]
+    pub fn has_updates(&self) -> bool {
+        !self.updates.is_empty()
+    }
+
     /// Returns the records that changed since the last call, to be sent to other daemons.
     pub fn take_updates(&mut self, now: Instant) -> Vec<CrashRecord> {
         self.expire(now);
--- a/crates/marigold-sidecar/src/executor.rs
+++ b/crates/marigold-sidecar/src/executor.rs
@@ -4,6 +4,8 @@
 
 mod backend_conn;
 mod backend_pool;
+mod call_progress;
+mod crash_check;
 mod exchange;
 mod local_executor;
 mod probe;
--- a/crates/marigold-sidecar/src/executor/backend_pool.rs
+++ b/crates/marigold-sidecar/src/executor/backend_pool.rs
@@ -49,9 +49,24 @@
     ///
     /// If no connection can be opened. No part of a request has been sent then.
     pub async fn acquire(&self, idempotent: bool) -> io::Result<BackendConn> {
-        if let Some(conn) = self.pop(idempotent) {
-            return Ok(conn);
+        match self.pop(idempotent) {
+            Some(conn) => Ok(conn),
+            None => self.open().await,
         }
+    }
+
+    /// Returns whether the backend server has ended: no process accepts connections at its address.
+    pub async fn has_ended(&self) -> bool {
+        match self.open().await {
+            Ok(conn) => {
+                self.release(conn, None);
+                false
+            }
+            Err(error) => error.kind() == io::ErrorKind::ConnectionRefused,
+        }
+    }
+
+    async fn open(&self) -> io::Result<BackendConn> {
         self.opened.set(self.opened.get() + 1);
         metrics::counter!("marigold_backend_connections_total").increment(1);
         let stream = timeout(CONNECT_TIMEOUT, TcpStream::connect(self.address)).await??;
--- a/crates/marigold-sidecar/src/executor/local_executor.rs
+++ b/crates/marigold-sidecar/src/executor/local_executor.rs
@@ -1,26 +1,29 @@
 //! Runs calls on the local backend server.
 
 use std::cell::{Cell, RefCell};
+use std::io;
 use std::rc::{Rc, Weak};
 use std::sync::Arc;
 use std::time::Duration;
 
-use bytes::Bytes;
 use marigold_dispatch::{
     AdmissionController, Announcement, AnnouncementOutcome, BackendState, SiteReport, SlotRequest,
 };
 use marigold_request::RefusalReason;
+use marigold_request::quarantine::CrashRecord;
 use marigold_types::{ServiceName, SlotCount, Version};
 use tokio::time::{Instant, sleep, timeout_at};
 use tokio_util::sync::CancellationToken;
 
 use super::backend_pool::BackendPool;
+use super::call_progress::{CallProgress, millis};
+use super::crash_check::CrashCheck;
 use super::exchange::{BackendRequest, ExchangeOutcome, exchange};
 use super::slot_queue::SlotQueue;
-use crate::HeaderNames;
 use crate::events::{EventLog, Severity};
 use crate::http1::encode_request;
 use crate::link::{Call, CallHandler, CallId, CallOutcome, LinkServer, Reply, ReplyHandle};
+use crate::{CrashTracker, HeaderNames};
 
 /// Interval at which queued calls that cannot be served in time are removed.
 const SWEEP_INTERVAL: Duration = Duration::from_millis(20);
@@ -28,20 +31,11 @@
 const UNAVAILABLE_RETRY_DELAY: Duration = Duration::from_millis(300);
 /// How long calls are refused after the backend server has failed to accept a connection.
 const UNREACHABLE_COOLDOWN: Duration = Duration::from_millis(500);
+/// Status of a backend server's response to a request whose deadline has passed.
+const STATUS_DEADLINE_PASSED: u16 = 504;
 /// Time reserved before the deadline for the response to reach the caller.
 const RESPONSE_TRANSIT_TIME: Duration = Duration::from_millis(5);
 
-/// Progress of a call, known even if it is cancelled.
-#[derive(Debug, Default)]
-struct CallProgress {
-    /// Time spent waiting for a slot.
-    waited: Duration,
-    /// When it was sent to the backend server.
-    started_at: Option<Instant>,
-    /// Body of the response.
-    body: Bytes,
-}
-
 /// Called with the configuration version that a call was routed by.
 pub type VersionListener = Box<dyn Fn(Version)>;
 
@@ -58,6 +52,7 @@
 /// health probes.
 pub struct LocalExecutor {
     options: ExecutorOptions,
+    crashes: Rc<CrashTracker>,
     events: Rc<EventLog>,
     queue: Rc<SlotQueue>,
     backend: RefCell<BackendState>,
@@ -65,6 +60,7 @@
     /// Whether the daemon is shutting down and refuses new calls.
     closing: Cell<bool>,
     unreachable_until: Cell<Option<Instant>>,
+    crash_check: CrashCheck,
     in_flight: Cell<usize>,
     link_server: RefCell<Weak<LinkServer>>,
     /// Called for each call.
@@ -75,15 +71,21 @@
 impl LocalExecutor {
     /// Creates an executor without a backend server, which refuses calls until one is announced.
     #[must_use]
-    pub fn new(options: ExecutorOptions, events: Rc<EventLog>) -> Rc<Self> {
+    pub fn new(
+        options: ExecutorOptions,
+        crashes: Rc<CrashTracker>,
+        events: Rc<EventLog>,
+    ) -> Rc<Self> {
         Rc::new_cyclic(|myself| Self {
             options,
+            crashes,
             events,
             queue: SlotQueue::new(),
             backend: RefCell::default(),
             pool: RefCell::default(),
             closing: Cell::new(false),
             unreachable_until: Cell::new(None),
+            crash_check: CrashCheck::default(),
             in_flight: Cell::new(0),
             link_server: RefCell::default(),
             version_listener: RefCell::default(),
@@ -125,12 +127,18 @@
 
     /// Applies an announcement of the backend server.
     pub fn apply_announcement(&self, announcement: &Announcement) -> AnnouncementOutcome {
+        let was_serving = self.backend.borrow().serving().is_some();
         let outcome = self
             .backend
             .borrow_mut()
             .apply_announcement(announcement, Instant::now());
         match outcome {
             AnnouncementOutcome::NewInstance => {
+                // An instance that ended without draining may have crashed without closing its connections.
+                if was_serving {
+                    self.crash_check.record(&self.crashes);
+                }
+                self.crash_check.reset();
                 self.unreachable_until.set(None);
                 *self.pool.borrow_mut() = Some(Rc::new(BackendPool::new(announcement.address)));
                 self.apply_backend_state();
@@ -235,16 +243,16 @@
             None if progress.started_at.is_some() => CallOutcome::Lost { broken: false },
             None => refused(RefusalReason::Cancelled, Duration::ZERO),
         };
-        let ran = progress
-            .started_at
-            .map_or(Duration::ZERO, |at| at.elapsed());
-        let waited = progress.waited;
+        let ran = progress.ran();
         self.in_flight.set(self.in_flight.get() - 1);
-        self.record_call(&call, &outcome, waited, ran);
+        let (busy, queued) = self
+            .queue
+            .read(|controller| (controller.busy(), controller.queued()));
+        progress.record(&self.events, &call, &outcome, busy, queued);
         handle.send(Reply {
             id: CallId::default(),
             outcome,
-            waited,
+            waited: progress.waited,
             ran,
             site: self.report(),
             body: progress.body,
@@ -261,6 +269,10 @@
         if let Err(reason) = self.check_backend(call) {
             return refused(reason, UNAVAILABLE_RETRY_DELAY);
         }
+        let fingerprint = call.fingerprint();
+        if let Some(delay) = self.crashes.refusal(&fingerprint) {
+            return refused(RefusalReason::Quarantined, delay);
+        }
         let slot_request = SlotRequest {
             kind: call.kind.clone(),
             rank: call.rank,
@@ -295,6 +307,14 @@
         let Some(request) = self.build_request(call, deadline, now) else {
             return refused(RefusalReason::Deadline, Duration::ZERO);
         };
+        // The request may have crashed a backend server during the waits.
+        let run = match self.crashes.start(fingerprint) {
+            Ok(run) => run,
+            Err(delay) => {
+                pool.release(conn, None);
+                return refused(RefusalReason::Quarantined, delay);
+            }
+        };
         progress.started_at = Some(now);
         let result = timeout_at(
             deadline,
@@ -304,30 +324,58 @@
         match result {
             Ok(ExchangeOutcome::Answered(response)) => {
                 slot.mark_completed();
+                self.crash_check.reset();
+                // Responses with this status end runs that may go on.
+                if response.status == STATUS_DEADLINE_PASSED {
+                    drop(run);
+                } else {
+                    run.answered();
+                }
                 progress.body = response.body;
                 CallOutcome::Answered {
                     status: response.status,
                     fields: response.fields,
                 }
             }
-            Ok(ExchangeOutcome::Rejected { status }) => CallOutcome::Rejected { status },
+            Ok(ExchangeOutcome::Rejected { status }) => {
+                run.not_run();
+                CallOutcome::Rejected { status }
+            }
             Ok(ExchangeOutcome::Broken(error)) => {
                 self.events.emit(
                     "backend_exchange_broken",
                     Severity::Warn,
                     &[
                         ("request", call.request_id.to_string().into()),
-                        ("fingerprint", call.fingerprint().to_string().into()),
+                        ("fingerprint", fingerprint.to_string().into()),
                         ("cause", error.to_string().into()),
                         ("ran_ms", millis(now.elapsed()).into()),
                     ],
                 );
+                drop(run);
+                self.check_for_crash(&pool);
                 CallOutcome::Lost { broken: true }
             }
             Err(_) => CallOutcome::Lost { broken: false },
         }
     }
 
+    /// Checks whether the backend server has crashed, after an exchange on a connection of `pool` broke.
+    fn check_for_crash(&self, pool: &Rc<BackendPool>) {
+        let Some(executor) = self.myself.upgrade() else {
+            return;
+        };
+        let pool = pool.clone();
+        tokio::task::spawn_local(async move {
+            let has_ended = executor.crash_check.run(&pool).await;
+            let current = executor.pool.borrow().clone();
+            if has_ended && current.is_some_and(|current| Rc::ptr_eq(&current, &pool)) {
+                executor.crash_check.record(&executor.crashes);
+                executor.mark_unreachable(&io::ErrorKind::ConnectionRefused.into());
+            }
+        });
+    }
+
     /// Returns why the call cannot run now, if the backend server is not of the requested service or
     /// accepts no calls.
     fn check_backend(&self, call: &Call) -> Result<(), RefusalReason> {
@@ -379,7 +427,7 @@
         })
     }
 
-    fn mark_unreachable(&self, error: &std::io::Error) {
+    fn mark_unreachable(&self, error: &io::Error) {
         self.events.emit(
             "backend_unreachable",
             Severity::Warn,
@@ -389,30 +437,6 @@
             .set(Some(Instant::now() + UNREACHABLE_COOLDOWN));
         self.apply_backend_state();
     }
-
-    fn record_call(&self, call: &Call, outcome: &CallOutcome, waited: Duration, ran: Duration) {
-        let (label, detail, severity) = describe(outcome);
-        metrics::counter!("marigold_executor_calls_total", "outcome" => label).increment(1);
-        metrics::histogram!("marigold_executor_wait_seconds").record(waited.as_secs_f64());
-        let (busy, queued) = self
-            .queue
-            .read(|controller| (controller.busy(), controller.queued()));
-        self.events.emit(
-            "call_ended",
-            severity,
-            &[
-                ("request", call.request_id.to_string().into()),
-                ("route", call.kind.to_string().into()),
-                ("version", call.version.0.into()),
-                ("outcome", label.into()),
-                ("detail", detail.into()),
-                ("waited_ms", millis(waited).into()),
-                ("ran_ms", millis(ran).into()),
-                ("busy", busy.into()),
-                ("queued", queued.into()),
-            ],
-        );
-    }
 }
 
 impl CallHandler for LocalExecutor {
@@ -436,6 +460,10 @@
             mean_run: controller.mean_run(),
         })
     }
+
+    fn crash_records(&self) -> Vec<CrashRecord> {
+        self.crashes.records()
+    }
 }
 
 fn refused(reason: RefusalReason, retry_after: Duration) -> CallOutcome {
@@ -445,22 +473,6 @@
     }
 }
 
-fn describe(outcome: &CallOutcome) -> (&'static str, String, Severity) {
-    match outcome {
-        CallOutcome::Answered { status, .. } => ("answered", status.to_string(), Severity::Routine),
-        CallOutcome::Refused { reason, .. } => ("refused", reason.to_string(), Severity::Info),
-        CallOutcome::Rejected { status } => ("rejected", status.to_string(), Severity::Info),
-        CallOutcome::Lost { broken } => {
-            let detail = if *broken { "broken" } else { "silent" };
-            ("lost", detail.to_owned(), Severity::Warn)
-        }
-    }
-}
-
 fn slot_count(len: usize) -> SlotCount {
     SlotCount(u32::try_from(len).unwrap_or(u32::MAX))
 }
-
-fn millis(time: Duration) -> u64 {
-    u64::try_from(time.as_millis()).unwrap_or(u64::MAX)
-}
--- a/crates/marigold-sidecar/src/ingress/mesh.rs
+++ b/crates/marigold-sidecar/src/ingress/mesh.rs
@@ -8,12 +8,14 @@
 
 use marigold_dispatch::{
     AttemptOutcome, CallKind, Directory, ExecutorChoice, LinkSelector, Placement, PlacementRequest,
-    Reached, RetryBudget, SiteReport,
+    Reached, RetryBudget, SiteReport, select_trial_executor,
 };
+use marigold_request::quarantine::Fingerprint;
 use marigold_types::{DataCentre, ServiceName};
 use rand::rngs::SmallRng;
 use tokio::time::{Instant, sleep};
 
+use crate::CrashTracker;
 use crate::events::{EventLog, Severity};
 use crate::link::{
     Call, Follow, LinkClient, LinkEvent, OpenCall, Reply, SendQueueFull, StoreUpdate,
@@ -59,6 +61,9 @@
 
 /// Selects executors for requests and sends calls to them.
 pub struct Mesh {
+    /// Requests that crash backend servers.
+    pub crashes: Rc<CrashTracker>,
+    data_centre: DataCentre,
     tuning: Cell<Tuning>,
     events: Rc<EventLog>,
     link_selector: LinkSelector,
@@ -76,10 +81,17 @@
 impl Mesh {
     /// Creates a mesh with an empty directory.
     #[must_use]
-    pub fn new(options: &MeshOptions, rng: SmallRng, events: Rc<EventLog>) -> Rc<Self> {
+    pub fn new(
+        options: &MeshOptions,
+        rng: SmallRng,
+        crashes: Rc<CrashTracker>,
+        events: Rc<EventLog>,
+    ) -> Rc<Self> {
         let placement = Placement::new(options.data_centre.clone(), options.tuning.byte_cost);
         let link_selector = LinkSelector::new(options.address, options.data_centre.clone());
         Rc::new_cyclic(|myself| Self {
+            crashes,
+            data_centre: options.data_centre.clone(),
             tuning: Cell::new(options.tuning),
             events,
             link_selector,
@@ -187,6 +199,23 @@
         )
     }
 
+    /// Selects the executor for a request that is suspected of crashing backend servers, or `None` if no
+    /// eligible one is left.
+    #[must_use]
+    pub fn choose_for_trial(
+        &self,
+        service: &ServiceName,
+        fingerprint: &Fingerprint,
+        tried: &[SocketAddr],
+    ) -> Option<SocketAddr> {
+        let now = Instant::now();
+        let placement = self.placement.borrow();
+        let is_eligible =
+            |address| placement.takes_calls(address, now) && !tried.contains(&address);
+        let directory = self.directory.borrow();
+        select_trial_executor(&directory, service, fingerprint, is_eligible)
+    }
+
     /// Sends a call to the executor at `address`.
     ///
     /// # Errors
@@ -315,6 +344,14 @@
                 }
                 self.relink_soon();
             }
+            LinkEvent::CrashRecords(records) => {
+                // Within a data centre every daemon hears of a crash from the executor itself.
+                let is_local = self.with_directory(|directory| {
+                    let site = directory.get(from);
+                    site.is_some_and(|site| site.data_centre == self.data_centre)
+                });
+                self.crashes.receive(&records, !is_local);
+            }
             LinkEvent::StoreUpdate(update) => {
                 let listener = self.update_listener.borrow().clone();
                 if let Some(listener) = listener {
--- a/crates/marigold-sidecar/src/ingress/request_handler.rs
+++ b/crates/marigold-sidecar/src/ingress/request_handler.rs
@@ -1,23 +1,27 @@
 //! Processes a request from routing to its final outcome.
 
 mod in_flight_request;
+mod request_context;
 
-use std::cell::{Cell, RefCell};
+use std::cell::{Cell, OnceCell, RefCell};
 use std::collections::HashMap;
+use std::net::SocketAddr;
 use std::rc::Rc;
 use std::sync::Arc;
 use std::time::Duration;
 
 use marigold_dispatch::{
-    AttemptOutcome, CallKind, CallerLimits, CallerTimeouts, Conclusion, ExecutorChoice,
-    PlacementRequest, Progress, RoutePolicy, RouteTable, Shutdown, ShutdownStage,
-    WeightedRoundRobin,
+    CallKind, CallerLimits, CallerTimeouts, Conclusion, PlacementRequest, Progress, RoutePolicy,
+    RouteTable, Shutdown, ShutdownStage, WeightedRoundRobin,
 };
+use marigold_request::RefusalReason;
+use marigold_request::quarantine::QuarantineStatus;
 use marigold_types::{ServiceName, Version};
 use tokio::sync::watch;
 use tokio::time::{Instant, timeout_at};
 
 use self::in_flight_request::InFlightRequest;
+use self::request_context::RequestContext;
 use super::attempt::attempt;
 use super::mesh::Mesh;
 use super::request_outcome::RequestOutcome;
@@ -25,7 +29,7 @@
 use crate::HeaderNames;
 use crate::events::{EventLog, Severity};
 use crate::http1::{Request, Response};
-use crate::link::{Call, CallId, CallOutcome, CallResult};
+use crate::link::{CallOutcome, CallResult};
 
 /// Timeout of callers whose request states none.
 const DEFAULT_CALLER_TIMEOUT: Duration = Duration::from_secs(10);
@@ -200,10 +204,12 @@
             table: &table,
             route: &route,
             service: &service,
+            origin: &self.options.origin,
             id,
             began,
             objective,
             deadline,
+            fingerprint: OnceCell::new(),
         };
         let mut failure = None;
         let attempts = self.run_attempts(request, &context, trace, &mut failure);
@@ -232,26 +238,32 @@
         let mut tried = Vec::new();
         let mut progress = Progress::default();
         loop {
-            let choice = if tried.len() < MAX_EXECUTORS_TRIED {
-                self.choose_executor(context, request.body.len(), &tried)
-            } else {
-                None
+            let address = match self.quarantine_status(request, context, trace) {
+                QuarantineStatus::Refused(refusal) => {
+                    let delay = refusal.retry_after.unwrap_or_default().duration();
+                    return conclude_quarantined(&progress, failure.take(), delay);
+                }
+                _ if tried.len() >= MAX_EXECUTORS_TRIED => None,
+                QuarantineStatus::Clear => {
+                    self.choose_executor(context, request.body.len(), &tried)
+                }
+                // The mesh does not retry a suspected request.
+                QuarantineStatus::Suspect if progress.arrivals() > 0 => None,
+                QuarantineStatus::Suspect => {
+                    let fingerprint = context.fingerprint(request);
+                    self.mesh
+                        .choose_for_trial(context.service, fingerprint, &tried)
+                }
             };
-            let Some(choice) = choice else {
+            let Some(address) = address else {
                 return conclude(&progress, failure.take());
             };
             if progress.arrivals() > 0 && !self.may_retry(context, progress.arrivals()) {
                 return conclude(&progress, failure.take());
             }
-            let address = choice.address;
             tried.push(address);
             trace.executors.push(address);
-            let ending = attempt(
-                &self.mesh,
-                address,
-                build_call(request, context, &self.options.origin),
-            )
-            .await;
+            let ending = attempt(&self.mesh, address, context.call(request)).await;
             let reply = match ending {
                 CallResult::Replied(reply) => reply,
                 CallResult::NotSent => {
@@ -269,7 +281,7 @@
             };
             trace.waited = reply.waited;
             trace.ran = reply.ran;
-            let outcome = attempt_outcome(&reply.outcome);
+            let outcome = reply.outcome.attempt_outcome();
             self.mesh
                 .record_outcome(address, &route.kind, outcome, &reply);
             match reply.outcome.clone() {
@@ -294,6 +306,9 @@
                 } => {
                     trace.steps.push(format!("refused: {reason}"));
                     progress.refused(retry_after);
+                    if reason == RefusalReason::Quarantined {
+                        return conclude_quarantined(&progress, failure.take(), retry_after);
+                    }
                 }
                 CallOutcome::Rejected { status } => {
                     trace.steps.push(format!("rejected {status}"));
@@ -321,11 +336,11 @@
         &self,
         context: &RequestContext<'_>,
         bytes: usize,
-        tried: &[std::net::SocketAddr],
-    ) -> Option<ExecutorChoice> {
+        tried: &[SocketAddr],
+    ) -> Option<SocketAddr> {
         let now = Instant::now();
         let passed = now.saturating_duration_since(context.began);
-        self.mesh.choose(&PlacementRequest {
+        let choice = self.mesh.choose(&PlacementRequest {
             service: context.service,
             kind: &context.route.kind,
             rank: context.route.rank,
@@ -334,7 +349,26 @@
             time_left: context.deadline.saturating_duration_since(now),
             bytes: bytes as u64,
             tried,
-        })
+        })?;
+        Some(choice.address)
+    }
+
+    fn quarantine_status(
+        &self,
+        request: &Request,
+        context: &RequestContext<'_>,
+        trace: &mut RequestTrace,
+    ) -> QuarantineStatus {
+        let crashes = &self.mesh.crashes;
+        if crashes.is_empty() {
+            return QuarantineStatus::Clear;
+        }
+        let fingerprint = context.fingerprint(request);
+        let status = crashes.status(fingerprint);
+        if status != QuarantineStatus::Clear {
+            trace.fingerprint = Some(*fingerprint);
+        }
+        status
     }
 
     /// Returns whether the route, the deadline and the retry budget allow a retry after `arrivals` attempts.
@@ -386,6 +420,9 @@
             RequestOutcome::Unknown { .. } => Severity::Warn,
         };
         let executors: Vec<String> = trace.executors.iter().map(ToString::to_string).collect();
+        let fingerprint = trace
+            .fingerprint
+            .map_or_else(String::new, |print| print.to_string());
         self.events.emit(
             "request_ended",
             severity,
@@ -395,6 +432,7 @@
                 ("status", outcome.status().into()),
                 ("reason", outcome.reason().into()),
                 ("route", trace.route.as_str().into()),
+                ("fingerprint", fingerprint.into()),
                 ("service", service.into()),
                 ("version", trace.version.0.into()),
                 ("executors", executors.into()),
@@ -407,53 +445,6 @@
     }
 }
 
-/// Routing decision and deadlines of a request, shared by its attempts.
-struct RequestContext<'a> {
-    table: &'a RouteTable,
-    route: &'a RoutePolicy,
-    service: &'a ServiceName,
-    id: Arc<str>,
-    began: Instant,
-    objective: Duration,
-    deadline: Instant,
-}
-
-/// Returns what an outcome says about the health of the executor. A 504 response means that the deadline
-/// has passed and does not count as a failure.
-fn attempt_outcome(outcome: &CallOutcome) -> AttemptOutcome {
-    match outcome {
-        CallOutcome::Answered { status, .. } if *status >= 500 && *status != 504 => {
-            AttemptOutcome::Failed
-        }
-        CallOutcome::Answered { .. } => AttemptOutcome::Served,
-        CallOutcome::Lost { .. } => AttemptOutcome::Failed,
-        CallOutcome::Rejected { .. } => AttemptOutcome::Rejected,
-        CallOutcome::Refused { .. } => AttemptOutcome::Refused,
-    }
-}
-
-fn build_call(request: &Request, context: &RequestContext<'_>, origin: &ServiceName) -> Call {
-    let now = Instant::now();
-    let passed = now.saturating_duration_since(context.began);
-    Call {
-        id: CallId::default(),
-        floor: CallId::default(),
-        version: context.table.version(),
-        service: context.service.clone(),
-        origin: origin.clone(),
-        kind: context.route.kind.clone(),
-        rank: context.route.rank,
-        idempotent: context.route.idempotent,
-        objective: context.objective.saturating_sub(passed),
-        timeout: context.deadline.saturating_duration_since(now),
-        request_id: context.id.clone(),
-        method: request.method.clone(),
-        target: request.target.clone(),
-        fields: request.fields.clone(),
-        body: request.body.clone(),
-    }
-}
-
 /// Returns the outcome of a request for which no further attempt is made.
 fn conclude(progress: &Progress, failure: Option<Response>) -> RequestOutcome {
     if let Some(response) = failure {
@@ -469,6 +460,18 @@
     }
 }
 
+/// Returns the outcome of a request that may not run because it may crash a backend server.
+fn conclude_quarantined(
+    progress: &Progress,
+    failure: Option<Response>,
+    retry_after: Duration,
+) -> RequestOutcome {
+    match progress.conclusion() {
+        Conclusion::NotRun(_) => not_run("the request may crash backend servers", retry_after),
+        Conclusion::Unknown => conclude(progress, failure),
+    }
+}
+
 fn not_run(reason: &'static str, retry_after: Duration) -> RequestOutcome {
     RequestOutcome::NotRun {
         reason,
--- /dev/null
+++ b/crates/marigold-sidecar/src/ingress/request_handler/request_context.rs
@@ -0,0 +1,66 @@
+//! What the attempts of a request have in common.
+
+use std::cell::OnceCell;
+use std::sync::Arc;
+use std::time::Duration;
+
+use marigold_dispatch::{RoutePolicy, RouteTable};
+use marigold_request::quarantine::Fingerprint;
+use marigold_types::ServiceName;
+use tokio::time::Instant;
+
+use crate::http1::Request;
+use crate::link::{Call, CallId};
+
+/// Routing decision and deadlines of a request, shared by its attempts.
+pub(super) struct RequestContext<'a> {
+    pub table: &'a RouteTable,
+    pub route: &'a RoutePolicy,
+    pub service: &'a ServiceName,
+    /// Service of the instance at which the request entered the mesh.
+    pub origin: &'a ServiceName,
+    pub id: Arc<str>,
+    pub began: Instant,
+    pub objective: Duration,
+    pub deadline: Instant,
+    /// Computed only if there are records of crashes.
+    pub fingerprint: OnceCell<Fingerprint>,
+}
+
+impl RequestContext<'_> {
+    /// Returns the same fingerprint as [`Call::fingerprint`].
+    pub fn fingerprint(&self, request: &Request) -> &Fingerprint {
+        self.fingerprint.get_or_init(|| {
+            Fingerprint::with_caller(
+                self.service,
+                self.origin,
+                &request.method,
+                &request.target,
+                &request.body,
+            )
+        })
+    }
+
+    /// Builds a call that has the time that is left now.
+    pub fn call(&self, request: &Request) -> Call {
+        let now = Instant::now();
+        let passed = now.saturating_duration_since(self.began);
+        Call {
+            id: CallId::default(),
+            floor: CallId::default(),
+            version: self.table.version(),
+            service: self.service.clone(),
+            origin: self.origin.clone(),
+            kind: self.route.kind.clone(),
+            rank: self.route.rank,
+            idempotent: self.route.idempotent,
+            objective: self.objective.saturating_sub(passed),
+            timeout: self.deadline.saturating_duration_since(now),
+            request_id: self.id.clone(),
+            method: request.method.clone(),
+            target: request.target.clone(),
+            fields: request.fields.clone(),
+            body: request.body.clone(),
+        }
+    }
+}
--- a/crates/marigold-sidecar/src/ingress/request_trace.rs
+++ b/crates/marigold-sidecar/src/ingress/request_trace.rs
@@ -3,6 +3,7 @@
 use std::net::SocketAddr;
 use std::time::Duration;
 
+use marigold_request::quarantine::Fingerprint;
 use marigold_types::{ServiceName, Version};
 
 /// The route and attempts of one request, filled in while it is processed.
@@ -12,6 +13,8 @@
     pub version: Version,
     /// Name of the matching route; empty if there is none.
     pub route: String,
+    /// Identifies the request among its repeats, if it may crash backend servers.
+    pub fingerprint: Option<Fingerprint>,
     /// Service selected by the route.
     pub service: Option<ServiceName>,
     /// Executors that were tried, in order.
--- a/crates/marigold-sidecar/src/lib.rs
+++ b/crates/marigold-sidecar/src/lib.rs
@@ -12,10 +12,12 @@
 pub mod ingress;
 pub mod link;
 
+mod crash_tracker;
 mod header_names;
 mod settings;
 mod sidecar;
 
+pub use crash_tracker::{CrashTracker, TrackedRun};
 pub use header_names::HeaderNames;
 pub use settings::{BoundSettings, InstanceSettings, ListenSettings, RoutingSettings, Settings};
 pub use sidecar::{Adapter, SidecarError, load_settings, run};
--- a/crates/marigold-sidecar/src/link/client.rs
+++ b/crates/marigold-sidecar/src/link/client.rs
@@ -9,6 +9,7 @@
 
 use bytes::{Bytes, BytesMut};
 use marigold_dispatch::SiteReport;
+use marigold_request::quarantine::CrashRecord;
 use tokio::io::{AsyncReadExt, AsyncWriteExt};
 use tokio::net::TcpStream;
 use tokio::net::tcp::OwnedReadHalf;
@@ -55,6 +56,8 @@
     StoreUpdate(Box<StoreUpdate>),
     /// It has requested the contents of the store from this daemon.
     FollowRequest(Follow),
+    /// It has sent records of crashes.
+    CrashRecords(Vec<CrashRecord>),
 }
 
 /// The send queue is full, so the call was not sent.
@@ -417,6 +420,9 @@
                     handle_reply(&shared, reply, body);
                 }
                 Frame::BodyPart(id) => parts.entry(id).or_default().extend_from_slice(&body),
+                Frame::CrashRecords(records) => {
+                    (shared.listener)(shared.address, LinkEvent::CrashRecords(records));
+                }
                 Frame::StoreUpdate(mut update) => {
                     update.delta = body;
                     (shared.listener)(shared.address, LinkEvent::StoreUpdate(update));
--- a/crates/marigold-sidecar/src/link/frame.rs
+++ b/crates/marigold-sidecar/src/link/frame.rs
@@ -6,7 +6,7 @@
 
 use bytes::Bytes;
 use marigold_dispatch::{CallKind, Rank, Site, SiteReport};
-use marigold_request::quarantine::Fingerprint;
+use marigold_request::quarantine::{CrashRecord, Fingerprint};
 use marigold_types::{Digest, LogOffset, ServiceName, Version};
 use serde::{Deserialize, Serialize};
 
@@ -40,6 +40,8 @@
     /// Update of the contents of the store.
     #[serde(rename = "News")]
     StoreUpdate(Box<StoreUpdate>),
+    /// Requests that were in flight when backend servers crashed.
+    CrashRecords(Vec<CrashRecord>),
 }
 
 /// Opens a connection of a session.
--- a/crates/marigold-sidecar/src/link/outcome.rs
+++ b/crates/marigold-sidecar/src/link/outcome.rs
@@ -3,6 +3,7 @@
 use std::time::Duration;
 
 use bytes::Bytes;
+use marigold_dispatch::AttemptOutcome;
 use marigold_request::RefusalReason;
 use serde::{Deserialize, Serialize};
 
@@ -35,6 +36,23 @@
     },
 }
 
+impl CallOutcome {
+    /// Returns what the outcome says about the health of the executor. A 504 response means that the deadline
+    /// has passed and does not count as a failure.
+    #[must_use]
+    pub fn attempt_outcome(&self) -> AttemptOutcome {
+        match self {
+            Self::Answered { status, .. } if *status >= 500 && *status != 504 => {
+                AttemptOutcome::Failed
+            }
+            Self::Answered { .. } => AttemptOutcome::Served,
+            Self::Lost { .. } => AttemptOutcome::Failed,
+            Self::Rejected { .. } => AttemptOutcome::Rejected,
+            Self::Refused { .. } => AttemptOutcome::Refused,
+        }
+    }
+}
+
 /// Result of a call for the ingress that made it.
 #[derive(Debug, Clone, PartialEq)]
 pub enum CallResult {
--- a/crates/marigold-sidecar/src/link/server.rs
+++ b/crates/marigold-sidecar/src/link/server.rs
@@ -8,6 +8,7 @@
 
 use bytes::BytesMut;
 use marigold_dispatch::SiteReport;
+use marigold_request::quarantine::CrashRecord;
 use tokio::io::{AsyncReadExt, AsyncWriteExt};
 use tokio::net::tcp::{OwnedReadHalf, OwnedWriteHalf};
 use tokio::net::{TcpListener, TcpStream};
@@ -37,6 +38,8 @@
 const FOLLOW_TTL: Duration = Duration::from_secs(3);
 /// Delay after a failed accept, for example when no file descriptors are left.
 const ACCEPT_RETRY_DELAY: Duration = Duration::from_millis(20);
+/// Limit on the records in one frame, so that they do not delay other messages for long.
+const MAX_CRASH_RECORDS: usize = 128;
 const READ_BUFFER_BYTES: usize = 16 << 10;
 
 /// Runs calls.
@@ -47,6 +50,11 @@
 
     /// Returns the state of the executor.
     fn report(&self) -> SiteReport;
+
+    /// Returns the records of crashes to send to a daemon that connects.
+    fn crash_records(&self) -> Vec<CrashRecord> {
+        Vec::new()
+    }
 }
 
 /// Exchanges the contents of the store with daemons that connect to this one.
@@ -127,6 +135,15 @@
         }
     }
 
+    /// Sends records of crashes to all connected ingresses.
+    pub fn broadcast_crash_records(&self, records: &[CrashRecord]) {
+        for session in self.sessions.borrow().values() {
+            if session.detached_since().is_none() {
+                push_crash_records(session, records);
+            }
+        }
+    }
+
     async fn expire_sessions(self: Rc<Self>) {
         loop {
             sleep(SWEEP_INTERVAL).await;
@@ -188,6 +205,7 @@
         if let Some(request) = request {
             session.push(Frame::Follow(request));
         }
+        push_crash_records(&session, &self.handler.crash_records());
         let (reader, writer) = stream.into_split();
         let result = tokio::select! {
             result = self.read(&session, epoch, reader, codec, input) => result,
@@ -251,6 +269,12 @@
     }
 }
 
+fn push_crash_records(session: &Session, records: &[CrashRecord]) {
+    for part in records.chunks(MAX_CRASH_RECORDS) {
+        session.push(Frame::CrashRecords(part.to_vec()));
+    }
+}
+
 async fn read_hello(
     stream: &mut TcpStream,
     codec: &mut FrameCodec,
--- a/crates/marigold-sidecar/src/sidecar.rs
+++ b/crates/marigold-sidecar/src/sidecar.rs
@@ -16,7 +16,6 @@
 use tokio::signal::unix::{SignalKind, signal};
 use tokio::time::{Instant, sleep, timeout};
 
-use crate::HeaderNames;
 use crate::control::{
     BackendDiscovery, ConfigSource, ControlProtocol, ControlServer, DaemonLocation, Relay,
     RelayParts, SitePublisher,
@@ -26,6 +25,7 @@
 use crate::ingress::{Ingress, IngressOptions, Mesh, MeshOptions, Tuning, listen};
 use crate::link::LinkServer;
 use crate::settings::{ListenSettings, Settings};
+use crate::{CrashTracker, HeaderNames};
 
 /// Backlog of listening sockets, in connections.
 const LISTEN_BACKLOG: u32 = 1024;
@@ -178,11 +178,13 @@
 ) -> Result<Components, SidecarError> {
     let sockets = Sockets::bind(&settings.listen)?;
     let store = (adapter.store)(settings.store);
-    let mesh = build_mesh(settings, run_id, events);
+    let crashes = CrashTracker::new(settings.listen.daemons, run_id, events.clone());
+    let mesh = build_mesh(settings, run_id, &crashes, events);
     let ingress = build_ingress(settings, adapter, &mesh, events);
     let executor = build_executor(settings, adapter, &ingress, events);
     let server = LinkServer::new(run_id, executor.clone());
     executor.set_link_server(&server);
+    crashes.set_link_server(&server);
     let relay = Relay::new(
         RelayParts {
             store: store.clone(),
@@ -254,13 +256,19 @@
     })
 }
 
-fn build_mesh(settings: &Settings, run_id: u64, events: &Rc<EventLog>) -> Rc<Mesh> {
+fn build_mesh(
+    settings: &Settings,
+    run_id: u64,
+    crashes: &Rc<CrashTracker>,
+    events: &Rc<EventLog>,
+) -> Rc<Mesh> {
     let options = MeshOptions {
         address: settings.listen.daemons,
         data_centre: settings.instance.data_centre.clone(),
         tuning: mesh_tuning(settings),
     };
-    Mesh::new(&options, SmallRng::seed_from_u64(run_id), events.clone())
+    let rng = SmallRng::seed_from_u64(run_id);
+    Mesh::new(&options, rng, crashes.clone(), events.clone())
 }
 
 fn mesh_tuning(settings: &Settings) -> Tuning {
@@ -298,7 +306,7 @@
         names: adapter.names.clone(),
         max_response_body_bytes: settings.instance.memory.0 / BODY_MEMORY_DIVISOR,
     };
-    let executor = LocalExecutor::new(options, events.clone());
+    let executor = LocalExecutor::new(options, ingress.mesh.crashes.clone(), events.clone());
     let newest_seen_version = ingress.newest_seen_version.clone();
     executor.set_version_listener(Box::new(move |version| {
         newest_seen_version.send_if_modified(|newest| {
--- a/crates/marigold-sidecar/tests/common/test_mesh.rs
+++ b/crates/marigold-sidecar/tests/common/test_mesh.rs
@@ -10,6 +10,7 @@
 use marigold_dispatch::{
     CallKind, CallerLimits, LinkRate, Rank, RoutePolicy, RouteTable, ServingState, Site, Target,
 };
+use marigold_sidecar::CrashTracker;
 use marigold_sidecar::events::EventLog;
 use marigold_sidecar::executor::{ExecutorOptions, LocalExecutor};
 use marigold_sidecar::ingress::{Ingress, IngressOptions, Mesh, MeshOptions, Tuning, listen};
@@ -71,7 +72,9 @@
                 retry_window: Duration::from_secs(10),
             },
         };
-        let mesh = Mesh::new(&options, SmallRng::seed_from_u64(5), events.clone());
+        let crashes = CrashTracker::new(options.address, 0, events.clone());
+        let rng = SmallRng::seed_from_u64(5);
+        let mesh = Mesh::new(&options, rng, crashes, events.clone());
         let options = IngressOptions {
             names: names(),
             origin: service("ledger"),
@@ -134,11 +137,13 @@
             names: names(),
             max_response_body_bytes: 1 << 20,
         };
-        let executor = LocalExecutor::new(options, events.clone());
+        let (daemons_listener, address) = listener().await;
+        let crashes = CrashTracker::new(address, run_id, events.clone());
+        let executor = LocalExecutor::new(options, crashes.clone(), events.clone());
         executor.apply_announcement(&announcement(backend, 1, ServingState::Ready));
         let server = LinkServer::new(run_id, executor.clone());
         executor.set_link_server(&server);
-        let (daemons_listener, address) = listener().await;
+        crashes.set_link_server(&server);
         spawn_local(server.listen(daemons_listener));
         self.ingress.mesh.update_directory(|directory| {
             directory.put(Site {
