Try a suspected request only on executors that report slots for its service

An executor whose backend server had just crashed was still eligible, refused the call, and the ingress went on to the next, so that two ingresses could try the same request on two executors while the first came back.

--- a/crates/marigold-dispatch/src/placement.rs
+++ b/crates/marigold-dispatch/src/placement.rs
@@ -116,12 +116,13 @@
             .is_some_and(ExecutorState::is_up)
     }
 
-    /// Returns whether calls may be sent to the executor at `address`.
+    /// Returns whether the executor at `address` accepts calls for `service`, as last reported.
     #[must_use]
-    pub fn takes_calls(&self, address: SocketAddr, now: Instant) -> bool {
-        self.executors
-            .get(&address)
-            .is_some_and(|executor| executor.takes_calls(now))
+    pub fn accepts(&self, address: SocketAddr, service: &ServiceName, now: Instant) -> bool {
+        self.executors.get(&address).is_some_and(|executor| {
+            let is_serving = |report: &SiteReport| serves(report, service);
+            executor.takes_calls(now) && executor.report().is_some_and(is_serving)
+        })
     }
 
     /// Returns whether the link to the executor at `address` has failed.
--- a/crates/marigold-sidecar/src/ingress/mesh.rs
+++ b/crates/marigold-sidecar/src/ingress/mesh.rs
@@ -211,7 +211,7 @@
         let now = Instant::now();
         let placement = self.placement.borrow();
         let is_eligible =
-            |address| placement.takes_calls(address, now) && !tried.contains(&address);
+            |address| placement.accepts(address, service, now) && !tried.contains(&address);
         let directory = self.directory.borrow();
         select_trial_executor(&directory, service, fingerprint, is_eligible)
     }
