Fetch crash records when a daemon starts

What callers saw: a quarantined request that reached a daemon started since its crashes was run there and ended that backend server, too, one for each daemon that starts.

Cause: marigoldd told its records when they changed only, and got those of others in the answers. Class: the promise of one request path that the other lacks; the sidecar hands all records to a daemon that connects.

Change: a daemon asks the executors of its service once it serves, and its first requests wait for that, 200 ms at most.

--- a/crates/marigoldd/src/executor/crash_tracker.rs
+++ b/crates/marigoldd/src/executor/crash_tracker.rs
@@ -7,13 +7,15 @@
     CrashRecord, Fingerprint, Quarantine, QuarantinePolicy, QuarantineStatus, RunToken,
 };
 use marigold_types::{InstanceId, Interval};
-use tokio::sync::Notify;
+use tokio::sync::{Notify, watch};
 use tokio::time::Instant;
 
 /// A [`Quarantine`] shared between tasks, with notification of updates for other daemons.
 pub struct CrashTracker {
     quarantine: Mutex<Quarantine>,
     updated: Notify,
+    /// Whether the records of other daemons have been fetched since the start.
+    synced: watch::Sender<bool>,
 }
 
 /// A request that is running on the backend server.
@@ -30,9 +32,21 @@
         Arc::new(Self {
             quarantine: Mutex::new(Quarantine::new(local, QuarantinePolicy::fixed(term))),
             updated: Notify::new(),
+            synced: watch::Sender::new(false),
         })
     }
 
+    /// Waits until the records of other daemons have been fetched, as far as these answered.
+    pub async fn wait_until_synced(&self) {
+        // The sender is not dropped during the wait.
+        let _ = self.synced.subscribe().wait_for(|synced| *synced).await;
+    }
+
+    /// Ends all waits for the records of other daemons.
+    pub fn set_synced(&self) {
+        self.synced.send_replace(true);
+    }
+
     /// Returns whether a request may run now.
     pub fn status(&self, fingerprint: &Fingerprint) -> QuarantineStatus {
         self.lock().status(fingerprint, Instant::now())
--- a/crates/marigoldd/src/executor/local_executor.rs
+++ b/crates/marigoldd/src/executor/local_executor.rs
@@ -145,6 +145,7 @@
         if target.server.service != head.service || !*self.shared.healthy.borrow() {
             return refuse(RefusalReason::NotServing);
         }
+        self.crashes.wait_until_synced().await;
         let exclusive = match self.crashes.status(&fingerprint) {
             QuarantineStatus::Clear => false,
             QuarantineStatus::Suspect => true,
--- a/crates/marigoldd/src/executor/maintenance.rs
+++ b/crates/marigoldd/src/executor/maintenance.rs
@@ -7,7 +7,7 @@
 use marigold_request::quarantine::CrashRecord;
 use marigold_request::{RefusalReason, StreamOpen, WitnessAnswer, WitnessRequest};
 use marigold_types::{InstanceId, SlotCount};
-use tokio::time::{Instant, MissedTickBehavior, interval};
+use tokio::time::{Instant, MissedTickBehavior, interval, timeout};
 
 use super::LocalExecutor;
 use super::backend_pool::BackendPool;
@@ -18,6 +18,10 @@
 
 /// How often the declaration of the service is checked for changes.
 const DECLARATION_POLL_INTERVAL: Duration = Duration::from_millis(250);
+/// How often a daemon that has just started checks whether it serves.
+const SERVING_POLL_INTERVAL: Duration = Duration::from_millis(20);
+/// How long a daemon that has just started waits for the crash records of others.
+const CRASH_FETCH_TIMEOUT: Duration = Duration::from_millis(200);
 /// How often witnesses are asked for their uptime, so that expired keys can be removed.
 const KEY_EXPIRY_INTERVAL: Duration = Duration::from_secs(10);
 /// How long a witness may take to report its uptime.
@@ -32,6 +36,7 @@
         Prober::new(executor.clone()).run(),
         expire_keys(&executor),
         distribute_crash_records(&executor),
+        fetch_crash_records(&executor),
     );
 }
 
@@ -63,6 +68,24 @@
     }
 }
 
+/// Asks the other executors of the service for their crash records once the daemon serves, since a daemon that
+/// has just started knows none. Requests wait for it.
+async fn fetch_crash_records(executor: &LocalExecutor) {
+    let mut ticks = interval(SERVING_POLL_INTERVAL);
+    ticks.set_missed_tick_behavior(MissedTickBehavior::Delay);
+    loop {
+        ticks.tick().await;
+        let is_announced = executor.shared.server.borrow().is_some();
+        if is_announced && executor.shared.view.load().serving {
+            break;
+        }
+    }
+    let fetch = executor.exchange_crash_records(Vec::new());
+    // Some executors may be unreachable, and need not be waited for.
+    let _ = timeout(CRASH_FETCH_TIMEOUT, fetch).await;
+    executor.crashes.set_synced();
+}
+
 /// Removes the keys that have expired according to their witnesses.
 async fn expire_keys(executor: &LocalExecutor) {
     let mut ticks = interval(KEY_EXPIRY_INTERVAL);
@@ -95,8 +118,15 @@
     /// Sends crash records that are not yet distributed to the other executors of the service.
     pub(super) async fn send_crash_updates(&self) {
         let records = self.crashes.take_updates();
+        if !records.is_empty() {
+            self.exchange_crash_records(records).await;
+        }
+    }
+
+    /// Sends crash records to the other executors of the service, and merges those that they return.
+    async fn exchange_crash_records(&self, records: Vec<CrashRecord>) {
         let server = self.shared.server.borrow().clone();
-        let Some(server) = server.filter(|_| !records.is_empty()) else {
+        let Some(server) = server else {
             return;
         };
         let view = self.shared.view.load_full();
--- a/crates/marigoldd/tests/failures.rs
+++ b/crates/marigoldd/tests/failures.rs
@@ -322,6 +322,29 @@
     assert!(answered > 0);
 }
 
+#[tokio::test]
+async fn started_daemon_does_not_know_of_a_crashing_request() {
+    let servers = [
+        Backend::start().await,
+        Backend::start().await,
+        Backend::start().await,
+    ];
+    let list: Vec<&Backend> = servers.iter().collect();
+    let mut mesh = Mesh::start(&list, 1).await;
+    let caller = mesh.daemons[3].caller;
+    let crash = async || {
+        let reply = http(caller, "GET", "/read/crash", &[], "").await.unwrap();
+        reply.reason() == "quarantined"
+    };
+    while !crash().await {}
+    let late = Backend::start().await;
+    mesh.add_all(&[&late], 0).await;
+    for _ in 0..20 {
+        crash().await;
+    }
+    assert!(!late.is_stopped());
+}
+
 #[tokio::test]
 async fn rate_limited_request_is_not_sent_to_the_backend_server() {
     use marigold_config::{Config, Declaration, Limit, Resource};
