Test the quarantine of the sidecar, from decisions to two hops between data centres

Each case of the users' table that needs no processes: refusal at the ingress with the time left, at an executor whose ingress has no news, one executor for a suspect, no repeat by the mesh, closed connections that are no crash, a crash found after a broken exchange and by the next instance, farewells, news and clearances over two hops, daemons that start later, one suspect at a time, the end of a term, floods of crashing and of sound requests. A retry is handed less time than the first attempt had.

--- a/crates/marigold-request/tests/crashing_requests.rs
+++ b/crates/marigold-request/tests/crashing_requests.rs
@@ -25,6 +25,17 @@
     Quarantine::new(instance(host, 1), policy)
 }
 
+/// A policy with two crashes, and terms from 30 s to 5 minutes.
+fn patient_quarantine(host: u16) -> Quarantine {
+    let policy = QuarantinePolicy {
+        crashes: 2,
+        term: interval(30_000),
+        max_term: interval(TERM_MS),
+        memory: interval(2 * TERM_MS),
+    };
+    Quarantine::new(instance(host, 1), policy)
+}
+
 /// Starts a request as its status demands.
 fn start(daemon: &mut Quarantine, fingerprint: Fingerprint, now: Instant) -> RunToken {
     let exclusive = daemon.status(&fingerprint, now) == QuarantineStatus::Suspect;
@@ -244,3 +255,148 @@
         QuarantineStatus::Refused(_)
     ));
 }
+
+#[test]
+fn sound_request_is_refused_after_crashes_beside_it() {
+    let now = Instant::now();
+    let mut daemons: Vec<_> = (1..=6).map(patient_quarantine).collect();
+    // All backend servers are killed at the same moment, and the request is in flight at each.
+    for daemon in &mut daemons {
+        let _ = start(daemon, print(1), now);
+        daemon.record_crash(now);
+    }
+    for sender in 0..daemons.len() {
+        let updates = daemons[sender].take_updates(now);
+        for daemon in &mut daemons {
+            daemon.receive(&updates, now);
+        }
+    }
+    let daemon = &mut daemons[3];
+    assert_eq!(daemon.status(&print(1), now), QuarantineStatus::Suspect);
+    let run = start(daemon, print(1), now);
+    daemon.record_answer(run, now);
+    assert_eq!(daemon.status(&print(1), now), QuarantineStatus::Clear);
+    // Crashes recorded without knowledge of the answer do not count any more.
+    let old = daemons[5].records(now);
+    daemons[3].receive(&old, now);
+    assert_eq!(daemons[3].status(&print(1), now), QuarantineStatus::Clear);
+}
+
+#[test]
+fn first_crashes_do_not_hold_up_a_request() {
+    let now = Instant::now();
+    let mut daemon = patient_quarantine(1);
+    let _ = start(&mut daemon, print(1), now);
+    daemon.record_crash(now);
+    assert_eq!(daemon.status(&print(1), now), QuarantineStatus::Clear);
+    let _ = start(&mut daemon, print(1), now);
+    daemon.record_crash(now);
+    assert_eq!(daemon.status(&print(1), now), QuarantineStatus::Suspect);
+}
+
+/// Returns how long the request is refused after `trials` crashes during exclusive runs, in seconds.
+fn refusal_s(trials: u32) -> u64 {
+    let mut now = Instant::now();
+    let mut daemon = patient_quarantine(1);
+    let _ = daemon.record_start(print(1), true);
+    daemon.record_crash(now);
+    for _ in 1..trials {
+        while is_refused(&mut daemon, print(1), now) {
+            now += SECOND;
+        }
+        let _ = start(&mut daemon, print(1), now);
+        daemon.record_crash(now);
+    }
+    let mut left = 0;
+    while is_refused(&mut daemon, print(1), now) {
+        now += SECOND;
+        left += 1;
+    }
+    assert_eq!(daemon.status(&print(1), now), QuarantineStatus::Suspect);
+    left
+}
+
+macro_rules! refusal_tests {
+    ($($name:ident: $trials:literal => $seconds:literal;)*) => {$(
+        #[test]
+        fn $name() {
+            assert_eq!(refusal_s($trials), $seconds);
+        }
+    )*};
+}
+
+refusal_tests! {
+    first_failed_trial_refuses_for_a_short_term: 1 => 30;
+    second_failed_trial_doubles_the_term: 2 => 60;
+    third_failed_trial_doubles_it_again: 3 => 120;
+    term_has_a_limit: 7 => 300;
+}
+
+#[test]
+fn mended_request_is_served_after_the_term() {
+    let now = Instant::now();
+    let mut daemon = patient_quarantine(1);
+    let _ = daemon.record_start(print(1), true);
+    daemon.record_crash(now);
+    let later = now + 30 * SECOND;
+    let run = start(&mut daemon, print(1), later);
+    daemon.record_answer(run, later);
+    assert_eq!(daemon.status(&print(1), later), QuarantineStatus::Clear);
+    // It takes as many crashes as at first to suspect it again.
+    let _ = start(&mut daemon, print(1), later);
+    daemon.record_crash(later);
+    assert_eq!(daemon.status(&print(1), later), QuarantineStatus::Clear);
+}
+
+#[test]
+fn request_whose_caller_leaves_before_the_crash_is_not_suspected() {
+    let now = Instant::now();
+    let mut daemon = quarantine(1);
+    let run = start(&mut daemon, print(1), now);
+    daemon.record_abandoned(run, now);
+    let other = start(&mut daemon, print(2), now);
+    daemon.record_answer(other, now + ms(100));
+    daemon.record_crash(now + ms(200));
+    assert_eq!(daemon.status(&print(1), now), QuarantineStatus::Suspect);
+    assert_eq!(daemon.status(&print(2), now), QuarantineStatus::Clear);
+}
+
+#[test]
+fn abandoned_request_is_suspected_of_a_later_crash() {
+    let now = Instant::now();
+    let mut daemon = quarantine(1);
+    let run = start(&mut daemon, print(1), now);
+    daemon.record_abandoned(run, now);
+    let other = start(&mut daemon, print(2), now);
+    daemon.record_answer(other, now + 2 * SECOND);
+    daemon.record_crash(now + 2 * SECOND);
+    assert_eq!(daemon.status(&print(1), now), QuarantineStatus::Clear);
+}
+
+#[test]
+fn flood_of_crashing_requests_drops_those_that_matter() {
+    let now = Instant::now();
+    let mut daemon = patient_quarantine(1);
+    let _ = daemon.record_start(print(0), true);
+    daemon.record_crash(now);
+    for number in 0..5_000_u128 {
+        let _ = start(&mut daemon, Fingerprint((number + 1).to_be_bytes()), now);
+        daemon.record_crash(now + ms(1));
+    }
+    assert_eq!(daemon.len(), 1_024);
+    assert_eq!(daemon.take_dropped(), 5_001 - 1_024);
+    assert!(is_refused(&mut daemon, print(0), now + ms(2)));
+    assert!(daemon.records(now).len() <= 1_024);
+}
+
+#[test]
+fn sound_requests_fill_the_table() {
+    let now = Instant::now();
+    let mut daemon = patient_quarantine(1);
+    for number in 0..5_000_u128 {
+        let run = start(&mut daemon, Fingerprint(number.to_be_bytes()), now);
+        daemon.record_answer(run, now);
+    }
+    assert!(daemon.is_empty());
+    assert!(!daemon.has_updates());
+}
--- a/crates/marigold-sidecar/tests/common/test_mesh.rs
+++ b/crates/marigold-sidecar/tests/common/test_mesh.rs
@@ -25,12 +25,15 @@
 
 use super::{TEST_TIMEOUT, announcement, listener, names, service};
 
+/// Time that a failing backend server takes to respond.
+pub const FAILURE_DELAY: Duration = Duration::from_millis(20);
+
 /// How a simulated backend server handles each request.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub enum BackendBehaviour {
     /// Responds with 200 and the path and origin of the request.
     Succeed,
-    /// Responds with 500.
+    /// Responds with 500, after [`FAILURE_DELAY`].
     Fail,
     /// Responds that it did not run the request.
     Reject,
@@ -45,9 +48,13 @@
     pub callers: SocketAddr,
     pub ingress: Rc<Ingress>,
     pub executors: Vec<Rc<LocalExecutor>>,
+    /// The tracker of each executor's daemon.
+    pub trackers: Vec<Rc<CrashTracker>>,
     pub backends: Vec<SocketAddr>,
     /// Requests received by each backend server.
     pub arrivals: Rc<RefCell<HashMap<SocketAddr, u32>>>,
+    /// Time left as stated in the requests received by all backend servers, in milliseconds.
+    pub times_left: Rc<RefCell<Vec<u64>>>,
     /// Addresses at which the executors accept calls.
     pub addresses: Vec<SocketAddr>,
     /// Connections closed by the executor while the backend server was hanging.
@@ -89,9 +96,11 @@
             callers,
             ingress,
             executors: Vec::new(),
+            trackers: Vec::new(),
             backends: Vec::new(),
             addresses: Vec::new(),
             arrivals: Rc::default(),
+            times_left: Rc::default(),
             disconnects: Rc::default(),
         };
         for (run_id, behaviour) in behaviours.iter().enumerate() {
@@ -121,6 +130,7 @@
     ) {
         let (backend_listener, backend) = listener().await;
         let (arrivals, disconnects) = (self.arrivals.clone(), self.disconnects.clone());
+        let times_left = self.times_left.clone();
         spawn_local(async move {
             loop {
                 let (stream, _) = backend_listener.accept().await.expect("a connection");
@@ -129,6 +139,7 @@
                     behaviour,
                     backend,
                     arrivals.clone(),
+                    times_left.clone(),
                     disconnects.clone(),
                 ));
             }
@@ -156,6 +167,7 @@
         });
         self.addresses.push(address);
         self.executors.push(executor);
+        self.trackers.push(crashes);
         self.backends.push(backend);
     }
 
@@ -210,6 +222,7 @@
     behaviour: BackendBehaviour,
     address: SocketAddr,
     arrivals: Rc<RefCell<HashMap<SocketAddr, u32>>>,
+    times_left: Rc<RefCell<Vec<u64>>>,
     disconnects: Rc<Cell<u32>>,
 ) {
     let mut input = Vec::new();
@@ -229,6 +242,8 @@
             let line = text.lines().find_map(|line| line.strip_prefix(name));
             line.unwrap_or_default().to_owned()
         };
+        let millis = field("X-Left: ").parse().expect("a time in milliseconds");
+        times_left.borrow_mut().push(millis);
         let path = text.split(' ').nth(1).unwrap_or_default().to_owned();
         let head = format!("X-Id: {}\r\nContent-Length:", field("X-Id: "));
         let response = match behaviour {
@@ -240,6 +255,7 @@
                 )
             }
             BackendBehaviour::Fail => {
+                sleep(FAILURE_DELAY).await;
                 format!("HTTP/1.1 500 No\r\nX-Signed: s\r\n{head} 0\r\n\r\n")
             }
             BackendBehaviour::Reject => {
--- /dev/null
+++ b/crates/marigold-sidecar/tests/crashing_requests.rs
@@ -0,0 +1,312 @@
+//! Requests that crash backend servers: what ingress and executor do with them, and who hears of them.
+
+mod common;
+
+use std::cell::Cell;
+use std::net::SocketAddr;
+use std::rc::Rc;
+use std::sync::Arc;
+use std::time::Duration;
+
+use common::test_mesh::{BackendBehaviour, TestMesh, get, until};
+use common::{announcement, listener, names, service};
+use marigold_dispatch::{LinkRate, ServingState, Site};
+use marigold_request::quarantine::{CrashId, CrashRecord, Fingerprint, QuarantineStatus};
+use marigold_sidecar::CrashTracker;
+use marigold_sidecar::events::EventLog;
+use marigold_sidecar::executor::{ExecutorOptions, LocalExecutor};
+use marigold_sidecar::ingress::{Mesh, MeshOptions, Tuning};
+use marigold_sidecar::link::LinkServer;
+use marigold_types::{Address, Incarnation, InstanceId, SlotCount};
+use rand::SeedableRng;
+use rand::rngs::SmallRng;
+use tokio::io::AsyncReadExt;
+use tokio::net::TcpListener;
+use tokio::task::{JoinSet, LocalSet, spawn_local};
+use tokio::time::{advance, sleep};
+
+const CONNECTION_CLOSE: &str = "Connection: close\r\n";
+const PRINT: Fingerprint = Fingerprint([1; 16]);
+
+/// Runs each test in a [`LocalSet`], which the daemons' tasks require.
+macro_rules! local_tests {
+    ($($name:ident $body:block)*) => {$(
+        #[tokio::test]
+        async fn $name() {
+            LocalSet::new().run_until(async $body).await;
+        }
+    )*};
+}
+
+fn events() -> Rc<EventLog> {
+    Rc::new(EventLog::new(Arc::from("test"), spdlog::default_logger()))
+}
+
+fn tracker() -> Rc<CrashTracker> {
+    CrashTracker::new(SocketAddr::from(([127, 0, 0, 1], 1)), 1, events())
+}
+
+/// Returns the fingerprint of a GET request for `target` that [`TestMesh`] receives.
+fn fingerprint(target: &str) -> Fingerprint {
+    Fingerprint::with_caller(&service("desk"), &service("ledger"), "GET", target, &[])
+}
+
+/// Returns the record of a request that was in flight at two crashes.
+fn suspected(fingerprint: Fingerprint) -> CrashRecord {
+    let mut record = CrashRecord::new(fingerprint);
+    for number in 0..2 {
+        record.add_crash(CrashId {
+            instance: InstanceId {
+                address: Address(SocketAddr::from(([127, 0, 0, 1], 9))),
+                incarnation: Incarnation(9),
+            },
+            number,
+        });
+    }
+    record
+}
+
+/// Returns the record of a request that crashed a backend server during an exclusive run.
+fn refused(fingerprint: Fingerprint) -> CrashRecord {
+    let mut record = suspected(fingerprint);
+    record.add_trial();
+    record
+}
+
+fn retry_after(response: &str) -> f64 {
+    let line = response
+        .lines()
+        .find_map(|line| line.strip_prefix("Retry-After: "));
+    line.expect("a time").parse().expect("seconds")
+}
+
+local_tests! {
+    crashing_request_is_sent_on_by_the_ingress {
+        let mesh = TestMesh::new(&[BackendBehaviour::Succeed]).await;
+        let crashes = &mesh.ingress.mesh.crashes;
+        crashes.receive(&[refused(fingerprint("/safe/a"))], false);
+        let response = mesh.send(&get("/safe/a", CONNECTION_CLOSE)).await;
+        assert!(response.starts_with("HTTP/1.1 503"), "{response}");
+        assert!(response.ends_with("the request may crash backend servers"), "{response}");
+        assert!((20.0..=30.0).contains(&retry_after(&response)), "{response}");
+        assert_eq!(mesh.arrivals(), 0);
+    }
+
+    request_like_a_crashing_one_is_refused {
+        let mesh = TestMesh::new(&[BackendBehaviour::Succeed]).await;
+        let crashes = &mesh.ingress.mesh.crashes;
+        crashes.receive(&[refused(fingerprint("/safe/a"))], false);
+        let response = mesh.send(&get("/safe/b", CONNECTION_CLOSE)).await;
+        assert!(response.starts_with("HTTP/1.1 200"), "{response}");
+        let post = "POST /safe/a HTTP/1.1\r\nHost: git.example\r\nX-Id: r1\r\n\
+            Content-Length: 0\r\nConnection: close\r\n\r\n";
+        let response = mesh.send(post).await;
+        assert!(response.starts_with("HTTP/1.1 200"), "{response}");
+    }
+
+    crashing_request_is_sent_on_by_an_ingress_without_news {
+        let mesh = TestMesh::new(&[BackendBehaviour::Succeed, BackendBehaviour::Succeed]).await;
+        for tracker in &mesh.trackers {
+            tracker.receive(&[refused(fingerprint("/once/a"))], false);
+        }
+        let response = mesh.send(&get("/once/a", CONNECTION_CLOSE)).await;
+        assert!(response.starts_with("HTTP/1.1 503"), "{response}");
+        assert!(retry_after(&response) >= 20.0, "{response}");
+        assert_eq!(mesh.arrivals(), 0);
+    }
+
+    suspected_request_runs_on_several_executors {
+        let mesh = TestMesh::new(&[BackendBehaviour::Succeed; 4]).await;
+        let print = fingerprint("/safe/a");
+        let expected = mesh.ingress.mesh.choose_for_trial(&service("desk"), &print, &[]);
+        let index = mesh.addresses.iter().position(|address| Some(*address) == expected);
+        for _ in 0..5 {
+            mesh.ingress.mesh.crashes.receive(&[suspected(print)], false);
+            let response = mesh.send(&get("/safe/a", CONNECTION_CLOSE)).await;
+            assert!(response.starts_with("HTTP/1.1 200"), "{response}");
+        }
+        let chosen = mesh.backends[index.expect("an executor")];
+        assert_eq!(*mesh.arrivals.borrow(), [(chosen, 5)].into());
+    }
+
+    suspected_request_is_repeated_by_the_mesh {
+        let mesh = TestMesh::new(&[BackendBehaviour::Disconnect; 3]).await;
+        mesh.ingress.mesh.crashes.receive(&[suspected(fingerprint("/safe/a"))], false);
+        let response = mesh.send(&get("/safe/a", CONNECTION_CLOSE)).await;
+        assert!(response.starts_with("HTTP/1.1 502"), "{response}");
+        assert_eq!(mesh.arrivals(), 1);
+    }
+
+    backend_server_that_closes_connections_counts_as_crashed {
+        let mesh = TestMesh::new(&[BackendBehaviour::Disconnect; 2]).await;
+        for _ in 0..3 {
+            let response = mesh.send(&get("/once/a", CONNECTION_CLOSE)).await;
+            assert!(response.starts_with("HTTP/1.1 502"), "{response}");
+        }
+        // The check after the last of them connects to the backend server within this time.
+        sleep(Duration::from_millis(100)).await;
+        let print = fingerprint("/once/a");
+        assert!(mesh.trackers.iter().all(|tracker| tracker.is_empty()));
+        assert_eq!(mesh.ingress.mesh.crashes.status(&print), QuarantineStatus::Clear);
+    }
+
+    crash_of_a_backend_server_goes_unnoticed {
+        let daemon = Daemon::start("here").await;
+        let (socket, backend) = listener().await;
+        let crash = spawn_local(crash_on_first_request(socket));
+        daemon.executor.apply_announcement(&announcement(backend, 1, ServingState::Ready));
+        let ingress = Daemon::start("here").await;
+        ingress.link_to(&daemon, "here").await;
+        let call = common::call("r1", true);
+        let print = call.fingerprint();
+        let outcome = ingress.mesh.send(daemon.address, call).expect("room").wait().await;
+        crash.await.expect("the backend server ends");
+        until(|| !ingress.mesh.crashes.is_empty()).await;
+        let records = ingress.mesh.crashes.records();
+        assert_eq!(records.len(), 1, "{outcome:?}");
+        assert_eq!((records[0].fingerprint, records[0].crashes.len()), (print, 1));
+    }
+
+    replaced_backend_server_counts_as_crashed_after_it_said_that_it_leaves {
+        let daemon = Daemon::start("here").await;
+        let run = daemon.tracker.start(PRINT).expect("a clear request");
+        let backend = SocketAddr::from(([127, 0, 0, 1], 1));
+        daemon.executor.apply_announcement(&announcement(backend, 1, ServingState::Ready));
+        daemon.executor.apply_announcement(&announcement(backend, 2, ServingState::Draining));
+        let next = marigold_dispatch::Announcement {
+            identity: Arc::from("life-2"),
+            ..announcement(backend, 1, ServingState::Ready)
+        };
+        daemon.executor.apply_announcement(&next);
+        assert!(daemon.tracker.is_empty());
+        // An instance that follows one without a farewell shows that the former crashed.
+        let last = marigold_dispatch::Announcement { identity: Arc::from("life-3"), ..next };
+        daemon.executor.apply_announcement(&last);
+        assert_eq!(daemon.tracker.records().len(), 1);
+        drop(run);
+    }
+
+    crash_is_unknown_two_hops_away {
+        let [far, between, near] =
+            [Daemon::start("far").await, Daemon::start("here").await, Daemon::start("here").await];
+        between.link_to(&far, "far").await;
+        near.link_to(&between, "here").await;
+        let run = far.tracker.start(PRINT).expect("a clear request");
+        far.tracker.record_crash();
+        until(|| !near.tracker.is_empty()).await;
+        // The clearance follows the same way.
+        drop(run);
+        far.tracker.start(PRINT).expect("a clear request").answered();
+        until(|| near.tracker.records().iter().all(CrashRecord::is_cleared)).await;
+    }
+
+    daemon_that_starts_later_does_not_learn_of_crashes {
+        let [first, later] = [Daemon::start("here").await, Daemon::start("here").await];
+        let flood: Vec<_> = (0..1_000_u128)
+            .map(|number| refused(Fingerprint(number.to_be_bytes())))
+            .collect();
+        first.tracker.receive(&flood, false);
+        later.link_to(&first, "here").await;
+        until(|| later.tracker.records().len() == flood.len()).await;
+    }
+
+    second_suspect_runs_beside_the_first {
+        let tracker = tracker();
+        let other = Fingerprint([2; 16]);
+        tracker.receive(&[suspected(PRINT), suspected(other)], false);
+        let run = tracker.start(PRINT).expect("no other suspect runs");
+        let delay = tracker.start(other).err().expect("a refusal");
+        assert!(delay < Duration::from_secs(1), "{delay:?}");
+        assert!(tracker.start(PRINT).is_err());
+        assert!(tracker.start(Fingerprint([3; 16])).is_ok());
+        run.answered();
+        assert!(tracker.start(other).is_ok());
+    }
+
+    mended_request_stays_refused {
+        tokio::time::pause();
+        let tracker = tracker();
+        tracker.receive(&[refused(PRINT)], false);
+        let left = tracker.start(PRINT).err().expect("a refusal");
+        assert!(left <= Duration::from_secs(30), "{left:?}");
+        advance(left).await;
+        tracker.start(PRINT).expect("a trial").answered();
+        assert_eq!(tracker.status(&PRINT), QuarantineStatus::Clear);
+    }
+}
+
+/// Reads the first request, and ends as a crashed process does: all sockets close.
+async fn crash_on_first_request(socket: TcpListener) {
+    let (mut stream, _) = socket.accept().await.expect("a connection");
+    let mut buffer = [0; 1024];
+    let read = stream.read(&mut buffer).await.expect("a request");
+    assert!(read > 0);
+}
+
+/// A daemon without callers.
+struct Daemon {
+    address: SocketAddr,
+    tracker: Rc<CrashTracker>,
+    executor: Rc<LocalExecutor>,
+    mesh: Rc<Mesh>,
+    tasks: JoinSet<()>,
+}
+
+impl Daemon {
+    async fn start(data_centre: &str) -> Self {
+        thread_local! {
+            static RUNS: Cell<u64> = const { Cell::new(0) };
+        }
+        let run_id = RUNS.get();
+        RUNS.set(run_id + 1);
+        let (socket, address) = listener().await;
+        let tracker = CrashTracker::new(address, run_id, events());
+        let options = ExecutorOptions {
+            names: names(),
+            max_response_body_bytes: 1 << 20,
+        };
+        let executor = LocalExecutor::new(options, tracker.clone(), events());
+        let server = LinkServer::new(run_id, executor.clone());
+        tracker.set_link_server(&server);
+        let options = MeshOptions {
+            address,
+            data_centre: data_centre.parse().expect("a name"),
+            tuning: Tuning {
+                byte_cost: 0.0,
+                retry_ratio: 0.0,
+                retry_slack: 0.0,
+                retry_window: Duration::from_secs(10),
+            },
+        };
+        let rng = SmallRng::seed_from_u64(run_id);
+        let mesh = Mesh::new(&options, rng, tracker.clone(), events());
+        let mut tasks = JoinSet::new();
+        tasks.spawn_local(server.listen(socket));
+        Self {
+            address,
+            tracker,
+            executor,
+            mesh,
+            tasks,
+        }
+    }
+
+    /// Opens a link to another daemon and waits until it is up.
+    async fn link_to(&self, other: &Self, data_centre: &str) {
+        assert_eq!(other.tasks.len(), 1);
+        self.mesh.update_directory(|directory| {
+            directory.put(Site {
+                address: other.address,
+                data_centre: data_centre.parse().expect("a name"),
+                service: service("desk"),
+                slots: SlotCount(2),
+                link: LinkRate(100),
+            });
+        });
+        until(|| {
+            self.mesh
+                .with_placement(|placement| placement.is_up(other.address))
+        })
+        .await;
+    }
+}
--- a/crates/marigold-sidecar/tests/whole_path.rs
+++ b/crates/marigold-sidecar/tests/whole_path.rs
@@ -6,7 +6,7 @@
 use std::sync::Arc;
 use std::time::Duration;
 
-use common::test_mesh::{BackendBehaviour, TestMesh, get, until};
+use common::test_mesh::{BackendBehaviour, FAILURE_DELAY, TestMesh, get, until};
 use common::{announcement, listener};
 use marigold_dispatch::ServingState;
 use marigold_sidecar::events::EventLog;
@@ -106,6 +106,15 @@
         assert!(response.starts_with("HTTP/1.1 504"), "{response}");
     }
 
+    retry_is_handed_as_much_time_as_the_first_attempt {
+        let mesh = TestMesh::new(&[BackendBehaviour::Fail, BackendBehaviour::Fail]).await;
+        let limit = 5_000;
+        mesh.send(&get("/safe/a", &format!("X-Left: {limit}\r\nConnection: close\r\n"))).await;
+        let times_left = mesh.times_left.borrow();
+        let delay = u64::try_from(FAILURE_DELAY.as_millis()).expect("a short delay");
+        assert!(times_left[0] < limit && times_left[1] + delay <= times_left[0], "{times_left:?}");
+    }
+
     failure_is_returned_if_the_retry_times_out {
         let mesh = TestMesh::new(&[BackendBehaviour::Fail, BackendBehaviour::Hang]).await;
         let hanging = mesh.addresses[1];
