Send crash records only to daemons that understand them

A daemon of an older version refuses the new frame and closes the connection; since all records are sent at the start of a connection, it would not have kept one for ten minutes after a crash. A daemon now states in the body of its hello, which older ones ignore, that it takes the frame.

daemon_of_an_older_version_gets_crash_records fails without the check (frame CrashRecords received) and passes with it. The runs remembered as abandoned are 64 instead of 256, which bounds what one crash sends.

--- a/crates/marigold-request/src/quarantine/table.rs
+++ b/crates/marigold-request/src/quarantine/table.rs
@@ -17,7 +17,7 @@
 /// much later, since it may go on with the run, and may have crashed unnoticed.
 const ABANDONED_TTL: Duration = Duration::from_secs(1);
 /// The maximum number of such runs.
-const MAX_ABANDONED: usize = 256;
+const MAX_ABANDONED: usize = 64;
 
 /// How a request is handled.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
--- a/crates/marigold-sidecar/src/link.rs
+++ b/crates/marigold-sidecar/src/link.rs
@@ -19,7 +19,7 @@
 pub use frame::{
     Call, ConfigChange, Follow, Frame, Hello, Reply, SiteRecord, StoreUpdate, Welcome,
 };
-pub use frame_codec::FrameCodec;
+pub use frame_codec::{FrameCodec, Packet};
 pub use outcome::{CallOutcome, CallResult};
 pub use server::{CallHandler, LinkServer, StoreSync};
 pub use session::ReplyHandle;
--- a/crates/marigold-sidecar/src/link/client.rs
+++ b/crates/marigold-sidecar/src/link/client.rs
@@ -17,6 +17,7 @@
 use tokio::time::{Instant, sleep, timeout};
 use tokio_util::codec::{Decoder, Encoder};
 
+use super::frame::CRASH_RECORDS_FEATURE;
 use super::frame_codec::{MAX_BODY_PART_BYTES, Packet};
 use super::open_calls::OpenCalls;
 use super::{
@@ -310,7 +311,7 @@
     let mut codec = FrameCodec::default();
     let mut bytes = BytesMut::new();
     let frame = Frame::Hello(hello.clone());
-    let body = Bytes::new();
+    let body = Bytes::from_static(CRASH_RECORDS_FEATURE);
     codec.encode(Packet { frame, body }, &mut bytes)?;
     stream.write_all(&bytes).await?;
     bytes.clear();
--- a/crates/marigold-sidecar/src/link/server.rs
+++ b/crates/marigold-sidecar/src/link/server.rs
@@ -17,6 +17,7 @@
 use tokio_util::sync::CancellationToken;
 
 use super::client::join_parts;
+use super::frame::CRASH_RECORDS_FEATURE;
 use super::frame_codec::Packet;
 use super::session::Session;
 use super::{
@@ -138,9 +139,7 @@
     /// Sends records of crashes to all connected ingresses.
     pub fn broadcast_crash_records(&self, records: &[CrashRecord]) {
         for session in self.sessions.borrow().values() {
-            if session.detached_since().is_none() {
-                push_crash_records(session, records);
-            }
+            push_crash_records(session, records);
         }
     }
 
@@ -171,7 +170,7 @@
         set_socket_options(&stream, UNACKED_TIMEOUT)?;
         let mut codec = FrameCodec::default();
         let mut input = BytesMut::new();
-        let hello = timeout(
+        let (hello, takes_crash_records) = timeout(
             HELLO_TIMEOUT,
             read_hello(&mut stream, &mut codec, &mut input),
         )
@@ -183,7 +182,7 @@
             .entry(hello.session)
             .or_insert_with(|| Rc::new(Session::new(Instant::now())))
             .clone();
-        let Some(unknown) = session.attach(&hello) else {
+        let Some(unknown) = session.attach(&hello, takes_crash_records) else {
             return Ok(());
         };
         let welcome = Frame::Welcome(Welcome {
@@ -270,20 +269,24 @@
 }
 
 fn push_crash_records(session: &Session, records: &[CrashRecord]) {
+    if !session.takes_crash_records() {
+        return;
+    }
     for part in records.chunks(MAX_CRASH_RECORDS) {
         session.push(Frame::CrashRecords(part.to_vec()));
     }
 }
 
+/// Reads the first frame, and whether the daemon that connects understands [`Frame::CrashRecords`].
 async fn read_hello(
     stream: &mut TcpStream,
     codec: &mut FrameCodec,
     input: &mut BytesMut,
-) -> io::Result<Hello> {
+) -> io::Result<(Hello, bool)> {
     loop {
         if let Some(packet) = codec.decode(input)? {
             return match packet.frame {
-                Frame::Hello(hello) => Ok(hello),
+                Frame::Hello(hello) => Ok((hello, packet.body == CRASH_RECORDS_FEATURE)),
                 _ => Err(io::Error::other(
                     "first frame of the connection is not a hello",
                 )),
--- a/crates/marigold-sidecar/src/link/session.rs
+++ b/crates/marigold-sidecar/src/link/session.rs
@@ -40,6 +40,8 @@
     detached_since: Option<Instant>,
     /// When the ingress's subscription to store updates expires, if it has one.
     follows_until: Option<Instant>,
+    /// Whether the ingress understands [`Frame::CrashRecords`].
+    takes_crash_records: bool,
 }
 
 impl Session {
@@ -54,6 +56,7 @@
                 queue: VecDeque::new(),
                 detached_since: Some(now),
                 follows_until: None,
+                takes_crash_records: false,
             }),
             wake: Notify::new(),
         }
@@ -61,13 +64,14 @@
 
     /// Assigns the session to a new connection. Returns the open calls of `hello` that were never received, or
     /// `None` if a newer connection already has the session.
-    pub fn attach(&self, hello: &Hello) -> Option<Vec<CallId>> {
+    pub fn attach(&self, hello: &Hello, takes_crash_records: bool) -> Option<Vec<CallId>> {
         let mut state = self.state.borrow_mut();
         if hello.epoch <= state.epoch {
             return None;
         }
         state.epoch = hello.epoch;
         state.detached_since = None;
+        state.takes_crash_records = takes_crash_records;
         state.queue.clear();
         let mut unknown = Vec::new();
         for id in &hello.open {
@@ -172,6 +176,12 @@
         state.detached_since.is_none() && state.follows_until.is_some_and(|until| until > now)
     }
 
+    /// Returns whether the ingress is connected and understands [`Frame::CrashRecords`].
+    pub fn takes_crash_records(&self) -> bool {
+        let state = self.state.borrow();
+        state.detached_since.is_none() && state.takes_crash_records
+    }
+
     /// Queues an update of the store.
     pub fn push_update(&self, mut update: StoreUpdate) {
         let body = std::mem::take(&mut update.delta);
--- a/crates/marigold-sidecar/tests/links.rs
+++ b/crates/marigold-sidecar/tests/links.rs
@@ -7,17 +7,19 @@
 use std::rc::Rc;
 use std::time::Duration;
 
-use bytes::Bytes;
+use bytes::{Bytes, BytesMut};
 use common::{TEST_TIMEOUT, call, listener, site};
 use marigold_dispatch::SiteReport;
+use marigold_request::quarantine::{CrashRecord, Fingerprint};
 use marigold_sidecar::link::{
-    Call, CallHandler, CallId, CallOutcome, CallResult, LinkClient, LinkEvent, LinkServer, Reply,
-    ReplyHandle,
+    Call, CallHandler, CallId, CallOutcome, CallResult, Frame, FrameCodec, Hello, LinkClient,
+    LinkEvent, LinkServer, Packet, Reply, ReplyHandle, SessionId,
 };
-use tokio::io::copy_bidirectional;
+use tokio::io::{AsyncReadExt, AsyncWriteExt, copy_bidirectional};
 use tokio::net::{TcpListener, TcpStream};
 use tokio::task::{JoinHandle, LocalSet, spawn_local};
 use tokio::time::timeout;
+use tokio_util::codec::{Decoder, Encoder};
 use tokio_util::sync::CancellationToken;
 
 /// Holds calls until the test answers them.
@@ -36,6 +38,10 @@
     fn report(&self) -> SiteReport {
         site()
     }
+
+    fn crash_records(&self) -> Vec<CrashRecord> {
+        vec![CrashRecord::new(Fingerprint([1; 16]))]
+    }
 }
 
 impl HoldingHandler {
@@ -233,6 +239,27 @@
         wait_until(|| handler.calls.borrow()[0].2.is_cancelled()).await;
     }
 
+    daemon_of_an_older_version_gets_crash_records {
+        let (address, _) = serve(1, Rc::default()).await;
+        let mut stream = TcpStream::connect(address).await.expect("the executor");
+        let mut codec = FrameCodec::default();
+        let mut bytes = BytesMut::new();
+        let hello = Frame::Hello(Hello { session: SessionId(1), epoch: 1, open: Vec::new() });
+        for frame in [hello, Frame::Ping] {
+            let body = Bytes::new();
+            codec.encode(Packet { frame, body }, &mut bytes).expect("an encoded frame");
+        }
+        stream.write_all(&bytes).await.expect("an open connection");
+        bytes.clear();
+        loop {
+            match codec.decode(&mut bytes).expect("a frame").map(|packet| packet.frame) {
+                Some(Frame::Report(_)) => break,
+                Some(frame) => assert!(matches!(frame, Frame::Welcome(_)), "{frame:?}"),
+                None => assert!(stream.read_buf(&mut bytes).await.expect("a response") > 0),
+            }
+        }
+    }
+
     restarted_executor_reports_without_a_call {
         let first = Rc::new(HoldingHandler::default());
         let (address, task) = serve(1, first.clone()).await;
