--- a/crates/marigold-sidecar/src/crash_tracker.rs
+++ b/crates/marigold-sidecar/src/crash_tracker.rs
@@ -1,6 +1,8 @@
 //! Tracks requests that crash backend servers, for the ingress and the executor of a daemon. See
 //! docs/design/crashing-requests.md.
 
+mod tracked_run;
+
 use std::cell::{Cell, RefCell};
 use std::net::SocketAddr;
 use std::rc::{Rc, Weak};
@@ -12,9 +14,11 @@
 use marigold_types::{Address, Incarnation, InstanceId, Interval};
 use tokio::time::{Instant, sleep};
 
+pub use self::tracked_run::TrackedRun;
 use crate::events::{EventLog, Severity};
 use crate::link::LinkServer;
 
+/// When requests are suspected and refused; docs/design/crashing-requests.md gives the reasons.
 const POLICY: QuarantinePolicy = QuarantinePolicy {
     crashes: 2,
     term: Interval::from_millis(30_000),
@@ -37,13 +41,6 @@
     myself: Weak<Self>,
 }
 
-/// A request that is running on the backend server. Dropping it records that nobody waits for the response.
-pub struct TrackedRun {
-    tracker: Rc<CrashTracker>,
-    run: Option<RunToken>,
-    is_trial: bool,
-}
-
 impl CrashTracker {
     /// Creates the tracker of the daemon at `address`; `run_id` distinguishes it from earlier ones there.
     #[must_use]
@@ -86,12 +83,9 @@
         match self.status(fingerprint) {
             QuarantineStatus::Suspect if self.is_trial_running.get() => Some(TRIAL_RETRY_DELAY),
             QuarantineStatus::Clear | QuarantineStatus::Suspect => None,
-            QuarantineStatus::Refused(refusal) => Some(
-                refusal
-                    .retry_after
-                    .map_or(POLICY.term, |left| left)
-                    .duration(),
-            ),
+            QuarantineStatus::Refused(refusal) => {
+                Some(refusal.retry_after.unwrap_or(POLICY.term).duration())
+            }
         }
     }
 
@@ -112,11 +106,7 @@
             .quarantine
             .borrow_mut()
             .record_start(fingerprint, is_trial);
-        Ok(TrackedRun {
-            tracker: self.clone(),
-            run: Some(run),
-            is_trial,
-        })
+        Ok(TrackedRun::new(self.clone(), run, is_trial))
     }
 
     /// Records that the backend server has crashed.
@@ -141,7 +131,6 @@
             }
         }
         self.share();
-        self.record_size();
     }
 
     /// Merges the records of another daemon, and sends on what is new if `forward` is set.
@@ -179,6 +168,7 @@
         if let Some(server) = self.link_server.borrow().upgrade() {
             server.broadcast_crash_records(&updates);
         }
+        self.record_size();
     }
 
     fn share_soon(&self) {
@@ -207,31 +197,3 @@
         }
     }
 }
-
-impl TrackedRun {
-    /// Records that the backend server responded after running the request, which clears the request.
-    pub fn answered(mut self) {
-        if let Some(run) = self.run.take() {
-            self.tracker.record_answer(run);
-        }
-    }
-
-    /// Records that the backend server did not run the request.
-    pub fn not_run(mut self) {
-        if let Some(run) = self.run.take() {
-            self.tracker.quarantine.borrow_mut().record_end(run);
-        }
-    }
-}
-
-impl Drop for TrackedRun {
-    fn drop(&mut self) {
-        if self.is_trial {
-            self.tracker.is_trial_running.set(false);
-        }
-        if let Some(run) = self.run.take() {
-            let mut quarantine = self.tracker.quarantine.borrow_mut();
-            quarantine.record_abandoned(run, Instant::now());
-        }
-    }
-}
--- /dev/null
+++ b/crates/marigold-sidecar/src/crash_tracker/tracked_run.rs
@@ -0,0 +1,51 @@
+//! Runs of requests on the backend server, tracked for its crashes.
+
+use std::rc::Rc;
+
+use marigold_request::quarantine::RunToken;
+use tokio::time::Instant;
+
+use super::CrashTracker;
+
+/// A request that is running on the backend server. Dropping it records that nobody waits for the response.
+pub struct TrackedRun {
+    tracker: Rc<CrashTracker>,
+    run: Option<RunToken>,
+    is_trial: bool,
+}
+
+impl TrackedRun {
+    pub(super) fn new(tracker: Rc<CrashTracker>, run: RunToken, is_trial: bool) -> Self {
+        Self {
+            tracker,
+            run: Some(run),
+            is_trial,
+        }
+    }
+
+    /// Records that the backend server responded after running the request, which clears the request.
+    pub fn answered(mut self) {
+        if let Some(run) = self.run.take() {
+            self.tracker.record_answer(run);
+        }
+    }
+
+    /// Records that the backend server did not run the request.
+    pub fn not_run(mut self) {
+        if let Some(run) = self.run.take() {
+            self.tracker.quarantine.borrow_mut().record_end(run);
+        }
+    }
+}
+
+impl Drop for TrackedRun {
+    fn drop(&mut self) {
+        if self.is_trial {
+            self.tracker.is_trial_running.set(false);
+        }
+        if let Some(run) = self.run.take() {
+            let mut quarantine = self.tracker.quarantine.borrow_mut();
+            quarantine.record_abandoned(run, Instant::now());
+        }
+    }
+}
