--- a/crates/marigold-sidecar/tests/crashing_requests.rs
+++ b/crates/marigold-sidecar/tests/crashing_requests.rs
@@ -8,6 +8,7 @@
 use std::sync::Arc;
 use std::time::Duration;
 
+use bytes::{Bytes, BytesMut};
 use common::test_mesh::{BackendBehaviour, TestMesh, get, until};
 use common::{announcement, listener, names, service};
 use marigold_dispatch::{LinkRate, ServingState, Site};
@@ -16,7 +17,7 @@
 use marigold_sidecar::events::EventLog;
 use marigold_sidecar::executor::{ExecutorOptions, LocalExecutor};
 use marigold_sidecar::ingress::{Mesh, MeshOptions, Tuning};
-use marigold_sidecar::link::LinkServer;
+use marigold_sidecar::link::{Frame, FrameCodec, LinkServer, Packet};
 use marigold_types::{Address, Incarnation, InstanceId, SlotCount};
 use rand::SeedableRng;
 use rand::rngs::SmallRng;
@@ -24,8 +25,11 @@
 use tokio::net::TcpListener;
 use tokio::task::{JoinSet, LocalSet, spawn_local};
 use tokio::time::{advance, sleep};
+use tokio_util::codec::Encoder;
 
 const CONNECTION_CLOSE: &str = "Connection: close\r\n";
+/// Limit on an encoded record, see docs/design/crashing-requests.md.
+const MAX_RECORD_BYTES: usize = 160;
 const PRINT: Fingerprint = Fingerprint([1; 16]);
 
 /// Runs each test in a [`LocalSet`], which the daemons' tasks require.
@@ -237,6 +241,25 @@
         until(|| later.tracker.records().len() == flood.len()).await;
     }
 
+    crash_records_take_too_many_bytes {
+        let mut record = refused(PRINT);
+        // The longest address and run ids, and more crashes than are kept.
+        for number in 0..10 {
+            record.add_crash(CrashId {
+                instance: InstanceId {
+                    address: Address("[2001:db8::1]:65535".parse().expect("an address")),
+                    incarnation: Incarnation(u64::MAX),
+                },
+                number,
+            });
+        }
+        let frame = Frame::CrashRecords(vec![record; 128]);
+        let mut bytes = BytesMut::new();
+        let packet = Packet { frame, body: Bytes::new() };
+        FrameCodec::default().encode(packet, &mut bytes).expect("an encoded frame");
+        assert!(bytes.len() <= 128 * MAX_RECORD_BYTES, "{}", bytes.len());
+    }
+
     second_suspect_runs_beside_the_first {
         let tracker = tracker();
         let other = Fingerprint([2; 16]);
