Blame a trial only for a crash that breaks its own exchange

What callers saw: a sound request that had been beside two crashes was refused for 30 s.

Cause: a run whose exchange broke counted as abandoned, which keeps for a second what it was, exclusive or not, although the check had just found the backend server alive.

Change: runs whose exchanges break stay open until the check has its result. A crash is theirs; if the backend server is alive, they are over.

Evidence: trial_whose_connection_was_reset_is_blamed_for_a_later_crash failed before and passes.

--- a/crates/marigold-sidecar/src/crash_tracker/tracked_run.rs
+++ b/crates/marigold-sidecar/src/crash_tracker/tracked_run.rs
@@ -30,8 +30,8 @@
         }
     }
 
-    /// Records that the backend server did not run the request.
-    pub fn not_run(mut self) {
+    /// Records that the run is over without an answer, or did not take place.
+    pub fn ended(mut self) {
         if let Some(run) = self.run.take() {
             self.tracker.quarantine.borrow_mut().record_end(run);
         }
--- a/crates/marigold-sidecar/src/executor/local_executor.rs
+++ b/crates/marigold-sidecar/src/executor/local_executor.rs
@@ -23,7 +23,7 @@
 use crate::events::{EventLog, Severity};
 use crate::http1::encode_request;
 use crate::link::{Call, CallHandler, CallId, CallOutcome, LinkServer, Reply, ReplyHandle};
-use crate::{CrashTracker, HeaderNames};
+use crate::{CrashTracker, HeaderNames, TrackedRun};
 
 /// Interval at which queued calls that cannot be served in time are removed.
 const SWEEP_INTERVAL: Duration = Duration::from_millis(20);
@@ -338,7 +338,7 @@
                 }
             }
             Ok(ExchangeOutcome::Rejected { status }) => {
-                run.not_run();
+                run.ended();
                 CallOutcome::Rejected { status }
             }
             Ok(ExchangeOutcome::Broken(error)) => {
@@ -352,19 +352,21 @@
                         ("ran_ms", millis(now.elapsed()).into()),
                     ],
                 );
-                drop(run);
-                self.check_for_crash(&pool);
+                self.check_for_crash(&pool, run);
                 CallOutcome::Lost { broken: true }
             }
             Err(_) => CallOutcome::Lost { broken: false },
         }
     }
 
-    /// Checks whether the backend server has crashed, after an exchange on a connection of `pool` broke.
-    fn check_for_crash(&self, pool: &Rc<BackendPool>) {
+    /// Checks whether the backend server has crashed, after the exchange of `run` on a connection of `pool` broke.
+    fn check_for_crash(&self, pool: &Rc<BackendPool>, run: TrackedRun) {
         let Some(executor) = self.myself.upgrade() else {
             return;
         };
+        if !self.crash_check.begin(run) {
+            return;
+        }
         let pool = pool.clone();
         tokio::task::spawn_local(async move {
             let has_ended = executor.crash_check.run(&pool).await;
@@ -373,6 +375,7 @@
                 executor.crash_check.record(&executor.crashes);
                 executor.mark_unreachable(&io::ErrorKind::ConnectionRefused.into());
             }
+            executor.crash_check.end();
         });
     }
 
--- a/crates/marigold-sidecar/tests/crashing_requests.rs
+++ b/crates/marigold-sidecar/tests/crashing_requests.rs
@@ -198,6 +198,18 @@
         }
     }
 
+    trial_whose_connection_was_reset_is_blamed_for_a_later_crash {
+        let mesh = TestMesh::new(&[BackendBehaviour::Disconnect]).await;
+        let print = fingerprint("/once/a");
+        let tracker = &mesh.trackers[0];
+        tracker.receive(&[suspected(print)], false);
+        mesh.send(&get("/once/a", CONNECTION_CLOSE)).await;
+        // The check finds that the backend server still accepts connections.
+        sleep(Duration::from_millis(100)).await;
+        tracker.record_crash();
+        assert_eq!(tracker.status(&print), QuarantineStatus::Suspect);
+    }
+
     replaced_backend_server_counts_as_crashed_after_it_said_that_it_leaves {
         let daemon = Daemon::start("here").await;
         let run = daemon.tracker.start(PRINT).expect("a clear request");
