--- a/crates/marigold-sidecar/src/crash_tracker.rs
+++ b/crates/marigold-sidecar/src/crash_tracker.rs
@@ -101,6 +101,8 @@
         let is_trial = self.status(&fingerprint) == QuarantineStatus::Suspect;
         if is_trial {
             self.is_trial_running.set(true);
+            let fields = [("fingerprint", fingerprint.to_string().into())];
+            self.events.emit("trial_started", Severity::Warn, &fields);
         }
         let run = self
             .quarantine
@@ -155,6 +157,16 @@
         self.quarantine.borrow_mut().records(Instant::now())
     }
 
+    /// Records that the exclusive run of a request is over for this daemon, and how.
+    fn end_trial(&self, fingerprint: &Fingerprint, outcome: &'static str) {
+        self.is_trial_running.set(false);
+        let fields = [
+            ("fingerprint", fingerprint.to_string().into()),
+            ("outcome", outcome.into()),
+        ];
+        self.events.emit("trial_ended", Severity::Warn, &fields);
+    }
+
     fn record_answer(&self, run: RunToken) {
         self.quarantine
             .borrow_mut()
--- a/crates/marigold-sidecar/src/crash_tracker/tracked_run.rs
+++ b/crates/marigold-sidecar/src/crash_tracker/tracked_run.rs
@@ -2,7 +2,7 @@
 
 use std::rc::Rc;
 
-use marigold_request::quarantine::RunToken;
+use marigold_request::quarantine::{Fingerprint, RunToken};
 use tokio::time::Instant;
 
 use super::CrashTracker;
@@ -10,21 +10,27 @@
 /// A request that is running on the backend server. Dropping it records that nobody waits for the response.
 pub struct TrackedRun {
     tracker: Rc<CrashTracker>,
+    fingerprint: Fingerprint,
     run: Option<RunToken>,
     is_trial: bool,
+    /// How the run ended, in logs.
+    outcome: &'static str,
 }
 
 impl TrackedRun {
     pub(super) fn new(tracker: Rc<CrashTracker>, run: RunToken, is_trial: bool) -> Self {
         Self {
             tracker,
+            fingerprint: run.fingerprint,
             run: Some(run),
             is_trial,
+            outcome: "abandoned",
         }
     }
 
     /// Records that the backend server responded after running the request, which clears the request.
     pub fn answered(mut self) {
+        self.outcome = "answered";
         if let Some(run) = self.run.take() {
             self.tracker.record_answer(run);
         }
@@ -32,6 +38,7 @@
 
     /// Records that the run is over without an answer, or did not take place.
     pub fn ended(mut self) {
+        self.outcome = "no answer";
         if let Some(run) = self.run.take() {
             self.tracker.quarantine.borrow_mut().record_end(run);
         }
@@ -41,7 +48,7 @@
 impl Drop for TrackedRun {
     fn drop(&mut self) {
         if self.is_trial {
-            self.tracker.is_trial_running.set(false);
+            self.tracker.end_trial(&self.fingerprint, self.outcome);
         }
         if let Some(run) = self.run.take() {
             let mut quarantine = self.tracker.quarantine.borrow_mut();
