Add red tests: a request that silences the backend servers that run it is sent on

Backend servers of the soak can fall silent: the instance ends, its connections stay open and new ones are accepted, nothing is answered, the next instance starts 2 or 5 s later. Two tests without processes show the causes: no record of the crash before the next instance, and no other daemon knows of an open trial.

--- a/crates/marigold-request/tests/crashing_requests.rs
+++ b/crates/marigold-request/tests/crashing_requests.rs
@@ -373,6 +373,25 @@
     assert_eq!(daemon.status(&print(1), now), QuarantineStatus::Clear);
 }
 
+#[test]
+fn request_is_tried_elsewhere_before_the_outcome_of_its_trial_is_known() {
+    let now = Instant::now();
+    let (mut one, mut other) = (patient_quarantine(1), patient_quarantine(2));
+    for _ in 0..2 {
+        let _ = start(&mut one, print(1), now);
+        one.record_crash(now);
+    }
+    // The backend server falls silent, and the caller gives up.
+    let trial = start(&mut one, print(1), now);
+    one.record_abandoned(trial, now);
+    send_updates(&mut one, &mut other, now);
+    assert!(is_refused(&mut other, print(1), now));
+    let later = now + 2 * SECOND;
+    one.record_crash(later);
+    send_updates(&mut one, &mut other, later);
+    assert!(is_refused(&mut other, print(1), later + 29 * SECOND));
+}
+
 #[test]
 fn flood_of_crashing_requests_drops_those_that_matter() {
     let now = Instant::now();
--- a/crates/marigold-sidecar/tests/crashing_requests.rs
+++ b/crates/marigold-sidecar/tests/crashing_requests.rs
@@ -11,6 +11,7 @@
 use bytes::{Bytes, BytesMut};
 use common::test_mesh::{BackendBehaviour, TestMesh, get, until};
 use common::{announcement, listener, names, service};
+use futures_util::future::join;
 use marigold_dispatch::{LinkRate, ServingState, Site};
 use marigold_request::quarantine::{CrashId, CrashRecord, Fingerprint, QuarantineStatus};
 use marigold_sidecar::CrashTracker;
@@ -175,6 +176,16 @@
         assert_eq!((records[0].fingerprint, records[0].crashes.len()), (print, 1));
     }
 
+    crash_of_a_silent_backend_server_goes_unnoticed_until_the_next_instance {
+        let mesh = TestMesh::new(&[BackendBehaviour::Hang]).await;
+        let requests = ["/safe/a", "/safe/b"].map(|path| get(path, CONNECTION_CLOSE));
+        let [first, second] = requests.each_ref().map(|request| mesh.send(request));
+        tokio::select! {
+            _ = join(first, second) => panic!("callers gave up first"),
+            () = until(|| mesh.trackers[0].records().len() == 2) => {}
+        }
+    }
+
     crashes_of_a_backend_server_under_one_identity_count_once {
         let daemon = Daemon::start("here").await;
         let (socket, backend) = listener().await;
