Notice a backend server that falls silent, and await the outcome of a trial

What callers saw: a request that silences the backend servers that run it went on being sent for seconds, and innocent requests beside it were refused for 30 s.

Cause: evidence was used only once it was certain, and nothing held the request until then. A run that neither answers nor breaks counted when the next instance announced itself, 2 s after the end; an exclusive run was over for the daemon when its caller gave up, so the next send was another trial; and a trial could start on a backend server that had ended before, whose end then convicted an innocent request.

--- a/crates/marigold-dispatch/src/admission_controller.rs
+++ b/crates/marigold-dispatch/src/admission_controller.rs
@@ -296,7 +296,9 @@
         }
     }
 
-    fn expected_run(&self, request: &SlotRequest, now: Instant) -> Duration {
+    /// Returns how long a request is expected to run.
+    #[must_use]
+    pub fn expected_run(&self, request: &SlotRequest, now: Instant) -> Duration {
         let initial_run = || request.objective.saturating_duration_since(now) / INITIAL_RUN_DIVISOR;
         self.kinds
             .get(&request.kind)
--- a/crates/marigold-request/src/quarantine.rs
+++ b/crates/marigold-request/src/quarantine.rs
@@ -5,9 +5,11 @@
 mod policy;
 mod run_token;
 mod table;
+mod trial_hold;
 
 pub use crash_record::{CrashId, CrashRecord};
 pub use fingerprint::Fingerprint;
 pub use policy::QuarantinePolicy;
 pub use run_token::RunToken;
 pub use table::{Quarantine, QuarantineStatus};
+pub use trial_hold::TrialHold;
--- a/crates/marigold-request/src/quarantine/crash_record.rs
+++ b/crates/marigold-request/src/quarantine/crash_record.rs
@@ -7,7 +7,7 @@
 use marigold_types::{InstanceId, Interval};
 use serde::{Deserialize, Serialize};
 
-use crate::quarantine::{Fingerprint, QuarantinePolicy};
+use crate::quarantine::{Fingerprint, QuarantinePolicy, TrialHold};
 
 /// Limit on the recorded crashes of a request. More of them make no difference.
 const MAX_CRASHES: usize = 4;
@@ -35,6 +35,8 @@
     pub trials: u32,
     /// The time since the last crash.
     pub age: Interval,
+    /// Whether the outcome of an exclusive run since then is awaited.
+    pub hold: TrialHold,
 }
 
 impl CrashRecord {
@@ -47,6 +49,7 @@
             crashes: BTreeSet::new(),
             trials: 0,
             age: Interval::default(),
+            hold: TrialHold::default(),
         }
     }
 
@@ -66,6 +69,17 @@
         left.filter(|left| !left.is_zero())
     }
 
+    /// Returns for how much longer the outcome of an exclusive run is awaited, or `None` if it is not.
+    #[must_use]
+    pub fn held_for(&self, policy: &QuarantinePolicy) -> Option<Duration> {
+        let left = policy
+            .hold
+            .duration()
+            .checked_sub(self.hold.age.duration())
+            .filter(|left| !left.is_zero());
+        left.filter(|_| self.hold.is_open())
+    }
+
     /// Returns whether the request only runs exclusively.
     #[must_use]
     pub fn is_suspect(&self, policy: &QuarantinePolicy) -> bool {
@@ -85,6 +99,7 @@
     pub fn add_trial(&mut self) {
         self.trials = self.trials.saturating_add(1);
         self.age = Interval::default();
+        self.hold.close();
     }
 
     /// Clears the request after an answer.
@@ -92,6 +107,7 @@
         self.generation = self.generation.saturating_add(1);
         self.crashes.clear();
         self.trials = 0;
+        self.hold = TrialHold::default();
     }
 
     /// Merges another record of the same request; returns whether this one changed other than in its age.
@@ -115,6 +131,8 @@
             ..self.clone()
         };
         merged.drop_excess();
+        merged.hold.merge(&other.hold);
+        let has_other_hold = merged.hold.differs(&self.hold);
         let is_own = merged.has_crashes_of(self);
         merged.age = match (is_own, merged.has_crashes_of(other)) {
             (true, true) => self.age.max(other.age),
@@ -123,7 +141,7 @@
             (false, false) => self.age.min(other.age),
         };
         *self = merged;
-        !is_own
+        !is_own || has_other_hold
     }
 
     fn has_crashes_of(&self, other: &Self) -> bool {
--- a/crates/marigold-request/src/quarantine/policy.rs
+++ b/crates/marigold-request/src/quarantine/policy.rs
@@ -4,6 +4,9 @@
 
 use marigold_types::Interval;
 
+/// A backend server that ended has been replaced by then, or is not replaced at all.
+const MAX_HOLD: Interval = Interval::from_millis(10_000);
+
 /// How many crashes make a request a suspect, and how long it is refused and remembered.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub struct QuarantinePolicy {
@@ -14,6 +17,8 @@
     pub term: Interval,
     /// Limit on the time that a request is refused after a crash.
     pub max_term: Interval,
+    /// How long the outcome of an exclusive run without an answer is awaited at most.
+    pub hold: Interval,
     /// How long a request is remembered after its last crash; at least `max_term`.
     pub memory: Interval,
 }
@@ -27,6 +32,7 @@
             crashes: 1,
             term,
             max_term: term,
+            hold: term.min(MAX_HOLD),
             memory: term,
         }
     }
--- a/crates/marigold-request/src/quarantine/table.rs
+++ b/crates/marigold-request/src/quarantine/table.rs
@@ -18,6 +18,9 @@
 const ABANDONED_TTL: Duration = Duration::from_secs(1);
 /// The maximum number of such runs.
 const MAX_ABANDONED: usize = 64;
+/// When to return with a request whose exclusive run has an unknown outcome. It is known when the backend server
+/// answers another request or the next instance announces itself, neither of which can be predicted.
+const HOLD_RETRY_DELAY: Interval = Interval::from_millis(500);
 
 /// How a request is handled.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
@@ -26,15 +29,16 @@
     Clear,
     /// The request was in flight at crashes: it only runs exclusively, and the mesh does not retry it.
     Suspect,
-    /// A backend server crashed during an exclusive run of the request: it is refused and has not run.
+    /// A backend server crashed during an exclusive run of the request, or may have: it is refused and has not run.
     Refused(Refusal),
 }
 
 #[derive(Debug, Clone)]
 struct Entry {
-    /// The age is as of `crashed_at`.
+    /// The ages are as of `crashed_at` and `held_at`.
     record: CrashRecord,
     crashed_at: Instant,
+    held_at: Instant,
 }
 
 /// The runs of one request in progress at the daemon's backend server.
@@ -114,6 +118,9 @@
         if let Some(left) = record.refused_for(&self.policy) {
             let left = interval(left);
             QuarantineStatus::Refused(Refusal::retryable(RefusalReason::Quarantined, left))
+        } else if let Some(left) = record.held_for(&self.policy) {
+            let delay = interval(left).min(HOLD_RETRY_DELAY);
+            QuarantineStatus::Refused(Refusal::retryable(RefusalReason::Quarantined, delay))
         } else if record.is_suspect(&self.policy) {
             QuarantineStatus::Suspect
         } else {
@@ -137,12 +144,14 @@
 
     /// Records the answer of the backend server, which clears a request that was in flight at crashes.
     pub fn record_answer(&mut self, run: RunToken, now: Instant) {
-        self.record_end(run);
-        let is_over = |run: &Abandoned| now.saturating_duration_since(run.at) >= ABANDONED_TTL;
-        while self.abandoned.front().is_some_and(is_over) {
-            self.abandoned.pop_front();
-        }
+        self.end_run(run);
         self.expire(now);
+        let is_over = |run: &mut Abandoned| now.saturating_duration_since(run.at) >= ABANDONED_TTL;
+        while let Some(over) = self.abandoned.pop_front_if(is_over) {
+            if over.exclusive {
+                self.close_hold(over.fingerprint, now);
+            }
+        }
         if let Some(entry) = self.entries.get_mut(&run.fingerprint)
             && !entry.record.is_cleared()
         {
@@ -152,7 +161,14 @@
     }
 
     /// Records that the backend server is known to be done with a request that it did not answer.
-    pub fn record_end(&mut self, run: RunToken) {
+    pub fn record_end(&mut self, run: RunToken, now: Instant) {
+        self.end_run(run);
+        if run.exclusive && run.crashes == self.crashes {
+            self.close_hold(run.fingerprint, now);
+        }
+    }
+
+    fn end_run(&mut self, run: RunToken) {
         // The crash already ended all runs that started before it.
         if run.crashes != self.crashes {
             return;
@@ -165,7 +181,8 @@
         }
     }
 
-    /// Records that nobody waits for the answer to a request any more. The backend server may still run it.
+    /// Records that nobody waits for the answer to a request any more. The backend server may still run it. After an
+    /// exclusive run no daemon runs the request until the outcome is known.
     pub fn record_abandoned(&mut self, run: RunToken, now: Instant) {
         if run.crashes == self.crashes {
             if self.abandoned.len() == MAX_ABANDONED {
@@ -176,27 +193,52 @@
                 exclusive: run.exclusive,
                 at: now,
             });
+            if run.exclusive {
+                self.open_hold(run.fingerprint, now);
+            }
+        }
+        self.end_run(run);
+    }
+
+    /// Records that nothing is heard from the daemon's backend server any more, so that it may have ended; returns the
+    /// records of the requests in flight. The runs go on: the server answers again, or its crash is recorded.
+    pub fn record_silence(&mut self, now: Instant) -> Vec<CrashRecord> {
+        let crash = self.next_crash();
+        let suspects = self.suspects();
+        for (fingerprint, exclusive) in &suspects {
+            if *exclusive {
+                self.open_hold(*fingerprint, now);
+            } else {
+                self.change(*fingerprint, now, |record| record.add_crash(crash));
+            }
+        }
+        let prints = suspects.into_keys();
+        prints
+            .filter_map(|print| self.record(&print, now))
+            .collect()
+    }
+
+    /// Records that the daemon's backend server is heard again after a silence.
+    pub fn record_sound(&mut self, now: Instant) {
+        let running = self.running.iter();
+        let exclusive: Vec<_> = running
+            .filter(|(_, running)| running.exclusive)
+            .map(|(fingerprint, _)| *fingerprint)
+            .collect();
+        for fingerprint in exclusive {
+            self.close_hold(fingerprint, now);
         }
-        self.record_end(run);
     }
 
     /// Records a crash of the daemon's backend server; returns the records of the requests in flight.
     pub fn record_crash(&mut self, now: Instant) -> Vec<CrashRecord> {
-        let crash = CrashId {
-            instance: self.local,
-            number: self.crashes,
-        };
+        let crash = self.next_crash();
+        let suspects = self.suspects();
         self.crashes += 1;
-        let running = std::mem::take(&mut self.running);
-        let mut suspects: BTreeMap<_, _> = running
-            .into_iter()
-            .map(|(fingerprint, running)| (fingerprint, running.exclusive))
-            .collect();
-        for run in self.abandoned.drain(..) {
-            *suspects.entry(run.fingerprint).or_default() |= run.exclusive;
-        }
+        self.running.clear();
+        self.abandoned.clear();
         let add = |(fingerprint, exclusive)| {
-            self.add_crash(fingerprint, now, |record| {
+            self.change(fingerprint, now, |record| {
                 if exclusive {
                     record.add_trial();
                 } else {
@@ -220,7 +262,7 @@
             number: u32::MAX,
         };
         for fingerprint in fingerprints {
-            self.add_crash(*fingerprint, now, |record| record.add_crash(crash));
+            self.change(*fingerprint, now, |record| record.add_crash(crash));
         }
     }
 
@@ -267,13 +309,50 @@
 
     fn record(&self, fingerprint: &Fingerprint, now: Instant) -> Option<CrashRecord> {
         let entry = self.entries.get(fingerprint)?;
+        let held_for = now.saturating_duration_since(entry.held_at);
         Some(CrashRecord {
             age: interval(now.saturating_duration_since(entry.crashed_at)),
+            hold: entry.record.hold.with_age(interval(held_for)),
             ..entry.record.clone()
         })
     }
 
-    fn add_crash(
+    /// Returns the name of the next crash of the daemon's backend server.
+    fn next_crash(&self) -> CrashId {
+        CrashId {
+            instance: self.local,
+            number: self.crashes,
+        }
+    }
+
+    /// Returns the requests that are or may be in flight, and which of them run exclusively.
+    fn suspects(&self) -> BTreeMap<Fingerprint, bool> {
+        let running = self.running.iter();
+        let mut suspects: BTreeMap<_, _> = running
+            .map(|(fingerprint, running)| (*fingerprint, running.exclusive))
+            .collect();
+        for run in &self.abandoned {
+            *suspects.entry(run.fingerprint).or_default() |= run.exclusive;
+        }
+        suspects
+    }
+
+    /// Awaits the outcome of an exclusive run, unless an answer has cleared the request meanwhile.
+    fn open_hold(&mut self, fingerprint: Fingerprint, now: Instant) {
+        let record = self.record(&fingerprint, now);
+        if !record.is_some_and(|record| record.is_suspect(&self.policy)) {
+            return;
+        }
+        self.change(fingerprint, now, |record| record.hold.open());
+    }
+
+    fn close_hold(&mut self, fingerprint: Fingerprint, now: Instant) {
+        if self.entries.contains_key(&fingerprint) {
+            self.change(fingerprint, now, |record| record.hold.close());
+        }
+    }
+
+    fn change(
         &mut self,
         fingerprint: Fingerprint,
         now: Instant,
@@ -293,6 +372,8 @@
     fn put(&mut self, record: CrashRecord, now: Instant, has_news: bool) {
         let fingerprint = record.fingerprint;
         let crashed_at = now.checked_sub(record.age.duration()).unwrap_or(now);
+        let held_at = now.checked_sub(record.hold.age.duration());
+        let held_at = held_at.unwrap_or(now);
         let expiry = crashed_at + self.policy.memory.duration();
         if expiry <= now {
             return;
@@ -300,8 +381,12 @@
         self.remove(&fingerprint);
         self.make_room();
         self.expiries.insert((expiry, fingerprint));
-        self.entries
-            .insert(fingerprint, Entry { record, crashed_at });
+        let entry = Entry {
+            record,
+            crashed_at,
+            held_at,
+        };
+        self.entries.insert(fingerprint, entry);
         if has_news {
             self.queue_update(fingerprint);
         }
--- a/crates/marigold-request/tests/common/mod.rs
+++ b/crates/marigold-request/tests/common/mod.rs
@@ -1,6 +1,8 @@
 //! Fixtures shared by several tests.
 #![allow(dead_code, reason = "each test file uses only some of the fixtures")]
 
+pub mod crashes;
+
 use std::collections::BTreeMap;
 use std::sync::Arc;
 use std::time::Duration;
--- a/crates/marigold-request/tests/crashing_requests.rs
+++ b/crates/marigold-request/tests/crashing_requests.rs
@@ -4,56 +4,17 @@
 
 use std::collections::BTreeSet;
 
+use common::crashes::{is_refused, patient_quarantine, print, quarantine, send_updates, start};
 use common::{SECOND, instance, interval, ms};
 use marigold_request::RefusalReason;
 use marigold_request::quarantine::{
-    CrashId, CrashRecord, Fingerprint, Quarantine, QuarantinePolicy, QuarantineStatus, RunToken,
+    CrashId, CrashRecord, Fingerprint, QuarantineStatus, TrialHold,
 };
 use rand::seq::SliceRandom;
 use rand::{RngExt, SeedableRng};
 use rand_chacha::ChaCha8Rng;
 use tokio::time::Instant;
 
-const TERM_MS: u64 = 300_000;
-
-fn print(number: u8) -> Fingerprint {
-    Fingerprint([number; 16])
-}
-
-fn quarantine(host: u16) -> Quarantine {
-    let policy = QuarantinePolicy::fixed(interval(TERM_MS));
-    Quarantine::new(instance(host, 1), policy)
-}
-
-/// A policy with two crashes, and terms from 30 s to 5 minutes.
-fn patient_quarantine(host: u16) -> Quarantine {
-    let policy = QuarantinePolicy {
-        crashes: 2,
-        term: interval(30_000),
-        max_term: interval(TERM_MS),
-        memory: interval(2 * TERM_MS),
-    };
-    Quarantine::new(instance(host, 1), policy)
-}
-
-/// Starts a request as its status demands.
-fn start(daemon: &mut Quarantine, fingerprint: Fingerprint, now: Instant) -> RunToken {
-    let exclusive = daemon.status(&fingerprint, now) == QuarantineStatus::Suspect;
-    daemon.record_start(fingerprint, exclusive)
-}
-
-fn is_refused(daemon: &mut Quarantine, fingerprint: Fingerprint, now: Instant) -> bool {
-    matches!(
-        daemon.status(&fingerprint, now),
-        QuarantineStatus::Refused(_)
-    )
-}
-
-fn send_updates(from: &mut Quarantine, to: &mut Quarantine, now: Instant) {
-    let updates = from.take_updates(now);
-    to.receive(&updates, now);
-}
-
 #[test]
 fn request_is_refused_after_two_crashes() {
     let now = Instant::now();
@@ -155,7 +116,7 @@
     let now = Instant::now();
     let mut daemon = quarantine(1);
     let runs = [1, 2, 3].map(|number| start(&mut daemon, print(number), now));
-    daemon.record_end(runs[0]);
+    daemon.record_end(runs[0], now);
     daemon.record_answer(runs[1], now);
     daemon.record_crash(now);
     let statuses = [1, 2, 3].map(|number| daemon.status(&print(number), now));
@@ -218,7 +179,16 @@
             let crashes: BTreeSet<_> = (0..rng.random_range(0..4))
                 .map(|_| crash(rng.random_range(0..8)))
                 .collect();
+            let mut hold = TrialHold::default();
+            for _ in 0..rng.random_range(0..4) {
+                if hold.is_open() {
+                    hold.close();
+                } else {
+                    hold.open();
+                }
+            }
             CrashRecord {
+                hold,
                 generation: rng.random_range(0..3),
                 crashes,
                 trials: rng.random_range(0..3),
@@ -248,7 +218,7 @@
     let first = start(&mut daemon, print(1), now);
     daemon.record_crash(now);
     let _ = start(&mut daemon, print(1), now);
-    daemon.record_end(first);
+    daemon.record_end(first, now);
     daemon.record_crash(now);
     assert!(matches!(
         daemon.status(&print(1), now),
@@ -373,25 +343,6 @@
     assert_eq!(daemon.status(&print(1), now), QuarantineStatus::Clear);
 }
 
-#[test]
-fn request_is_tried_elsewhere_before_the_outcome_of_its_trial_is_known() {
-    let now = Instant::now();
-    let (mut one, mut other) = (patient_quarantine(1), patient_quarantine(2));
-    for _ in 0..2 {
-        let _ = start(&mut one, print(1), now);
-        one.record_crash(now);
-    }
-    // The backend server falls silent, and the caller gives up.
-    let trial = start(&mut one, print(1), now);
-    one.record_abandoned(trial, now);
-    send_updates(&mut one, &mut other, now);
-    assert!(is_refused(&mut other, print(1), now));
-    let later = now + 2 * SECOND;
-    one.record_crash(later);
-    send_updates(&mut one, &mut other, later);
-    assert!(is_refused(&mut other, print(1), later + 29 * SECOND));
-}
-
 #[test]
 fn flood_of_crashing_requests_drops_those_that_matter() {
     let now = Instant::now();
--- a/crates/marigold-sidecar/src/crash_tracker.rs
+++ b/crates/marigold-sidecar/src/crash_tracker.rs
@@ -23,6 +23,7 @@
     crashes: 2,
     term: Interval::from_millis(30_000),
     max_term: Interval::from_millis(300_000),
+    hold: Interval::from_millis(10_000),
     memory: Interval::from_millis(600_000),
 };
 /// Retry delay of a suspected request while another one runs on the backend server.
@@ -115,11 +116,7 @@
     pub fn record_crash(&self) {
         let records = self.quarantine.borrow_mut().record_crash(Instant::now());
         metrics::counter!("marigold_backend_crashes_total").increment(1);
-        let fingerprints: Vec<_> = records
-            .iter()
-            .map(|record| record.fingerprint.to_string())
-            .collect();
-        let fields = [("fingerprints", fingerprints.into())];
+        let fields = [("fingerprints", fingerprints(&records).into())];
         self.events.emit("backend_crashed", Severity::Warn, &fields);
         for record in records {
             if let Some(left) = record.refused_for(&POLICY) {
@@ -135,6 +132,22 @@
         self.share();
     }
 
+    /// Records that nothing is heard from the backend server any more.
+    pub fn record_silence(&self) {
+        let records = self.quarantine.borrow_mut().record_silence(Instant::now());
+        metrics::counter!("marigold_backend_silences_total").increment(1);
+        let fields = [("fingerprints", fingerprints(&records).into())];
+        self.events.emit("backend_silent", Severity::Warn, &fields);
+        self.share();
+    }
+
+    /// Records that the backend server is heard again after a silence.
+    pub fn record_sound(&self) {
+        self.quarantine.borrow_mut().record_sound(Instant::now());
+        self.events.emit("backend_heard", Severity::Info, &[]);
+        self.share_soon();
+    }
+
     /// Merges the records of another daemon, and sends on what is new if `forward` is set.
     pub fn receive(&self, records: &[CrashRecord], forward: bool) {
         // What is pending comes from this daemon and is sent in any case.
@@ -209,3 +222,8 @@
         }
     }
 }
+
+fn fingerprints(records: &[CrashRecord]) -> Vec<String> {
+    let prints = records.iter().map(|record| record.fingerprint.to_string());
+    prints.collect()
+}
--- a/crates/marigold-sidecar/src/crash_tracker/tracked_run.rs
+++ b/crates/marigold-sidecar/src/crash_tracker/tracked_run.rs
@@ -40,7 +40,11 @@
     pub fn ended(mut self) {
         self.outcome = "no answer";
         if let Some(run) = self.run.take() {
-            self.tracker.quarantine.borrow_mut().record_end(run);
+            self.tracker
+                .quarantine
+                .borrow_mut()
+                .record_end(run, Instant::now());
+            self.tracker.share_soon();
         }
     }
 }
@@ -51,8 +55,13 @@
             self.tracker.end_trial(&self.fingerprint, self.outcome);
         }
         if let Some(run) = self.run.take() {
-            let mut quarantine = self.tracker.quarantine.borrow_mut();
-            quarantine.record_abandoned(run, Instant::now());
+            let now = Instant::now();
+            let quarantine = &self.tracker.quarantine;
+            quarantine.borrow_mut().record_abandoned(run, now);
+            // No other daemon may run it before the outcome of a trial is known.
+            if self.is_trial {
+                self.tracker.share();
+            }
         }
     }
 }
--- a/crates/marigold-sidecar/src/executor.rs
+++ b/crates/marigold-sidecar/src/executor.rs
@@ -9,6 +9,7 @@
 mod exchange;
 mod local_executor;
 mod probe;
+mod silence_watch;
 mod slot_queue;
 
 pub use backend_pool::BackendPool;
--- a/crates/marigold-sidecar/src/executor/local_executor.rs
+++ b/crates/marigold-sidecar/src/executor/local_executor.rs
@@ -10,7 +10,7 @@
     AdmissionController, Announcement, AnnouncementOutcome, BackendState, SiteReport, SlotRequest,
 };
 use marigold_request::RefusalReason;
-use marigold_request::quarantine::CrashRecord;
+use marigold_request::quarantine::{CrashRecord, Fingerprint, QuarantineStatus};
 use marigold_types::{ServiceName, SlotCount, Version};
 use tokio::time::{Instant, sleep, timeout_at};
 use tokio_util::sync::CancellationToken;
@@ -19,6 +19,8 @@
 use super::call_progress::{CallProgress, millis};
 use super::crash_check::CrashCheck;
 use super::exchange::{BackendRequest, ExchangeOutcome, exchange};
+use super::probe::probe;
+use super::silence_watch::{SilenceChange, SilenceWatch};
 use super::slot_queue::SlotQueue;
 use crate::events::{EventLog, Severity};
 use crate::http1::encode_request;
@@ -27,10 +29,14 @@
 
 /// Interval at which queued calls that cannot be served in time are removed.
 const SWEEP_INTERVAL: Duration = Duration::from_millis(20);
+/// Retry delay of a suspected request while the backend server is not certain to be alive.
+const TRIAL_RETRY_DELAY: Duration = Duration::from_millis(100);
 /// Retry delay while the backend server is draining or absent.
 const UNAVAILABLE_RETRY_DELAY: Duration = Duration::from_millis(300);
 /// How long calls are refused after the backend server has failed to accept a connection.
 const UNREACHABLE_COOLDOWN: Duration = Duration::from_millis(500);
+/// Interval at which a silent backend server is asked whether it is alive.
+const SILENCE_PROBE_INTERVAL: Duration = Duration::from_millis(400);
 /// Status of a backend server's response to a request whose deadline has passed.
 const STATUS_DEADLINE_PASSED: u16 = 504;
 /// Time reserved before the deadline for the response to reach the caller.
@@ -39,6 +45,9 @@
 /// Called with the configuration version that a call was routed by.
 pub type VersionListener = Box<dyn Fn(Version)>;
 
+/// Returns the path of the backend server's health check, or `None` while it is not known.
+pub type HealthPathSource = Box<dyn Fn() -> Option<Arc<str>>>;
+
 /// Options of a [`LocalExecutor`], fixed for its lifetime.
 #[derive(Debug, Clone)]
 pub struct ExecutorOptions {
@@ -61,10 +70,12 @@
     closing: Cell<bool>,
     unreachable_until: Cell<Option<Instant>>,
     crash_check: CrashCheck,
+    silence: SilenceWatch,
     in_flight: Cell<usize>,
     link_server: RefCell<Weak<LinkServer>>,
     /// Called for each call.
     version_listener: RefCell<Option<VersionListener>>,
+    health_path: RefCell<Option<HealthPathSource>>,
     myself: Weak<Self>,
 }
 
@@ -86,9 +97,11 @@
             closing: Cell::new(false),
             unreachable_until: Cell::new(None),
             crash_check: CrashCheck::default(),
+            silence: SilenceWatch::default(),
             in_flight: Cell::new(0),
             link_server: RefCell::default(),
             version_listener: RefCell::default(),
+            health_path: RefCell::default(),
             myself: myself.clone(),
         })
     }
@@ -104,11 +117,17 @@
         *self.version_listener.borrow_mut() = Some(listener);
     }
 
+    /// Sets the source of the path of the health check by which a silent backend server is found to be alive.
+    pub fn set_health_path(&self, source: HealthPathSource) {
+        *self.health_path.borrow_mut() = Some(source);
+    }
+
     /// Removes expired calls and idle connections and updates metrics, until the task is dropped.
     pub async fn run_maintenance(self: Rc<Self>) {
         loop {
             sleep(SWEEP_INTERVAL).await;
             self.queue.remove_expired();
+            self.check_silence();
             if self.is_unreachable()
                 && self
                     .unreachable_until
@@ -125,6 +144,54 @@
         }
     }
 
+    /// Records that the backend server has fallen silent, or is heard again.
+    fn check_silence(&self) {
+        let Some((_, slots)) = self.serving() else {
+            return;
+        };
+        match self.silence.poll(slots.0) {
+            Some(SilenceChange::Silent) => {
+                self.crashes.record_silence();
+                self.apply_backend_state();
+                if let Some(executor) = self.myself.upgrade() {
+                    tokio::task::spawn_local(executor.probe_until_heard());
+                }
+            }
+            Some(SilenceChange::Heard) => {
+                self.crashes.record_sound();
+                self.apply_backend_state();
+            }
+            None => {}
+        }
+    }
+
+    /// Asks the silent backend server whether it is alive, so that no request is spent on that.
+    async fn probe_until_heard(self: Rc<Self>) {
+        let instance = self.backend.borrow().current().cloned();
+        let Some(instance) = instance else {
+            return;
+        };
+        loop {
+            sleep(SILENCE_PROBE_INTERVAL).await;
+            let is_current = (self.backend.borrow().serving())
+                .is_some_and(|current| current.identity == instance.identity);
+            if !is_current || !self.silence.is_silent() {
+                return;
+            }
+            let path = (self.health_path.borrow().as_ref()).and_then(|source| source());
+            let is_alive = match path {
+                Some(path) => probe(instance.address, &path, &self.options.names)
+                    .await
+                    .is_ok(),
+                // Without a health check, requests show it.
+                None => true,
+            };
+            if is_alive {
+                self.silence.record_sound();
+            }
+        }
+    }
+
     /// Applies an announcement of the backend server.
     pub fn apply_announcement(&self, announcement: &Announcement) -> AnnouncementOutcome {
         let was_serving = self.backend.borrow().serving().is_some();
@@ -139,6 +206,7 @@
                     self.crash_check.record(&self.crashes);
                 }
                 self.crash_check.reset();
+                self.silence.reset();
                 self.unreachable_until.set(None);
                 *self.pool.borrow_mut() = Some(Rc::new(BackendPool::new(announcement.address)));
                 self.apply_backend_state();
@@ -209,7 +277,7 @@
     }
 
     fn usable_slots(&self) -> SlotCount {
-        if self.is_unreachable() {
+        if self.is_unreachable() || self.silence.is_silent() {
             return SlotCount(0);
         }
         self.serving().map_or(SlotCount(0), |(_, slots)| slots)
@@ -279,6 +347,9 @@
             objective: arrived_at + call.objective,
             deadline,
         };
+        let expected_run = self
+            .queue
+            .read(|controller| controller.expected_run(&slot_request, arrived_at));
         let slot_result = self.queue.acquire(slot_request).await;
         progress.waited = arrived_at.elapsed();
         let mut slot = match slot_result {
@@ -309,19 +380,23 @@
             return refused(RefusalReason::Deadline, Duration::ZERO);
         };
         // The request may have crashed a backend server during the waits.
-        let run = match self.crashes.start(fingerprint) {
+        let run = match self.start_run(fingerprint) {
             Ok(run) => run,
             Err(delay) => {
                 pool.release(conn, None);
                 return refused(RefusalReason::Quarantined, delay);
             }
         };
+        let watched = self.silence.watch(expected_run);
         progress.started_at = Some(now);
         let result = timeout_at(
             deadline,
             exchange(&pool, conn, &self.options.names, &request),
         );
         let result = result.await;
+        if result.is_ok() {
+            watched.record_sound();
+        }
         match result {
             Ok(ExchangeOutcome::Answered(response)) => {
                 slot.mark_completed();
@@ -359,6 +434,17 @@
         }
     }
 
+    /// Records that a request is sent to the backend server.
+    ///
+    /// A suspected request is not blamed for the end of a backend server that had ended before.
+    fn start_run(&self, fingerprint: Fingerprint) -> Result<TrackedRun, Duration> {
+        let is_suspect = self.crashes.status(&fingerprint) == QuarantineStatus::Suspect;
+        if is_suspect && !self.silence.is_alive() {
+            return Err(TRIAL_RETRY_DELAY);
+        }
+        self.crashes.start(fingerprint)
+    }
+
     /// Checks whether the backend server has crashed, after the exchange of `run` on a connection of `pool` broke.
     fn check_for_crash(&self, pool: &Rc<BackendPool>, run: TrackedRun) {
         let Some(executor) = self.myself.upgrade() else {
@@ -393,7 +479,7 @@
         if instance.draining_since.is_some() {
             return Err(RefusalReason::Draining);
         }
-        if self.is_unreachable() {
+        if self.is_unreachable() || self.silence.is_silent() {
             return Err(RefusalReason::NoConnection);
         }
         Ok(())
--- a/crates/marigold-sidecar/src/link/frame.rs
+++ b/crates/marigold-sidecar/src/link/frame.rs
@@ -12,9 +12,9 @@
 
 use super::{CallId, CallOutcome, SessionId};
 
-/// Body of a [`Frame::Hello`] from a daemon that understands [`Frame::CrashRecords`]. Older daemons send none, and
-/// ignore this one.
-pub const CRASH_RECORDS_FEATURE: &[u8] = b"crash-records";
+/// Body of a [`Frame::Hello`] from a daemon that understands the present format of [`Frame::CrashRecords`]. Older
+/// daemons send none or another one, and send no records to a daemon that sends this one.
+pub const CRASH_RECORDS_FEATURE: &[u8] = b"crash-records-2";
 
 /// One message. The body of a call or reply, or the last part of it, and the delta of a store update follow
 /// the encoded frame.
--- a/crates/marigold-sidecar/src/sidecar.rs
+++ b/crates/marigold-sidecar/src/sidecar.rs
@@ -315,6 +315,11 @@
             is_newer
         });
     }));
+    let (ingress, service) = (ingress.clone(), settings.instance.service.clone());
+    executor.set_health_path(Box::new(move || {
+        let table = ingress.table()?;
+        Some(table.service(&service)?.health_path.clone())
+    }));
     executor
 }
 
--- a/crates/marigold-sidecar/tests/common/test_mesh.rs
+++ b/crates/marigold-sidecar/tests/common/test_mesh.rs
@@ -156,6 +156,7 @@
         executor.set_link_server(&server);
         crashes.set_link_server(&server);
         spawn_local(server.listen(daemons_listener));
+        spawn_local(executor.clone().run_maintenance());
         self.ingress.mesh.update_directory(|directory| {
             directory.put(Site {
                 address,
--- a/crates/marigoldd/src/executor/crash_tracker.rs
+++ b/crates/marigoldd/src/executor/crash_tracker.rs
@@ -108,6 +108,8 @@
         if !self.answered {
             let mut quarantine = self.tracker.lock();
             quarantine.record_abandoned(self.run, Instant::now());
+            drop(quarantine);
+            self.tracker.updated.notify_one();
         }
     }
 }
