Let a request return soon while less than half of its executors take calls

What callers saw: beside a paused sidecar, a refusal with 2 to 3 s as the time to return, although five of six backend servers were free. The daemon had just woken up, its links were still silent, and its own full executor was the only one it could ask.

--- a/crates/marigold-sidecar/src/ingress/mesh.rs
+++ b/crates/marigold-sidecar/src/ingress/mesh.rs
@@ -216,6 +216,21 @@
         select_trial_executor(&directory, service, fingerprint, is_eligible)
     }
 
+    /// Returns whether at least half of the executors of `service` take calls. Otherwise those that do say little about
+    /// when a request can run: after a pause or a cut of this daemon, the others are back within moments.
+    #[must_use]
+    pub fn has_majority(&self, service: &ServiceName) -> bool {
+        let now = Instant::now();
+        let placement = self.placement.borrow();
+        let directory = self.directory.borrow();
+        let (mut all, mut accepting) = (0, 0);
+        for site in directory.of(service) {
+            all += 1;
+            accepting += usize::from(placement.accepts(site.address, service, now));
+        }
+        accepting * 2 >= all
+    }
+
     /// Sends a call to the executor at `address`.
     ///
     /// # Errors
--- a/crates/marigold-sidecar/src/ingress/request_handler.rs
+++ b/crates/marigold-sidecar/src/ingress/request_handler.rs
@@ -256,6 +256,9 @@
                 }
             };
             let Some(address) = address else {
+                if !self.mesh.has_majority(context.service) {
+                    progress.refused(UNAVAILABLE_RETRY_DELAY);
+                }
                 return conclude(&progress, failure.take());
             };
             if progress.arrivals() > 0 && !self.may_retry(context, progress.arrivals()) {
