--- a/crates/marigold-dispatch/src/admission_controller.rs
+++ b/crates/marigold-dispatch/src/admission_controller.rs
@@ -8,13 +8,13 @@
 use std::collections::BTreeMap;
 use std::time::Duration;
 
-use marigold_types::SlotCount;
+use marigold_types::{ServiceName, SlotCount};
 use slotmap::{SlotMap, new_key_type};
 use tokio::time::Instant;
 
 use crate::kind_stats::{DEMAND_DECAY_TIME, KindStats};
 use crate::wait_queue::WaitQueue;
-use crate::{CallKind, Rank, RunTime};
+use crate::{CallKind, Rank, RequestLimit, RequestPacer, RunTime, SiteReport};
 
 /// The run time assumed before the first run is the objective divided by this number.
 const INITIAL_RUN_DIVISOR: u32 = 3;
@@ -30,6 +30,8 @@
 const FAIR_GRANT_INTERVAL: u32 = 32;
 /// The minimum retry delay given to a refused caller.
 const MIN_RETRY_AFTER: Duration = Duration::from_millis(30);
+/// A request waits for at most this many intervals of a request limit, so that the most urgent ones are sent next.
+const MAX_PACED_WAIT_INTERVALS: u32 = 2;
 /// The run time assumed when a request is queued, as a multiple of the mean: three in four runs take no
 /// longer.
 const RUN_TIME_MARGIN: f64 = 1.2;
@@ -103,6 +105,8 @@
     run_time: RunTime,
     /// The number of grant attempts modulo `FAIR_GRANT_INTERVAL`.
     grant_count: u32,
+    /// Paces the requests if the backend server has named a limit.
+    pacer: RequestPacer,
 }
 
 impl AdmissionController {
@@ -117,6 +121,7 @@
             kinds: BTreeMap::new(),
             run_time: RunTime::default(),
             grant_count: 0,
+            pacer: RequestPacer::new(),
         }
     }
 
@@ -131,6 +136,53 @@
         self.slots = slots.0;
     }
 
+    /// Changes the limit of requests per second that the backend server takes.
+    pub fn set_request_limit(&mut self, limit: Option<RequestLimit>, now: Instant) {
+        self.pacer.set_limit(limit, self.running.len(), now);
+    }
+
+    /// Records a request that was sent to the backend server without a slot, such as a health check.
+    pub fn record_unslotted(&mut self, now: Instant) {
+        self.pacer.record_sent(now);
+    }
+
+    /// Returns the limit of requests per second, if there is one.
+    #[must_use]
+    pub fn request_limit(&self) -> Option<RequestLimit> {
+        self.pacer.limit()
+    }
+
+    /// Returns whether the limit of requests per second allows another one now.
+    #[must_use]
+    pub fn is_within_limit(&self, now: Instant) -> bool {
+        self.pacer.is_open(now)
+    }
+
+    /// Returns the load for the report to ingresses.
+    ///
+    /// Slots for which the request limit leaves no requests count as busy. Once all are, the run time is the one at
+    /// which the slots would process requests at the limit, so that ingresses estimate the wait for the next one.
+    #[must_use]
+    pub fn report(&self, service: Option<ServiceName>, now: Instant) -> SiteReport {
+        let count = |len: usize| SlotCount(u32::try_from(len).unwrap_or(u32::MAX));
+        let mut report = SiteReport {
+            service,
+            slots: self.slots(),
+            busy: count(self.busy()),
+            queued: count(self.queued()),
+            mean_run: self.mean_run(),
+        };
+        if let Some(limit) = self.pacer.limit() {
+            let free = count(self.pacer.available(now)).0;
+            let taken = SlotCount(self.slots.saturating_sub(free));
+            report.busy = report.busy.max(taken);
+            if free == 0 {
+                report.mean_run = report.mean_run.max(limit.interval() * self.slots);
+            }
+        }
+        report
+    }
+
     /// Returns the number of requests that hold a slot.
     #[must_use]
     pub fn busy(&self) -> usize {
@@ -153,7 +205,7 @@
     pub fn admit(&mut self, request: SlotRequest, now: Instant) -> AdmissionDecision {
         self.record_demand(&request, now);
         let run = self.expected_run(&request, now);
-        if self.has_free_slot() && self.waiting.is_empty() {
+        if self.may_start(now) && self.waiting.is_empty() {
             return AdmissionDecision::Run(self.start(request.kind, now));
         }
         let on_time_key = QueueKey {
@@ -164,6 +216,13 @@
             return AdmissionDecision::Refuse(self.retry_after(&on_time_key, Duration::ZERO, now));
         }
         let wait = self.estimated_wait(&on_time_key, now);
+        // Other backend servers may be free at once.
+        let max_wait = (self.pacer.limit()).map_or(Duration::MAX, |limit| {
+            limit.interval() * MAX_PACED_WAIT_INTERVALS
+        });
+        if wait > max_wait {
+            return AdmissionDecision::Refuse(self.retry_after(&on_time_key, max_wait, now));
+        }
         let left = request.objective.saturating_duration_since(now);
         if wait + run.mul_f64(RUN_TIME_MARGIN) <= left {
             return AdmissionDecision::Wait(self.enqueue(request, on_time_key, run));
@@ -174,13 +233,17 @@
         };
         let left = request.deadline.saturating_duration_since(now);
         let late_wait = self.estimated_wait(&late_key, now);
-        if run < left && late_wait <= left.saturating_sub(run) / LATE_WAIT_DIVISOR {
+        if run < left
+            && late_wait <= max_wait
+            && late_wait <= left.saturating_sub(run) / LATE_WAIT_DIVISOR
+        {
             return AdmissionDecision::Wait(self.enqueue(request, late_key, run));
         }
         let spare = request
             .objective
             .saturating_duration_since(now)
-            .saturating_sub(run);
+            .saturating_sub(run.mul_f64(RUN_TIME_MARGIN))
+            .min(max_wait);
         AdmissionDecision::Refuse(self.retry_after(&on_time_key, spare, now))
     }
 
@@ -208,7 +271,7 @@
 
     /// Assigns a free slot to the next waiting request, or returns `None` if either is missing.
     pub fn grant(&mut self, now: Instant) -> Option<(Ticket, Permit)> {
-        if !self.has_free_slot() {
+        if !self.may_start(now) {
             return None;
         }
         self.grant_count = (self.grant_count + 1) % FAIR_GRANT_INTERVAL;
@@ -230,15 +293,16 @@
     /// Removes the waiting requests that can no longer complete by their deadline, and returns the retry delay of
     /// each.
     pub fn remove_expired(&mut self, now: Instant) -> Vec<(Ticket, Duration)> {
-        let is_expired = |waiting: &Waiting| {
+        let is_expired = |waiting: &Waiting, start: Instant| {
             let run = self.expected_run(&waiting.request, now);
-            now + run / 2 > waiting.request.deadline
+            start + run / 2 > waiting.request.deadline
         };
         let expired: Vec<_> = self
-            .waiting
-            .iter()
-            .filter(|(_, waiting)| is_expired(waiting))
-            .map(|(ticket, waiting)| (ticket, waiting.key.clone()))
+            .earliest_starts(now)
+            .into_iter()
+            .filter_map(|(ticket, start)| Some((ticket, start, self.waiting.get(ticket)?)))
+            .filter(|(_, start, waiting)| is_expired(waiting, *start))
+            .map(|(ticket, _, waiting)| (ticket, waiting.key.clone()))
             .collect();
         let mut removed = Vec::with_capacity(expired.len());
         for (ticket, key) in expired {
@@ -248,8 +312,25 @@
         removed
     }
 
-    fn has_free_slot(&self) -> bool {
-        self.running.len() < usize::try_from(self.slots).unwrap_or(usize::MAX)
+    /// Returns when each waiting request can start at the earliest. Only a request limit delays it beyond `now`: how
+    /// soon slots become free is uncertain.
+    fn earliest_starts(&self, now: Instant) -> Vec<(Ticket, Instant)> {
+        if self.pacer.limit().is_none() {
+            return self.waiting.keys().map(|ticket| (ticket, now)).collect();
+        }
+        let mut queues: Vec<_> = self.queues.iter().collect();
+        queues.sort_by(|a, b| self.urgency(b.0).total_cmp(&self.urgency(a.0)));
+        let tickets = queues.into_iter().flat_map(|(_, queue)| queue.tickets());
+        tickets
+            .enumerate()
+            .map(|(ahead, ticket)| (ticket, now + self.pacer.wait(ahead, now)))
+            .collect()
+    }
+
+    /// Returns whether a slot is free and the backend server takes another request now.
+    fn may_start(&self, now: Instant) -> bool {
+        let has_free_slot = self.running.len() < usize::try_from(self.slots).unwrap_or(usize::MAX);
+        has_free_slot && self.pacer.is_open(now)
     }
 
     fn max_waiting(&self) -> usize {
@@ -257,6 +338,7 @@
     }
 
     fn start(&mut self, kind: CallKind, now: Instant) -> Permit {
+        self.pacer.record_sent(now);
         self.running.insert(Running {
             kind,
             started_at: now,
@@ -308,7 +390,15 @@
     /// Returns the urgency of a queue, or 0 if its kind is not tracked.
     fn urgency(&self, key: &QueueKey) -> f64 {
         let known = self.kinds.get(&key.kind);
-        known.map_or(0.0, |kind| kind.urgency(key.late))
+        known.map_or(0.0, |kind| self.urgency_of(kind, key.late))
+    }
+
+    fn urgency_of(&self, kind: &KindStats, late: bool) -> f64 {
+        if self.pacer.limit().is_some() {
+            kind.value(late)
+        } else {
+            kind.urgency(late)
+        }
     }
 
     fn next_ticket(&self) -> Option<Ticket> {
@@ -355,17 +445,34 @@
             .filter(|(other, _)| self.urgency(other) >= own)
             .map(|(_, queue)| queue.total_run_time())
             .sum();
-        let overtaking: f64 = self
-            .kinds
-            .iter()
-            .filter(|(kind, known)| (key.late || **kind != key.kind) && known.urgency(false) > own)
+        let overtaking_kinds = || {
+            let kinds = self.kinds.iter();
+            kinds.filter(|(kind, known)| {
+                (key.late || **kind != key.kind) && self.urgency_of(known, false) > own
+            })
+        };
+        let overtaking: f64 = overtaking_kinds()
             .map(|(_, known)| known.demand_at(now))
             .sum();
         let slots = f64::from(self.slots);
         let open = 1.0 - (overtaking / slots).min(MAX_DEMAND_RATIO);
         // On average, a slot becomes free after the mean run time divided by the number of slots.
         let first = self.mean_run().as_secs_f64();
-        Duration::from_secs_f64((ahead.as_secs_f64() + first) / slots / open)
+        let wait = Duration::from_secs_f64((ahead.as_secs_f64() + first) / slots / open);
+        let Some(limit) = self.pacer.limit() else {
+            return wait;
+        };
+        let ahead = self
+            .queues
+            .iter()
+            .filter(|(other, _)| self.urgency(other) >= own)
+            .map(|(_, queue)| queue.len())
+            .sum();
+        let overtaking: f64 = overtaking_kinds()
+            .map(|(_, known)| known.arrival_rate_at(now))
+            .sum();
+        let open = 1.0 - (overtaking / limit.rate()).min(MAX_DEMAND_RATIO);
+        wait.max(self.pacer.wait(ahead, now).div_f64(open))
     }
 
     fn retry_after(&self, key: &QueueKey, spare: Duration, now: Instant) -> Duration {
--- a/crates/marigold-dispatch/src/backend_state.rs
+++ b/crates/marigold-dispatch/src/backend_state.rs
@@ -7,13 +7,38 @@
 use marigold_types::{ServiceName, SlotCount};
 use tokio::time::Instant;
 
-use crate::{Announcement, ServingState};
+use crate::{Announcement, RequestLimit, ServingState};
 
 /// The number of departed instances to remember, so that a delayed announcement does not revive one.
 const MAX_DEPARTED: usize = 64;
+/// The sequence number of an instance's first announcement. One that is announced with a later number first has served
+/// before.
+const FIRST_SEQUENCE: u64 = 1;
+
+/// What the backend server said last about the requests that it takes.
+#[derive(Debug, Clone, Copy, PartialEq)]
+pub enum NamedLimit {
+    /// It served before this daemon started, and has not responded since.
+    Unknown,
+    /// It names no limit.
+    None,
+    /// It names this limit.
+    Limit(RequestLimit),
+}
+
+impl NamedLimit {
+    /// Returns the limit, if one is known.
+    #[must_use]
+    pub fn limit(self) -> Option<RequestLimit> {
+        match self {
+            Self::Limit(limit) => Some(limit),
+            Self::Unknown | Self::None => None,
+        }
+    }
+}
 
 /// The current instance of the backend server, serving or draining.
-#[derive(Debug, Clone, PartialEq, Eq)]
+#[derive(Debug, Clone, PartialEq)]
 pub struct BackendInstance {
     /// The identifier of the instance.
     pub identity: Arc<str>,
@@ -31,6 +56,8 @@
     pub draining_since: Option<Instant>,
     /// When the latest announcement arrived.
     pub last_announced: Instant,
+    /// The limit of requests that its responses name.
+    pub limit: NamedLimit,
 }
 
 /// The effect of an announcement.
@@ -97,6 +124,14 @@
         }
     }
 
+    /// Records what a response of the current instance said about its limit; returns what was known before if it
+    /// differs.
+    pub fn record_limit(&mut self, limit: NamedLimit) -> Option<NamedLimit> {
+        let instance = self.current.as_mut()?;
+        let previous = std::mem::replace(&mut instance.limit, limit);
+        (previous != limit).then_some(previous)
+    }
+
     /// Records that an instance has departed, or will shortly without another announcement.
     pub fn mark_departed(&mut self, identity: &str, now: Instant) -> AnnouncementOutcome {
         let Some(instance) = &mut self.current else {
@@ -145,6 +180,11 @@
             slots: announcement.slots,
             draining_since: (announcement.state == ServingState::Draining).then_some(now),
             last_announced: now,
+            limit: if announcement.sequence == FIRST_SEQUENCE {
+                NamedLimit::None
+            } else {
+                NamedLimit::Unknown
+            },
         });
     }
 
--- a/crates/marigold-dispatch/src/kind_stats.rs
+++ b/crates/marigold-dispatch/src/kind_stats.rs
@@ -39,13 +39,18 @@
         self.run_time.mean_or(self.initial_run)
     }
 
+    /// Returns the request value gained per request, which counts where requests are limited rather than slots.
+    pub fn value(&self, late: bool) -> f64 {
+        let value_ratio = if late { LATE_VALUE_RATIO } else { 1.0 };
+        value_ratio * self.rank.value()
+    }
+
     /// Returns the request value gained per second of slot time.
     ///
     /// Short requests go before long ones of the next more urgent rank: they delay those little, and calls
     /// that other requests wait for are short.
     pub fn urgency(&self, late: bool) -> f64 {
-        let value_ratio = if late { LATE_VALUE_RATIO } else { 1.0 };
-        value_ratio * self.rank.value() / self.run().max(MIN_RUN_TIME).as_secs_f64()
+        self.value(late) / self.run().max(MIN_RUN_TIME).as_secs_f64()
     }
 
     pub fn add_demand(&mut self, now: Instant) {
@@ -54,6 +59,11 @@
         self.demand_at = now;
     }
 
+    /// Returns the recent number of requests per second.
+    pub fn arrival_rate_at(&self, now: Instant) -> f64 {
+        self.demand_at(now) / self.run().max(MIN_RUN_TIME).as_secs_f64()
+    }
+
     pub fn demand_at(&self, now: Instant) -> f64 {
         let age = now.saturating_duration_since(self.demand_at).as_secs_f64();
         self.demand * (-age / DEMAND_DECAY_TIME.as_secs_f64()).exp()
--- a/crates/marigold-dispatch/src/wait_queue.rs
+++ b/crates/marigold-dispatch/src/wait_queue.rs
@@ -18,6 +18,16 @@
         self.total_run_time
     }
 
+    /// Returns the number of tickets.
+    pub fn len(&self) -> usize {
+        self.tickets.len()
+    }
+
+    /// Returns the tickets, the first one first.
+    pub fn tickets(&self) -> impl Iterator<Item = Ticket> {
+        self.tickets.iter().copied()
+    }
+
     /// Appends a ticket.
     pub fn push(&mut self, ticket: Ticket, run_time: Duration) {
         self.tickets.push_back(ticket);
--- a/crates/marigold-sidecar/src/control/backend_discovery.rs
+++ b/crates/marigold-sidecar/src/control/backend_discovery.rs
@@ -11,7 +11,7 @@
 
 use crate::HeaderNames;
 use crate::events::{EventLog, Severity};
-use crate::executor::{LocalExecutor, probe};
+use crate::executor::{LocalExecutor, ProbeResponse, probe};
 use crate::ingress::Ingress;
 
 /// Interval at which the preconditions for a probe are checked.
@@ -54,7 +54,10 @@
             };
             probes += 1;
             match probe(self.backend_address, &path, &self.names).await {
-                Ok(Some(identity)) if !self.executor.knows_backend() => {
+                Ok(ProbeResponse {
+                    identity: Some(identity),
+                    statement,
+                }) if !self.executor.knows_backend() => {
                     self.events.emit(
                         "backend_found",
                         Severity::Info,
@@ -64,6 +67,7 @@
                         identity,
                         ..announcement
                     });
+                    self.executor.apply_statement(&statement);
                 }
                 Ok(_) => sleep(PROBE_RETRY_DELAY).await,
                 Err(error) => {
--- a/crates/marigold-sidecar/src/executor.rs
+++ b/crates/marigold-sidecar/src/executor.rs
@@ -3,16 +3,20 @@
 //! One process decides on slots, draining, identity and at-most-once execution, so no consensus is needed.
 
 mod backend_conn;
+mod backend_monitor;
 mod backend_pool;
 mod call_progress;
 mod crash_check;
 mod exchange;
+mod executor_options;
+mod limit_watch;
 mod local_executor;
 mod probe;
 mod silence_watch;
 mod slot_queue;
 
 pub use backend_pool::BackendPool;
-pub use exchange::{BackendRequest, ExchangeOutcome, exchange};
-pub use local_executor::{ExecutorOptions, LocalExecutor};
-pub use probe::probe;
+pub use exchange::{BackendRequest, BackendStatement, ExchangeOutcome, ExchangeResult, exchange};
+pub use executor_options::{ExecutorOptions, HealthPathSource, VersionListener};
+pub use local_executor::LocalExecutor;
+pub use probe::{ProbeResponse, probe};
--- a/crates/marigold-sidecar/src/executor/exchange.rs
+++ b/crates/marigold-sidecar/src/executor/exchange.rs
@@ -2,6 +2,7 @@
 
 use std::io;
 use std::sync::Arc;
+use std::time::Duration;
 
 use bytes::{Bytes, BytesMut};
 use tokio::io::{AsyncReadExt, AsyncWriteExt};
@@ -9,7 +10,8 @@
 use super::BackendPool;
 use super::backend_conn::BackendConn;
 use crate::HeaderNames;
-use crate::http1::{HttpError, ParsedResponse, Response, ResponseReader};
+use crate::http1::{HttpError, ParsedResponse, Response, ResponseReader, encode_request};
+use crate::link::Call;
 
 const READ_BUFFER_BYTES: usize = 8 << 10;
 /// Status of a request whose expected identity is not the one of the backend server.
@@ -30,6 +32,52 @@
     pub max_body_bytes: u64,
 }
 
+impl BackendRequest {
+    /// Builds the request of a call to the backend server with `identity`, which stops work on it after `time_left`.
+    #[must_use]
+    pub fn for_call(
+        call: &Call,
+        identity: &str,
+        time_left: Duration,
+        names: &HeaderNames,
+        max_body_bytes: u64,
+    ) -> Self {
+        let extra = format!(
+            "{}: {}\r\n{}: {identity}\r\n{}: {}\r\n",
+            names.deadline,
+            time_left.as_millis().max(1),
+            names.expected_identity,
+            names.origin,
+            call.origin,
+        );
+        let bytes = encode_request(&call.method, &call.target, &call.fields, &extra, &call.body);
+        Self {
+            id: call.request_id.clone(),
+            bodiless: &*call.method == "HEAD",
+            bytes,
+            max_body_bytes,
+        }
+    }
+}
+
+/// What a response says about the backend server itself.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub struct BackendStatement {
+    /// The fields that name its limit of requests per second, separated by commas, if there are any.
+    pub request_limit: Option<Arc<str>>,
+    /// Whether it ran the request. One that rejects requests may leave fields out.
+    pub has_run: bool,
+}
+
+/// A request sent to the backend server and what came back.
+#[derive(Debug, Clone, PartialEq)]
+pub struct ExchangeResult {
+    /// The outcome of the request.
+    pub outcome: ExchangeOutcome,
+    /// What the response says about the backend server, unless it is from another one.
+    pub statement: Option<BackendStatement>,
+}
+
 /// Outcome of a request sent to the backend server.
 #[derive(Debug, Clone, PartialEq)]
 pub enum ExchangeOutcome {
@@ -74,21 +122,21 @@
     mut conn: BackendConn,
     names: &Arc<HeaderNames>,
     request: &BackendRequest,
-) -> ExchangeOutcome {
+) -> ExchangeResult {
     let mut reader = ResponseReader::new(names.clone(), request.bodiless, request.max_body_bytes);
     let mut sent = 0;
     let mut stray_responses = 0;
     let parsed = loop {
         let parsed = match read_response(&mut conn, &mut reader, &request.bytes, &mut sent).await {
             Ok(parsed) => parsed,
-            Err(error) => return ExchangeOutcome::Broken(error),
+            Err(error) => return broken(error),
         };
         if is_response_to(&parsed, &request.id) {
             break parsed;
         }
         stray_responses += 1;
         if stray_responses > MAX_STRAY_RESPONSES || parsed.close_delimited {
-            return ExchangeOutcome::Broken(ExchangeError::StrayResponses);
+            return broken(ExchangeError::StrayResponses);
         }
     };
     // Excess input belongs to no request. If the request was not sent completely, the backend server would
@@ -97,7 +145,21 @@
     if is_clean && !parsed.close && !parsed.close_delimited {
         pool.release(conn, parsed.idle_timeout);
     }
-    classify(parsed)
+    let statement = (parsed.response.status != STATUS_MISDIRECTED).then(|| BackendStatement {
+        request_limit: parsed.request_limit.as_deref().map(Arc::from),
+        has_run: !parsed.not_run,
+    });
+    let outcome = classify(parsed);
+    // A response that is not authentic may be from anybody.
+    let statement = statement.filter(|_| !matches!(outcome, ExchangeOutcome::Broken(_)));
+    ExchangeResult { outcome, statement }
+}
+
+fn broken(error: ExchangeError) -> ExchangeResult {
+    ExchangeResult {
+        outcome: ExchangeOutcome::Broken(error),
+        statement: None,
+    }
 }
 
 /// Returns whether the response is to the request with `id`.
--- a/crates/marigold-sidecar/src/executor/local_executor.rs
+++ b/crates/marigold-sidecar/src/executor/local_executor.rs
@@ -3,29 +3,30 @@
 use std::cell::{Cell, RefCell};
 use std::io;
 use std::rc::{Rc, Weak};
-use std::sync::Arc;
 use std::time::Duration;
 
 use marigold_dispatch::{
-    AdmissionController, Announcement, AnnouncementOutcome, BackendState, SiteReport, SlotRequest,
+    AdmissionController, Announcement, AnnouncementOutcome, SiteReport, SlotRequest,
 };
 use marigold_request::RefusalReason;
 use marigold_request::quarantine::{CrashRecord, Fingerprint, QuarantineStatus};
-use marigold_types::{ServiceName, SlotCount, Version};
+use marigold_types::{ServiceName, SlotCount};
 use tokio::time::{Instant, sleep, timeout_at};
 use tokio_util::sync::CancellationToken;
 
+use super::backend_conn::BackendConn;
+use super::backend_monitor::{BackendMonitor, UNREACHABLE_COOLDOWN};
 use super::backend_pool::BackendPool;
 use super::call_progress::{CallProgress, millis};
-use super::crash_check::CrashCheck;
-use super::exchange::{BackendRequest, ExchangeOutcome, exchange};
+use super::exchange::{BackendRequest, BackendStatement, ExchangeOutcome, exchange};
+use super::executor_options::{ExecutorOptions, HealthPathSource, VersionListener};
+use super::limit_watch::LimitWatch;
 use super::probe::probe;
-use super::silence_watch::{SilenceChange, SilenceWatch};
+use super::silence_watch::SilenceChange;
 use super::slot_queue::SlotQueue;
 use crate::events::{EventLog, Severity};
-use crate::http1::encode_request;
 use crate::link::{Call, CallHandler, CallId, CallOutcome, LinkServer, Reply, ReplyHandle};
-use crate::{CrashTracker, HeaderNames, TrackedRun};
+use crate::{CrashTracker, TrackedRun};
 
 /// Interval at which queued calls that cannot be served in time are removed.
 const SWEEP_INTERVAL: Duration = Duration::from_millis(20);
@@ -33,8 +34,6 @@
 const TRIAL_RETRY_DELAY: Duration = Duration::from_millis(100);
 /// Retry delay while the backend server is draining or absent.
 const UNAVAILABLE_RETRY_DELAY: Duration = Duration::from_millis(300);
-/// How long calls are refused after the backend server has failed to accept a connection.
-const UNREACHABLE_COOLDOWN: Duration = Duration::from_millis(500);
 /// Interval at which a silent backend server is asked whether it is alive.
 const SILENCE_PROBE_INTERVAL: Duration = Duration::from_millis(400);
 /// Status of a backend server's response to a request whose deadline has passed.
@@ -42,21 +41,6 @@
 /// Time reserved before the deadline for the response to reach the caller.
 const RESPONSE_TRANSIT_TIME: Duration = Duration::from_millis(5);
 
-/// Called with the configuration version that a call was routed by.
-pub type VersionListener = Box<dyn Fn(Version)>;
-
-/// Returns the path of the backend server's health check, or `None` while it is not known.
-pub type HealthPathSource = Box<dyn Fn() -> Option<Arc<str>>>;
-
-/// Options of a [`LocalExecutor`], fixed for its lifetime.
-#[derive(Debug, Clone)]
-pub struct ExecutorOptions {
-    /// Names of header fields with a special meaning.
-    pub names: Arc<HeaderNames>,
-    /// Responses with a larger body count as failed exchanges.
-    pub max_response_body_bytes: u64,
-}
-
 /// Admits calls to the local backend server and runs them. Nothing else sends requests to it, apart from
 /// health probes.
 pub struct LocalExecutor {
@@ -64,13 +48,7 @@
     crashes: Rc<CrashTracker>,
     events: Rc<EventLog>,
     queue: Rc<SlotQueue>,
-    backend: RefCell<BackendState>,
-    pool: RefCell<Option<Rc<BackendPool>>>,
-    /// Whether the daemon is shutting down and refuses new calls.
-    closing: Cell<bool>,
-    unreachable_until: Cell<Option<Instant>>,
-    crash_check: CrashCheck,
-    silence: SilenceWatch,
+    backend: BackendMonitor,
     in_flight: Cell<usize>,
     link_server: RefCell<Weak<LinkServer>>,
     /// Called for each call.
@@ -92,12 +70,7 @@
             crashes,
             events,
             queue: SlotQueue::new(),
-            backend: RefCell::default(),
-            pool: RefCell::default(),
-            closing: Cell::new(false),
-            unreachable_until: Cell::new(None),
-            crash_check: CrashCheck::default(),
-            silence: SilenceWatch::default(),
+            backend: BackendMonitor::default(),
             in_flight: Cell::new(0),
             link_server: RefCell::default(),
             version_listener: RefCell::default(),
@@ -128,16 +101,18 @@
             sleep(SWEEP_INTERVAL).await;
             self.queue.remove_expired();
             self.check_silence();
-            if self.is_unreachable()
-                && self
-                    .unreachable_until
-                    .get()
-                    .is_some_and(|at| at <= Instant::now())
+            let limits = &self.backend.limits;
+            let now = Instant::now();
+            if self
+                .queue
+                .read(|controller| limits.is_room_due(controller, now))
             {
-                self.unreachable_until.set(None);
+                self.broadcast_report();
+            }
+            if self.backend.end_cooldown() {
                 self.apply_backend_state();
             }
-            if let Some(pool) = &*self.pool.borrow() {
+            if let Some(pool) = self.backend.pool() {
                 pool.prune();
             }
             self.update_gauges();
@@ -149,7 +124,7 @@
         let Some((_, slots)) = self.serving() else {
             return;
         };
-        match self.silence.poll(slots.0) {
+        match self.backend.silence.poll(slots.0) {
             Some(SilenceChange::Silent) => {
                 self.crashes.record_silence();
                 self.apply_backend_state();
@@ -167,52 +142,49 @@
 
     /// Asks the silent backend server whether it is alive, so that no request is spent on that.
     async fn probe_until_heard(self: Rc<Self>) {
-        let instance = self.backend.borrow().current().cloned();
-        let Some(instance) = instance else {
+        let Some(pool) = self.backend.pool() else {
             return;
         };
         loop {
             sleep(SILENCE_PROBE_INTERVAL).await;
-            let is_current = (self.backend.borrow().serving())
-                .is_some_and(|current| current.identity == instance.identity);
-            if !is_current || !self.silence.is_silent() {
+            if !self.backend.is_current(&pool) || !self.backend.silence.is_silent() {
                 return;
             }
+            let Some(address) = self.backend.serving().map(|instance| instance.address) else {
+                return;
+            };
             let path = (self.health_path.borrow().as_ref()).and_then(|source| source());
             let is_alive = match path {
-                Some(path) => probe(instance.address, &path, &self.options.names)
-                    .await
-                    .is_ok(),
+                Some(path) => {
+                    self.queue.record_probe();
+                    probe(address, &path, &self.options.names).await.is_ok()
+                }
                 // Without a health check, requests show it.
                 None => true,
             };
             if is_alive {
-                self.silence.record_sound();
+                self.backend.silence.record_sound();
             }
         }
     }
 
     /// Applies an announcement of the backend server.
     pub fn apply_announcement(&self, announcement: &Announcement) -> AnnouncementOutcome {
-        let was_serving = self.backend.borrow().serving().is_some();
-        let outcome = self
-            .backend
-            .borrow_mut()
-            .apply_announcement(announcement, Instant::now());
+        let was_serving = self.backend.serving().is_some();
+        let outcome = self.backend.apply_announcement(announcement);
         match outcome {
             AnnouncementOutcome::NewInstance => {
+                let crash_check = &self.backend.crash_check;
                 // An instance that ended without draining may have crashed without closing its connections.
                 if was_serving {
-                    self.crash_check.record(&self.crashes);
+                    crash_check.record(&self.crashes);
                 }
-                self.crash_check.reset();
-                self.silence.reset();
-                self.unreachable_until.set(None);
-                *self.pool.borrow_mut() = Some(Rc::new(BackendPool::new(announcement.address)));
+                crash_check.reset();
+                self.queue.set_request_limit(None);
                 self.apply_backend_state();
             }
             AnnouncementOutcome::Unchanged => {
-                if self.queue.read(AdmissionController::slots) != self.usable_slots() {
+                if self.queue.read(AdmissionController::slots) != self.backend.usable_slots() {
                     self.apply_backend_state();
                 }
             }
@@ -222,12 +194,25 @@
         outcome
     }
 
+    /// Applies what a response of the backend server says about it.
+    pub fn apply_statement(&self, statement: &BackendStatement) {
+        let Some(limit) = self.backend.limits.interpret(statement, &self.events) else {
+            return;
+        };
+        let Some(previous) = self.backend.record_limit(limit) else {
+            return;
+        };
+        let (previous, limit) = (previous.limit(), limit.limit());
+        if previous != limit {
+            self.queue.set_request_limit(limit);
+            LimitWatch::record_change(previous, limit, &self.events);
+        }
+        self.apply_backend_state();
+    }
+
     /// Marks the backend server with `identity` as departed or about to depart.
     pub fn mark_departed(&self, identity: &str) -> AnnouncementOutcome {
-        let outcome = self
-            .backend
-            .borrow_mut()
-            .mark_departed(identity, Instant::now());
+        let outcome = self.backend.mark_departed(identity);
         if outcome == AnnouncementOutcome::Draining {
             self.apply_backend_state();
         }
@@ -236,7 +221,7 @@
 
     /// Refuses new calls from now on, because the daemon is shutting down.
     pub fn close(&self) {
-        if !self.closing.replace(true) {
+        if self.backend.close() {
             self.apply_backend_state();
         }
     }
@@ -244,7 +229,7 @@
     /// Returns whether a backend server has been announced, even if it is draining.
     #[must_use]
     pub fn knows_backend(&self) -> bool {
-        self.backend.borrow().current().is_some()
+        self.backend.current().is_some()
     }
 
     /// Returns the number of calls in flight, queued or running.
@@ -256,11 +241,10 @@
     /// Returns the service and slots of the backend server, or `None` while it accepts no calls.
     #[must_use]
     pub fn serving(&self) -> Option<(ServiceName, SlotCount)> {
-        if self.closing.get() {
-            return None;
-        }
-        let backend = self.backend.borrow();
-        let instance = backend.serving()?;
+        let instance = self
+            .backend
+            .serving()
+            .filter(|_| !self.backend.is_closing())?;
         Some((instance.service.clone(), instance.slots))
     }
 
@@ -272,25 +256,18 @@
         metrics::gauge!("marigold_slots_queued").set(f64::from(slot_count(queued).0));
     }
 
-    fn is_unreachable(&self) -> bool {
-        self.unreachable_until.get().is_some()
-    }
-
-    fn usable_slots(&self) -> SlotCount {
-        if self.is_unreachable() || self.silence.is_silent() {
-            return SlotCount(0);
-        }
-        self.serving().map_or(SlotCount(0), |(_, slots)| slots)
-    }
-
     /// Applies the state of the backend server to the queue and reports it to other daemons.
     fn apply_backend_state(&self) {
-        let slots = self.usable_slots();
+        let slots = self.backend.usable_slots();
         self.queue.set_slots(slots);
         if slots.0 == 0 {
             // Other backend servers may still be able to run the queued calls in time.
             self.queue.clear(UNAVAILABLE_RETRY_DELAY);
         }
+        self.broadcast_report();
+    }
+
+    fn broadcast_report(&self) {
         if let Some(server) = self.link_server.borrow().upgrade() {
             server.broadcast_report();
         }
@@ -334,7 +311,7 @@
         progress: &mut CallProgress,
     ) -> CallOutcome {
         let deadline = arrived_at + call.timeout;
-        if let Err(reason) = self.check_backend(call) {
+        if let Err(reason) = self.backend.check(&call.service) {
             return refused(reason, UNAVAILABLE_RETRY_DELAY);
         }
         let fingerprint = call.fingerprint();
@@ -355,16 +332,15 @@
         let mut slot = match slot_result {
             Ok(slot) => slot,
             Err(retry_after) => {
-                let reason = self.check_backend(call).err();
+                let reason = self.backend.check(&call.service).err();
                 return refused(reason.unwrap_or(RefusalReason::Overloaded), retry_after);
             }
         };
         // The backend server may have left during the wait.
-        if let Err(reason) = self.check_backend(call) {
+        if let Err(reason) = self.backend.check(&call.service) {
             return refused(reason, UNAVAILABLE_RETRY_DELAY);
         }
-        let pool = self.pool.borrow().clone();
-        let Some(pool) = pool else {
+        let Some(pool) = self.backend.pool() else {
             return refused(RefusalReason::NoBackendServer, UNAVAILABLE_RETRY_DELAY);
         };
         let conn = match pool.acquire(call.idempotent).await {
@@ -374,7 +350,7 @@
                 return refused(RefusalReason::NoConnection, UNREACHABLE_COOLDOWN);
             }
         };
-        self.crash_check.reset();
+        self.backend.crash_check.reset();
         let now = Instant::now();
         let Some(request) = self.build_request(call, deadline, now) else {
             return refused(RefusalReason::Deadline, Duration::ZERO);
@@ -387,17 +363,12 @@
                 return refused(RefusalReason::Quarantined, delay);
             }
         };
-        let watched = self.silence.watch(expected_run);
         progress.started_at = Some(now);
         let result = timeout_at(
             deadline,
-            exchange(&pool, conn, &self.options.names, &request),
+            self.watched_exchange(&pool, conn, &request, expected_run),
         );
-        let result = result.await;
-        if result.is_ok() {
-            watched.record_sound();
-        }
-        match result {
+        match result.await {
             Ok(ExchangeOutcome::Answered(response)) => {
                 slot.mark_completed();
                 // Responses with this status end runs that may go on.
@@ -434,12 +405,32 @@
         }
     }
 
+    /// Sends a request, and applies what the response says about the backend server.
+    async fn watched_exchange(
+        &self,
+        pool: &Rc<BackendPool>,
+        conn: BackendConn,
+        request: &BackendRequest,
+        expected_run: Duration,
+    ) -> ExchangeOutcome {
+        let watched = self.backend.silence.watch(expected_run);
+        let result = exchange(pool, conn, &self.options.names, request).await;
+        watched.record_sound();
+        // The response of a previous instance says nothing about the current one.
+        if let Some(statement) = &result.statement
+            && self.backend.is_current(pool)
+        {
+            self.apply_statement(statement);
+        }
+        result.outcome
+    }
+
     /// Records that a request is sent to the backend server.
     ///
     /// A suspected request is not blamed for the end of a backend server that had ended before.
     fn start_run(&self, fingerprint: Fingerprint) -> Result<TrackedRun, Duration> {
         let is_suspect = self.crashes.status(&fingerprint) == QuarantineStatus::Suspect;
-        if is_suspect && !self.silence.is_alive() {
+        if is_suspect && !self.backend.silence.is_alive() {
             return Err(TRIAL_RETRY_DELAY);
         }
         self.crashes.start(fingerprint)
@@ -450,43 +441,23 @@
         let Some(executor) = self.myself.upgrade() else {
             return;
         };
-        if !self.crash_check.begin(run) {
+        if !self.backend.crash_check.begin(run) {
             return;
         }
         let pool = pool.clone();
         tokio::task::spawn_local(async move {
-            let has_ended = executor.crash_check.run(&pool).await;
-            let current = executor.pool.borrow().clone();
-            if has_ended && current.is_some_and(|current| Rc::ptr_eq(&current, &pool)) {
-                executor.crash_check.record(&executor.crashes);
+            let crash_check = &executor.backend.crash_check;
+            let has_ended = crash_check.run(&pool).await;
+            if has_ended && executor.backend.is_current(&pool) {
+                crash_check.record(&executor.crashes);
                 executor.mark_unreachable(&io::ErrorKind::ConnectionRefused.into());
             }
-            executor.crash_check.end();
+            crash_check.end();
         });
     }
 
-    /// Returns why the call cannot run now, if the backend server is not of the requested service or
+    /// Builds the request to the backend server, or returns `None` if the deadline is too close or the backend server
     /// accepts no calls.
-    fn check_backend(&self, call: &Call) -> Result<(), RefusalReason> {
-        if self.closing.get() {
-            return Err(RefusalReason::Draining);
-        }
-        let backend = self.backend.borrow();
-        let instance = backend.current().ok_or(RefusalReason::NoBackendServer)?;
-        if instance.service != call.service {
-            return Err(RefusalReason::NoBackendServer);
-        }
-        if instance.draining_since.is_some() {
-            return Err(RefusalReason::Draining);
-        }
-        if self.is_unreachable() || self.silence.is_silent() {
-            return Err(RefusalReason::NoConnection);
-        }
-        Ok(())
-    }
-
-    /// Builds the request to the backend server, or returns `None` if the deadline is too close or the
-    /// backend server accepts no calls.
     fn build_request(
         &self,
         call: &Call,
@@ -496,24 +467,11 @@
         let time_left = deadline
             .saturating_duration_since(now)
             .checked_sub(RESPONSE_TRANSIT_TIME)?;
-        let names = &self.options.names;
-        let backend = self.backend.borrow();
-        let identity = &backend.serving()?.identity;
-        let extra = format!(
-            "{}: {}\r\n{}: {identity}\r\n{}: {}\r\n",
-            names.deadline,
-            time_left.as_millis().max(1),
-            names.expected_identity,
-            names.origin,
-            call.origin,
-        );
-        let bytes = encode_request(&call.method, &call.target, &call.fields, &extra, &call.body);
-        Some(BackendRequest {
-            id: call.request_id.clone(),
-            bodiless: &*call.method == "HEAD",
-            bytes,
-            max_body_bytes: self.options.max_response_body_bytes,
-        })
+        let identity = self.backend.serving()?.identity.clone();
+        let (names, limit) = (&self.options.names, self.options.max_response_body_bytes);
+        Some(BackendRequest::for_call(
+            call, &identity, time_left, names, limit,
+        ))
     }
 
     fn mark_unreachable(&self, error: &io::Error) {
@@ -522,8 +480,7 @@
             Severity::Warn,
             &[("cause", error.to_string().into())],
         );
-        self.unreachable_until
-            .set(Some(Instant::now() + UNREACHABLE_COOLDOWN));
+        self.backend.mark_unreachable();
         self.apply_backend_state();
     }
 }
@@ -539,15 +496,9 @@
     }
 
     fn report(&self) -> SiteReport {
-        let slots = self.usable_slots();
         let service = self.serving().map(|(service, _)| service);
-        self.queue.read(|controller| SiteReport {
-            service,
-            slots,
-            busy: slot_count(controller.busy()),
-            queued: slot_count(controller.queued()),
-            mean_run: controller.mean_run(),
-        })
+        self.queue
+            .read(|controller| controller.report(service, Instant::now()))
     }
 
     fn crash_records(&self) -> Vec<CrashRecord> {
--- a/crates/marigold-sidecar/src/executor/probe.rs
+++ b/crates/marigold-sidecar/src/executor/probe.rs
@@ -9,8 +9,9 @@
 use tokio::net::TcpStream;
 use tokio::time::timeout;
 
+use super::BackendStatement;
 use crate::HeaderNames;
-use crate::http1::{ResponseReader, encode_request};
+use crate::http1::{ParsedResponse, ResponseReader, encode_request};
 
 /// Includes a wait for a free slot, since the backend server handles a probe like any request.
 const PROBE_TIMEOUT: Duration = Duration::from_millis(500);
@@ -18,8 +19,16 @@
 const MAX_BODY_BYTES: u64 = 64 << 10;
 const STATUS_OK: u16 = 200;
 
-/// Returns the identity of the backend server at `address`, or `None` if it reports that it is unhealthy or
-/// draining.
+/// The response to a health check.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub struct ProbeResponse {
+    /// The identity of the backend server, or `None` if it reports that it is unhealthy or draining.
+    pub identity: Option<Arc<str>>,
+    /// What else the response says about it.
+    pub statement: BackendStatement,
+}
+
+/// Asks the backend server at `address` for its health.
 ///
 /// # Errors
 ///
@@ -28,7 +37,7 @@
     address: SocketAddr,
     path: &str,
     names: &Arc<HeaderNames>,
-) -> std::io::Result<Option<Arc<str>>> {
+) -> std::io::Result<ProbeResponse> {
     timeout(PROBE_TIMEOUT, request_identity(address, path, names)).await?
 }
 
@@ -36,7 +45,7 @@
     address: SocketAddr,
     path: &str,
     names: &Arc<HeaderNames>,
-) -> std::io::Result<Option<Arc<str>>> {
+) -> std::io::Result<ProbeResponse> {
     let mut stream = TcpStream::connect(address).await?;
     let extra = format!("Host: {address}\r\nConnection: close\r\n");
     let request = encode_request("GET", path, &[], &extra, &[]);
@@ -45,13 +54,22 @@
     let mut input = BytesMut::new();
     loop {
         if let Some(parsed) = reader.next(&mut input).map_err(std::io::Error::other)? {
-            let is_healthy = parsed.response.status == STATUS_OK;
-            return Ok(parsed.identity.filter(|_| is_healthy));
+            return Ok(probe_response(parsed));
         }
         if stream.read_buf(&mut input).await? == 0 {
             let parsed = reader.finish().map_err(std::io::Error::other)?;
-            let is_healthy = parsed.response.status == STATUS_OK;
-            return Ok(parsed.identity.filter(|_| is_healthy));
+            return Ok(probe_response(parsed));
         }
     }
 }
+
+fn probe_response(parsed: ParsedResponse) -> ProbeResponse {
+    let is_healthy = parsed.response.status == STATUS_OK;
+    ProbeResponse {
+        identity: parsed.identity.filter(|_| is_healthy),
+        statement: BackendStatement {
+            request_limit: parsed.request_limit.as_deref().map(Arc::from),
+            has_run: is_healthy,
+        },
+    }
+}
--- a/crates/marigold-sidecar/src/executor/slot_queue.rs
+++ b/crates/marigold-sidecar/src/executor/slot_queue.rs
@@ -5,7 +5,9 @@
 use std::rc::Rc;
 use std::time::Duration;
 
-use marigold_dispatch::{AdmissionController, AdmissionDecision, Permit, SlotRequest, Ticket};
+use marigold_dispatch::{
+    AdmissionController, AdmissionDecision, Permit, RequestLimit, SlotRequest, Ticket,
+};
 use marigold_types::SlotCount;
 use tokio::sync::oneshot;
 use tokio::time::Instant;
@@ -40,6 +42,20 @@
         self.grant_free_slots();
     }
 
+    /// Changes the limit of requests per second.
+    pub fn set_request_limit(self: &Rc<Self>, limit: Option<RequestLimit>) {
+        let now = Instant::now();
+        self.controller.borrow_mut().set_request_limit(limit, now);
+        // What waits may have too little time now.
+        self.remove_expired();
+    }
+
+    /// Counts a health check towards the limit of requests per second.
+    pub fn record_probe(&self) {
+        let mut controller = self.controller.borrow_mut();
+        controller.record_unslotted(Instant::now());
+    }
+
     /// Waits for a slot.
     ///
     /// # Errors
--- a/crates/marigold-sidecar/src/header_names.rs
+++ b/crates/marigold-sidecar/src/header_names.rs
@@ -17,6 +17,8 @@
     pub not_run: Arc<str>,
     /// Delay after which to retry, in seconds.
     pub retry_after: Arc<str>,
+    /// Requests per second that the backend server takes from all daemons together.
+    pub request_limit: Arc<str>,
     /// Service of the instance at which the request entered the mesh.
     pub origin: Arc<str>,
     /// Identity of the backend server that sent the response.
--- a/crates/marigold-sidecar/src/http1/response_reader.rs
+++ b/crates/marigold-sidecar/src/http1/response_reader.rs
@@ -33,6 +33,8 @@
     pub encoded: bool,
     /// Identity of the backend server, if the response states it.
     pub identity: Option<Arc<str>>,
+    /// The fields that name the backend server's limit of requests per second, separated by commas.
+    pub request_limit: Option<String>,
     /// Whether the connection cannot be reused.
     pub close: bool,
     /// Idle timeout of the connection that the backend server announces.
@@ -181,6 +183,8 @@
                 parsed.id = text(field.value);
             } else if is(&names.identity) {
                 parsed.identity = text(field.value);
+            } else if is(&names.request_limit) {
+                append_value(&mut parsed.request_limit, field.value);
             }
             parsed.signed |= is(&names.signature);
             parsed.not_run |= is(&names.not_run);
@@ -206,6 +210,18 @@
     })
 }
 
+/// Appends a field to those of the same name, separated by a comma.
+fn append_value(values: &mut Option<String>, value: &[u8]) {
+    let value = String::from_utf8_lossy(value);
+    match values {
+        Some(values) => {
+            values.push(',');
+            values.push_str(&value);
+        }
+        None => *values = Some(value.into_owned()),
+    }
+}
+
 /// Parses the `timeout` parameter of the `Keep-Alive` header.
 fn parse_idle_timeout(value: &[u8]) -> Option<Duration> {
     let text = std::str::from_utf8(value).ok()?;
--- a/crates/marigold-sidecar/tests/backend_exchange.rs
+++ b/crates/marigold-sidecar/tests/backend_exchange.rs
@@ -66,7 +66,7 @@
     let first = conn.stream.local_addr().expect("an address");
     let (names, request) = (names(), request());
     let result = timeout(TEST_TIMEOUT, exchange(&pool, conn, &names, &request));
-    let result = result.await.expect("a result in time");
+    let result = result.await.expect("a result in time").outcome;
     let next = pool.acquire(false).await.expect("a connection");
     let is_same = next.stream.local_addr().expect("an address") == first;
     server.abort();
--- a/crates/marigold-sidecar/tests/common/mod.rs
+++ b/crates/marigold-sidecar/tests/common/mod.rs
@@ -26,6 +26,7 @@
         expected_identity: Arc::from("X-Expected"),
         not_run: Arc::from("X-Not-Run"),
         retry_after: Arc::from("Retry-After"),
+        request_limit: Arc::from("X-Limit"),
         origin: Arc::from("X-Origin"),
         identity: Arc::from("X-Identity"),
     })
--- a/crates/marigold-sidecar/tests/common/test_mesh.rs
+++ b/crates/marigold-sidecar/tests/common/test_mesh.rs
@@ -55,6 +55,8 @@
     pub arrivals: Rc<RefCell<HashMap<SocketAddr, u32>>>,
     /// Time left as stated in the requests received by all backend servers, in milliseconds.
     pub times_left: Rc<RefCell<Vec<u64>>>,
+    /// Field lines that all backend servers add to their responses.
+    pub extra_fields: Rc<RefCell<&'static str>>,
     /// Addresses at which the executors accept calls.
     pub addresses: Vec<SocketAddr>,
     /// Connections closed by the executor while the backend server was hanging.
@@ -101,6 +103,7 @@
             addresses: Vec::new(),
             arrivals: Rc::default(),
             times_left: Rc::default(),
+            extra_fields: Rc::default(),
             disconnects: Rc::default(),
         };
         for (run_id, behaviour) in behaviours.iter().enumerate() {
@@ -131,6 +134,7 @@
         let (backend_listener, backend) = listener().await;
         let (arrivals, disconnects) = (self.arrivals.clone(), self.disconnects.clone());
         let times_left = self.times_left.clone();
+        let extra_fields = self.extra_fields.clone();
         spawn_local(async move {
             loop {
                 let (stream, _) = backend_listener.accept().await.expect("a connection");
@@ -140,6 +144,7 @@
                     backend,
                     arrivals.clone(),
                     times_left.clone(),
+                    extra_fields.clone(),
                     disconnects.clone(),
                 ));
             }
@@ -224,6 +229,7 @@
     address: SocketAddr,
     arrivals: Rc<RefCell<HashMap<SocketAddr, u32>>>,
     times_left: Rc<RefCell<Vec<u64>>>,
+    extra_fields: Rc<RefCell<&'static str>>,
     disconnects: Rc<Cell<u32>>,
 ) {
     let mut input = Vec::new();
@@ -246,7 +252,8 @@
         let millis = field("X-Left: ").parse().expect("a time in milliseconds");
         times_left.borrow_mut().push(millis);
         let path = text.split(' ').nth(1).unwrap_or_default().to_owned();
-        let head = format!("X-Id: {}\r\nContent-Length:", field("X-Id: "));
+        let extra = *extra_fields.borrow();
+        let head = format!("X-Id: {}\r\n{extra}Content-Length:", field("X-Id: "));
         let response = match behaviour {
             BackendBehaviour::Succeed => {
                 let body = format!("{path} for {}", field("X-Origin: "));
@@ -260,7 +267,7 @@
                 format!("HTTP/1.1 500 No\r\nX-Signed: s\r\n{head} 0\r\n\r\n")
             }
             BackendBehaviour::Reject => {
-                "HTTP/1.1 503 No\r\nX-Not-Run: 1\r\nContent-Length: 0\r\n\r\n".to_owned()
+                format!("HTTP/1.1 503 No\r\nX-Not-Run: 1\r\n{extra}Content-Length: 0\r\n\r\n")
             }
             BackendBehaviour::Disconnect => return,
             BackendBehaviour::Hang => {
--- /dev/null
+++ b/crates/marigold-sidecar/tests/request_limits.rs
@@ -0,0 +1,146 @@
+//! What the executor hears of the limits that a backend server names, and what callers see of it.
+
+mod common;
+
+use std::sync::Arc;
+
+use common::announcement;
+use common::test_mesh::{BackendBehaviour, TestMesh, get};
+use marigold_dispatch::{Announcement, ServingState};
+use marigold_sidecar::link::CallHandler;
+use marigold_types::SlotCount;
+use tokio::task::LocalSet;
+
+const CONNECTION_CLOSE: &str = "Connection: close\r\n";
+/// Slots of each backend server of a [`TestMesh`].
+const SLOTS: SlotCount = SlotCount(2);
+
+/// Runs each test in a [`LocalSet`], which the daemons' tasks require.
+macro_rules! local_tests {
+    ($($name:ident $body:block)*) => {$(
+        #[tokio::test]
+        async fn $name() {
+            LocalSet::new().run_until(async $body).await;
+        }
+    )*};
+}
+
+async fn mesh_naming(behaviour: BackendBehaviour, fields: &'static str) -> TestMesh {
+    let mesh = TestMesh::new(&[behaviour]).await;
+    *mesh.extra_fields.borrow_mut() = fields;
+    mesh
+}
+
+async fn send(mesh: &TestMesh) -> String {
+    mesh.send(&get("/safe/a", CONNECTION_CLOSE)).await
+}
+
+/// Returns whether all slots count as busy although no request runs.
+fn is_limited(mesh: &TestMesh) -> bool {
+    let report = mesh.executors[0].report();
+    report.busy == report.slots
+}
+
+/// Sends a request to a backend server that names `fields`, which must reach the caller as they are.
+async fn is_limited_by(fields: &'static str) -> bool {
+    let mesh = mesh_naming(BackendBehaviour::Succeed, fields).await;
+    let response = send(&mesh).await;
+    assert!(response.starts_with("HTTP/1.1 200"), "{response}");
+    assert!(response.contains(fields), "{response}");
+    is_limited(&mesh)
+}
+
+/// Names each way to name a limit, and whether one holds then.
+macro_rules! field_tests {
+    ($($name:ident: $fields:literal => $limited:literal;)*) => {$(
+        #[tokio::test]
+        async fn $name() {
+            assert_eq!(LocalSet::new().run_until(is_limited_by($fields)).await, $limited);
+        }
+    )*};
+}
+
+field_tests! {
+    limit_is_not_heard: "X-Limit: 2\r\n" => true;
+    decimal_limit_is_not_heard: "x-limit: 0.5\r\n" => true;
+    limit_of_zero_is_not_heard: "X-Limit: 0\r\n" => true;
+    lower_of_two_limits_is_not_heard: "X-Limit: 1e9\r\nX-Limit: 2\r\n" => true;
+    limit_that_is_no_number_holds: "X-Limit: many\r\n" => false;
+    negative_limit_holds: "X-Limit: -1\r\n" => false;
+    empty_limit_holds: "X-Limit: \r\n" => false;
+    huge_limit_holds: "X-Limit: 1e300\r\n" => false;
+}
+
+local_tests! {
+    requests_beyond_the_limit_are_sent_on {
+        let mesh = mesh_naming(BackendBehaviour::Succeed, "X-Limit: 0.5\r\n").await;
+        send(&mesh).await;
+        let response = send(&mesh).await;
+        assert!(response.starts_with("HTTP/1.1 503"), "{response}");
+        assert!(response.contains("Retry-After: "), "{response}");
+        assert_eq!(mesh.arrivals(), 1);
+    }
+
+    limit_holds_after_it_is_no_longer_named {
+        let mesh = mesh_naming(BackendBehaviour::Succeed, "X-Limit: 20\r\n").await;
+        send(&mesh).await;
+        *mesh.extra_fields.borrow_mut() = "";
+        while is_limited(&mesh) {
+            send(&mesh).await;
+        }
+        let arrivals = mesh.arrivals();
+        for _ in 0..50 {
+            assert!(send(&mesh).await.starts_with("HTTP/1.1 200"));
+        }
+        assert_eq!(mesh.arrivals(), arrivals + 50);
+    }
+
+    limit_in_a_rejection_is_not_heard {
+        let mesh = mesh_naming(BackendBehaviour::Reject, "X-Limit: 0.5\r\n").await;
+        send(&mesh).await;
+        assert!(is_limited(&mesh));
+    }
+
+    rejection_that_names_no_limit_ends_it {
+        let mesh = mesh_naming(BackendBehaviour::Reject, "X-Limit: 20\r\n").await;
+        send(&mesh).await;
+        *mesh.extra_fields.borrow_mut() = "";
+        let arrivals = mesh.arrivals();
+        while mesh.arrivals() == arrivals {
+            send(&mesh).await;
+        }
+        assert!(is_limited(&mesh));
+    }
+
+    limit_of_the_previous_instance_holds {
+        let mesh = mesh_naming(BackendBehaviour::Succeed, "X-Limit: 0.5\r\n").await;
+        send(&mesh).await;
+        let same = announcement(mesh.backends[0], 2, ServingState::Ready);
+        mesh.executors[0].apply_announcement(&same);
+        assert!(is_limited(&mesh));
+        // It starts again under its identity.
+        let next = Announcement {
+            started_ms: Some(2),
+            ..announcement(mesh.backends[0], 1, ServingState::Ready)
+        };
+        mesh.executors[0].apply_announcement(&next);
+        assert!(!is_limited(&mesh));
+        send(&mesh).await;
+        assert!(is_limited(&mesh));
+        let other = Announcement { identity: Arc::from("life-2"), ..next };
+        mesh.executors[0].apply_announcement(&other);
+        assert!(!is_limited(&mesh));
+    }
+
+    daemon_that_starts_sends_many_requests_before_it_knows_the_limit {
+        let mesh = TestMesh::new(&[BackendBehaviour::Succeed]).await;
+        let next = Announcement {
+            started_ms: Some(2),
+            ..announcement(mesh.backends[0], 7, ServingState::Ready)
+        };
+        mesh.executors[0].apply_announcement(&next);
+        assert_eq!(mesh.executors[0].report().slots, SlotCount(1));
+        send(&mesh).await;
+        assert_eq!(mesh.executors[0].report().slots, SLOTS);
+    }
+}
