Send nothing to a backend server whose answer says that it leaves

What was seen: an answer with the field passed on, and the next requests sent to the same backend server until its heartbeat or its leave arrived. Cause: as with the limit, nothing read the field. The executor now takes it like an announcement of the shutdown, from answers, rejections and health checks, so that leaving is final for the instance however it was said.

--- a/crates/marigold-sidecar/src/executor/exchange.rs
+++ b/crates/marigold-sidecar/src/executor/exchange.rs
@@ -65,6 +65,8 @@
 pub struct BackendStatement {
     /// The fields that name its limit of requests per second, separated by commas, if there are any.
     pub request_limit: Option<Arc<str>>,
+    /// Whether it says that it is shutting down.
+    pub leaving: bool,
     /// Whether it ran the request. One that rejects requests may leave fields out.
     pub has_run: bool,
 }
@@ -147,6 +149,7 @@
     }
     let statement = (parsed.response.status != STATUS_MISDIRECTED).then(|| BackendStatement {
         request_limit: parsed.request_limit.as_deref().map(Arc::from),
+        leaving: parsed.leaving,
         has_run: !parsed.not_run,
     });
     let outcome = classify(parsed);
--- a/crates/marigold-sidecar/src/executor/local_executor.rs
+++ b/crates/marigold-sidecar/src/executor/local_executor.rs
@@ -196,6 +196,10 @@
 
     /// Applies what a response of the backend server says about it.
     pub fn apply_statement(&self, statement: &BackendStatement) {
+        if statement.leaving {
+            self.mark_current_departed();
+            return;
+        }
         let Some(limit) = self.backend.limits.interpret(statement, &self.events) else {
             return;
         };
@@ -219,6 +223,19 @@
         outcome
     }
 
+    /// Records that the current instance says in a response that it is shutting down, like an announcement of that.
+    fn mark_current_departed(&self) {
+        let identity = self
+            .backend
+            .serving()
+            .map(|instance| instance.identity.clone());
+        if let Some(identity) = identity {
+            let fields = [("identity", identity.to_string().into())];
+            self.events.emit("backend_leaving", Severity::Info, &fields);
+            self.mark_departed(&identity);
+        }
+    }
+
     /// Refuses new calls from now on, because the daemon is shutting down.
     pub fn close(&self) {
         if self.backend.close() {
--- a/crates/marigold-sidecar/src/executor/probe.rs
+++ b/crates/marigold-sidecar/src/executor/probe.rs
@@ -69,6 +69,7 @@
         identity: parsed.identity.filter(|_| is_healthy),
         statement: BackendStatement {
             request_limit: parsed.request_limit.as_deref().map(Arc::from),
+            leaving: parsed.leaving,
             has_run: is_healthy,
         },
     }
--- a/crates/marigold-sidecar/src/header_names.rs
+++ b/crates/marigold-sidecar/src/header_names.rs
@@ -19,6 +19,8 @@
     pub retry_after: Arc<str>,
     /// Requests per second that the backend server takes from all daemons together.
     pub request_limit: Arc<str>,
+    /// `1` if the backend server is shutting down.
+    pub leaving: Arc<str>,
     /// Service of the instance at which the request entered the mesh.
     pub origin: Arc<str>,
     /// Identity of the backend server that sent the response.
--- a/crates/marigold-sidecar/src/http1/response_reader.rs
+++ b/crates/marigold-sidecar/src/http1/response_reader.rs
@@ -11,6 +11,8 @@
 
 /// Limit on the header fields of a response.
 const MAX_FIELDS: usize = 100;
+/// The value by which a backend server says that it is shutting down.
+const LEAVING_VALUE: &[u8] = b"1";
 /// Limit on the size of a response's head.
 const MAX_HEAD_BYTES: usize = 64 << 10;
 
@@ -35,6 +37,8 @@
     pub identity: Option<Arc<str>>,
     /// The fields that name the backend server's limit of requests per second, separated by commas.
     pub request_limit: Option<String>,
+    /// Whether the backend server says that it is shutting down.
+    pub leaving: bool,
     /// Whether the connection cannot be reused.
     pub close: bool,
     /// Idle timeout of the connection that the backend server announces.
@@ -186,6 +190,7 @@
             } else if is(&names.request_limit) {
                 append_value(&mut parsed.request_limit, field.value);
             }
+            parsed.leaving |= is(&names.leaving) && field.value.trim_ascii() == LEAVING_VALUE;
             parsed.signed |= is(&names.signature);
             parsed.not_run |= is(&names.not_run);
             parsed.encoded |= is("content-encoding");
--- a/crates/marigold-sidecar/tests/common/mod.rs
+++ b/crates/marigold-sidecar/tests/common/mod.rs
@@ -27,6 +27,7 @@
         not_run: Arc::from("X-Not-Run"),
         retry_after: Arc::from("Retry-After"),
         request_limit: Arc::from("X-Limit"),
+        leaving: Arc::from("X-Leaving"),
         origin: Arc::from("X-Origin"),
         identity: Arc::from("X-Identity"),
     })
