--- a/crates/marigold-sidecar/src/crash_tracker.rs
+++ b/crates/marigold-sidecar/src/crash_tracker.rs
@@ -26,8 +26,9 @@
     hold: Interval::from_millis(10_000),
     memory: Interval::from_millis(600_000),
 };
-/// Retry delay of a suspected request while another one runs on the backend server.
-const TRIAL_RETRY_DELAY: Duration = Duration::from_millis(100);
+/// Retry delay of a suspected request while another one runs on the backend server, or while that is not certain to be
+/// alive.
+pub(crate) const TRIAL_RETRY_DELAY: Duration = Duration::from_millis(100);
 /// Clearances within this time are sent to other daemons together, since a crash leads to many.
 const CLEARANCE_DELAY: Duration = Duration::from_millis(200);
 
--- a/crates/marigold-sidecar/src/executor/local_executor.rs
+++ b/crates/marigold-sidecar/src/executor/local_executor.rs
@@ -24,14 +24,13 @@
 use super::probe::probe;
 use super::silence_watch::SilenceChange;
 use super::slot_queue::SlotQueue;
+use crate::crash_tracker::TRIAL_RETRY_DELAY;
 use crate::events::{EventLog, Severity};
 use crate::link::{Call, CallHandler, CallId, CallOutcome, LinkServer, Reply, ReplyHandle};
 use crate::{CrashTracker, TrackedRun};
 
 /// Interval at which queued calls that cannot be served in time are removed.
 const SWEEP_INTERVAL: Duration = Duration::from_millis(20);
-/// Retry delay of a suspected request while the backend server is not certain to be alive.
-const TRIAL_RETRY_DELAY: Duration = Duration::from_millis(100);
 /// Retry delay while the backend server is draining or absent.
 const UNAVAILABLE_RETRY_DELAY: Duration = Duration::from_millis(300);
 /// Interval at which a silent backend server is asked whether it is alive.
--- a/crates/marigold-sidecar/src/executor/silence_watch.rs
+++ b/crates/marigold-sidecar/src/executor/silence_watch.rs
@@ -1,4 +1,4 @@
-//! Watches the exchanges with the backend server for its silence.
+//! Notices when nothing is heard from the backend server any more, and when it is heard again.
 
 use std::cell::{Cell, RefCell};
 use std::time::Duration;
