Keep the estimates of a backend server whose limit is unknown

What callers saw: while daemons start again in turn, 503 with 2 to 3 s as the time to return for requests that end no backend server. Cause: an executor that does not know yet whether its backend server names a limit counted one slot, and waits and times to return were estimated for that slot though it lasts for one answer. It now runs one request at a time and keeps the slots in its estimates and reports.

--- a/crates/marigold-dispatch/src/admission_controller.rs
+++ b/crates/marigold-dispatch/src/admission_controller.rs
@@ -107,6 +107,8 @@
     grant_count: u32,
     /// Paces the requests if the backend server has named a limit.
     pacer: RequestPacer,
+    /// Whether only one request runs at a time, see [`Self::set_one_at_a_time`].
+    one_at_a_time: bool,
 }
 
 impl AdmissionController {
@@ -122,6 +124,7 @@
             run_time: RunTime::default(),
             grant_count: 0,
             pacer: RequestPacer::new(),
+            one_at_a_time: false,
         }
     }
 
@@ -141,6 +144,11 @@
         self.pacer.set_limit(limit, self.running.len(), now);
     }
 
+    /// Sets whether only one request runs at a time, which lasts for moments and so changes no estimate.
+    pub fn set_one_at_a_time(&mut self, one_at_a_time: bool) {
+        self.one_at_a_time = one_at_a_time;
+    }
+
     /// Records a request that was sent to the backend server without a slot, such as a health check.
     pub fn record_unslotted(&mut self, now: Instant) {
         self.pacer.record_sent(now);
@@ -336,7 +344,12 @@
 
     /// Returns whether a slot is free and the backend server takes another request now.
     fn may_start(&self, now: Instant) -> bool {
-        let has_free_slot = self.running.len() < usize::try_from(self.slots).unwrap_or(usize::MAX);
+        let slots = if self.one_at_a_time {
+            self.slots.min(1)
+        } else {
+            self.slots
+        };
+        let has_free_slot = self.running.len() < usize::try_from(slots).unwrap_or(usize::MAX);
         has_free_slot && self.pacer.is_open(now)
     }
 
--- a/crates/marigold-sidecar/src/executor/backend_monitor.rs
+++ b/crates/marigold-sidecar/src/executor/backend_monitor.rs
@@ -18,9 +18,6 @@
 
 /// How long calls are refused after the backend server has failed to accept a connection.
 pub const UNREACHABLE_COOLDOWN: Duration = Duration::from_millis(500);
-/// Slots in use until the first response of a backend server that has served before this daemon started and may have
-/// named a limit to its predecessor.
-const UNKNOWN_LIMIT_SLOTS: SlotCount = SlotCount(1);
 
 /// The state of the backend server beside the daemon.
 #[derive(Default)]
@@ -97,13 +94,15 @@
         if self.is_closing() || !self.is_reachable() {
             return SlotCount(0);
         }
-        self.serving().map_or(SlotCount(0), |instance| {
-            if instance.limit == NamedLimit::Unknown {
-                instance.slots.min(UNKNOWN_LIMIT_SLOTS)
-            } else {
-                instance.slots
-            }
-        })
+        let slots = self.serving().map(|instance| instance.slots);
+        slots.unwrap_or(SlotCount(0))
+    }
+
+    /// Returns whether the backend server has served before this daemon started, may have named a limit to its
+    /// predecessor, and has not responded since. It gets one request at a time until then.
+    pub fn is_limit_unknown(&self) -> bool {
+        self.serving()
+            .is_some_and(|instance| instance.limit == NamedLimit::Unknown)
     }
 
     /// Returns why a call for `service` cannot run now, if the backend server is of another service or accepts no
--- a/crates/marigold-sidecar/src/executor/local_executor.rs
+++ b/crates/marigold-sidecar/src/executor/local_executor.rs
@@ -275,7 +275,8 @@
     /// Applies the state of the backend server to the queue and reports it to other daemons.
     fn apply_backend_state(&self) {
         let slots = self.backend.usable_slots();
-        self.queue.set_slots(slots);
+        let one_at_a_time = self.backend.is_limit_unknown();
+        self.queue.set_slots(slots, one_at_a_time);
         if slots.0 == 0 {
             // Other backend servers may still be able to run the queued calls in time.
             self.queue.clear(UNAVAILABLE_RETRY_DELAY);
--- a/crates/marigold-sidecar/src/executor/slot_queue.rs
+++ b/crates/marigold-sidecar/src/executor/slot_queue.rs
@@ -36,9 +36,12 @@
         get(&self.controller.borrow())
     }
 
-    /// Changes the number of slots and grants those that are free.
-    pub fn set_slots(self: &Rc<Self>, slots: SlotCount) {
-        self.controller.borrow_mut().set_slots(slots);
+    /// Changes the number of slots and grants those that are free, all or one at a time.
+    pub fn set_slots(self: &Rc<Self>, slots: SlotCount, one_at_a_time: bool) {
+        let mut controller = self.controller.borrow_mut();
+        controller.set_slots(slots);
+        controller.set_one_at_a_time(one_at_a_time);
+        drop(controller);
         self.grant_free_slots();
     }
 
--- a/crates/marigold-sidecar/tests/request_limits.rs
+++ b/crates/marigold-sidecar/tests/request_limits.rs
@@ -5,7 +5,8 @@
 use std::sync::Arc;
 
 use common::announcement;
-use common::test_mesh::{BackendBehaviour, TestMesh, get};
+use common::test_mesh::{BackendBehaviour, TestMesh, get, until};
+use futures_util::future::join;
 use marigold_dispatch::{Announcement, ServingState};
 use marigold_sidecar::link::CallHandler;
 use marigold_types::SlotCount;
@@ -133,14 +134,20 @@
     }
 
     daemon_that_starts_sends_many_requests_before_it_knows_the_limit {
-        let mesh = TestMesh::new(&[BackendBehaviour::Succeed]).await;
+        let mesh = TestMesh::new(&[BackendBehaviour::Hang]).await;
         let next = Announcement {
             started_ms: Some(2),
             ..announcement(mesh.backends[0], 7, ServingState::Ready)
         };
         mesh.executors[0].apply_announcement(&next);
-        assert_eq!(mesh.executors[0].report().slots, SlotCount(1));
-        send(&mesh).await;
+        // Estimates of waits and times to return do not change for these moments.
         assert_eq!(mesh.executors[0].report().slots, SLOTS);
+        let requests = ["/safe/a", "/safe/b"].map(|path| get(path, CONNECTION_CLOSE));
+        let [first, second] = requests.each_ref().map(|request| mesh.send(request));
+        tokio::select! {
+            _ = join(first, second) => panic!("callers gave up first"),
+            () = until(|| mesh.executors[0].report().queued == SlotCount(1)) => {}
+        }
+        assert_eq!(mesh.arrivals(), 1);
     }
 }
