Send ready responses before a stopping ingress closes a pipelined connection

Cause: the response of a pipelined request stands behind one that never ended, and nothing but the end of the process ended the wait; besides, the first response that closes dropped requests that were already running behind it. Change: while stopping, nothing is started behind a pending request (unread, the caller sends it elsewhere); only the last response closes; at 0.85 of the grace period requests in flight get the outcome that is known, so that what is ready behind them is sent before the end at 0.95.

--- a/crates/marigold-dispatch/src/shutdown.rs
+++ b/crates/marigold-dispatch/src/shutdown.rs
@@ -7,6 +7,9 @@
 /// The fraction of the grace period after which new requests are refused, so that the last accepted ones can
 /// still complete.
 const REFUSE_AFTER_RATIO: f64 = 0.5;
+/// The fraction of the grace period after which requests in flight get the outcome that is known, so that responses
+/// which are ready behind them on a connection are still sent.
+const CONCLUDE_AFTER_RATIO: f64 = 0.85;
 /// The fraction of the grace period after which the daemon stops even with requests in flight.
 const STOP_AFTER_RATIO: f64 = 0.95;
 /// The time without requests after which a daemon that refuses new ones stops.
@@ -21,6 +24,8 @@
     Draining,
     /// New requests are refused; requests in flight continue.
     Refusing,
+    /// Requests in flight end with the outcome that is known.
+    Concluding,
     /// The process can exit.
     Ended,
 }
@@ -65,6 +70,15 @@
         if in_flight == 0 && now.saturating_duration_since(last_request) >= QUIET_PERIOD {
             return ShutdownStage::Ended;
         }
+        if elapsed >= grace.mul_f64(CONCLUDE_AFTER_RATIO) {
+            return ShutdownStage::Concluding;
+        }
         ShutdownStage::Refusing
     }
+
+    /// Returns when the requests in flight get the outcome that is known, or `None` before the shutdown.
+    #[must_use]
+    pub fn concludes_at(&self, grace: Duration) -> Option<Instant> {
+        Some(self.began_at? + grace.mul_f64(CONCLUDE_AFTER_RATIO))
+    }
 }
--- a/crates/marigold-dispatch/tests/routing_and_retries.rs
+++ b/crates/marigold-dispatch/tests/routing_and_retries.rs
@@ -150,6 +150,7 @@
     refuses_after_half_of_the_grace_period: 3_100, 1, 10 => Refusing;
     ends_after_the_quiet_period: 3_400, 0, 400 => Ended;
     waits_for_requests_in_flight: 5_000, 2, 3_000 => Refusing;
+    concludes_requests_in_flight_while_responses_can_be_sent: 5_200, 2, 3_000 => Concluding;
     ends_before_the_grace_period_is_over: 5_750, 2, 0 => Ended;
 }
 
--- a/crates/marigold-sidecar/src/ingress/connection.rs
+++ b/crates/marigold-sidecar/src/ingress/connection.rs
@@ -10,7 +10,6 @@
 use bytes::BytesMut;
 use futures_util::StreamExt;
 use futures_util::stream::FuturesOrdered;
-use marigold_dispatch::ShutdownStage;
 use tokio::io::{AsyncReadExt, AsyncWriteExt};
 use tokio::net::{TcpListener, TcpStream};
 use tokio::time::{Instant, sleep, sleep_until, timeout};
@@ -20,6 +19,8 @@
 
 /// Limit on concurrent requests of one connection; further pipelined requests stay unread.
 const MAX_PIPELINED_REQUESTS: usize = 32;
+/// Limit on the bytes read from a connection on which no further requests are started.
+const MAX_UNPARSED_BYTES: usize = 16 << 10;
 /// Time limit for writing a response.
 const WRITE_TIMEOUT: Duration = Duration::from_secs(10);
 /// How long a closing connection is still read, since closing it with unread bytes would reset it before
@@ -72,7 +73,7 @@
     let mut closing: Option<Option<Rejection>> = None;
     loop {
         let limits = ingress.limits();
-        while closing.is_none() && responses.len() < MAX_PIPELINED_REQUESTS {
+        while closing.is_none() && may_start(&ingress, responses.len()) {
             match reader.next(&mut input, &limits, Instant::now()) {
                 Ok(Some(request)) => {
                     let mode = ResponseMode {
@@ -99,7 +100,9 @@
             return close(stream).await;
         }
         // A closing connection is still read, to detect when the caller disconnects.
-        let can_read = closing.is_some() || responses.len() < MAX_PIPELINED_REQUESTS;
+        let can_read = closing.is_some()
+            || may_start(&ingress, responses.len())
+            || (ingress.is_stopping() && input.len() < MAX_UNPARSED_BYTES);
         let expires_at = match (reader.head_since(), responses.is_empty()) {
             (Some(since), _) => Some(since + limits.head_timeout),
             (None, true) => Some(idle_since + limits.idle_timeout),
@@ -111,7 +114,8 @@
                 let Some(mode) = modes.pop_front() else {
                     return Err(io::Error::other("response without a matching request"));
                 };
-                let closes = mode.close || ingress.stage(0) != ShutdownStage::Serving;
+                // Requests that were started get their responses before the connection is closed.
+                let closes = mode.close || (ingress.is_stopping() && responses.is_empty());
                 let extra = if closes { "Connection: close\r\n" } else { "" };
                 encode_response(&mut output, &response, extra, mode.bodiless);
                 timeout(WRITE_TIMEOUT, stream.write_all(&output)).await??;
@@ -143,6 +147,14 @@
     }
 }
 
+/// Returns whether another request may be started behind `pending` ones.
+///
+/// While the ingress is stopping, none is started behind a pending one: it would have to be answered before the
+/// process ends, but its response cannot be sent before the one ahead. Unread, the caller sends it elsewhere.
+fn may_start(ingress: &Ingress, pending: usize) -> bool {
+    pending < MAX_PIPELINED_REQUESTS && !(ingress.is_stopping() && pending > 0)
+}
+
 fn start_request(ingress: &Rc<Ingress>, request: Request) -> PendingResponse {
     Box::pin(ingress.clone().serve(request))
 }
--- a/crates/marigold-sidecar/src/ingress/request_handler.rs
+++ b/crates/marigold-sidecar/src/ingress/request_handler.rs
@@ -18,7 +18,8 @@
 use marigold_request::quarantine::QuarantineStatus;
 use marigold_types::{ServiceName, Version};
 use tokio::sync::watch;
-use tokio::time::{Instant, timeout_at};
+use tokio::time::{Instant, sleep_until, timeout_at};
+use tokio_util::sync::CancellationToken;
 
 use self::in_flight_request::InFlightRequest;
 use self::request_context::RequestContext;
@@ -70,6 +71,8 @@
     target_cycles: RefCell<(Version, HashMap<CallKind, WeightedRoundRobin>)>,
     caller_timeouts: RefCell<CallerTimeouts>,
     shutdown: RefCell<Shutdown>,
+    /// Triggered when a shutdown begins.
+    stopping: CancellationToken,
     grace: Cell<Duration>,
     in_flight: Cell<usize>,
     last_request_at: Cell<Instant>,
@@ -91,6 +94,7 @@
             target_cycles: RefCell::default(),
             caller_timeouts: RefCell::default(),
             shutdown: RefCell::default(),
+            stopping: CancellationToken::new(),
             in_flight: Cell::new(0),
             last_request_at: Cell::new(Instant::now()),
             buffered_body_bytes: Cell::new(0),
@@ -134,6 +138,20 @@
     /// Starts a graceful shutdown.
     pub fn begin_shutdown(&self) {
         self.shutdown.borrow_mut().begin(Instant::now());
+        self.stopping.cancel();
+    }
+
+    /// Waits until a shutdown requires that requests in flight end.
+    async fn concluding(&self) {
+        self.stopping.cancelled().await;
+        let concludes_at = self.shutdown.borrow().concludes_at(self.grace.get());
+        sleep_until(concludes_at.unwrap_or_else(Instant::now)).await;
+    }
+
+    /// Returns whether a shutdown has begun.
+    #[must_use]
+    pub fn is_stopping(&self) -> bool {
+        self.stopping.is_cancelled()
     }
 
     /// Returns the stage of the shutdown, given `other_in_flight` calls besides the requests of callers.
@@ -176,9 +194,9 @@
             return invalid(404, "no route takes this host and path");
         };
         trace.route = route.kind.to_string();
-        if matches!(
+        if !matches!(
             self.stage(0),
-            ShutdownStage::Refusing | ShutdownStage::Ended
+            ShutdownStage::Serving | ShutdownStage::Draining
         ) {
             return not_run("this daemon is leaving", UNAVAILABLE_RETRY_DELAY);
         }
@@ -213,10 +231,16 @@
         };
         let mut failure = None;
         let attempts = self.run_attempts(request, &context, trace, &mut failure);
-        match (timeout_at(deadline, attempts).await, failure) {
-            (Ok(outcome), _) => outcome,
-            (Err(_), Some(response)) => RequestOutcome::Answered(response),
-            (Err(_), None) => RequestOutcome::Unknown {
+        let (outcome, is_concluded) = tokio::select! {
+            biased;
+            outcome = timeout_at(deadline, attempts) => (outcome.ok(), false),
+            () = self.concluding() => (None, true),
+        };
+        match (outcome, failure) {
+            (Some(outcome), _) => outcome,
+            (None, Some(response)) => RequestOutcome::Answered(response),
+            (None, None) if is_concluded => unknown("this daemon ended before the request did"),
+            (None, None) => RequestOutcome::Unknown {
                 reason: "no answer in time",
                 timed_out: true,
             },
--- a/crates/marigold-sidecar/src/sidecar.rs
+++ b/crates/marigold-sidecar/src/sidecar.rs
@@ -388,7 +388,7 @@
             // Requests are still accepted until callers have switched to other daemons: if only the
             // daemon restarts, the backend server keeps running.
             ShutdownStage::Serving | ShutdownStage::Draining => {}
-            ShutdownStage::Refusing => components.executor.close(),
+            ShutdownStage::Refusing | ShutdownStage::Concluding => components.executor.close(),
             ShutdownStage::Ended => break,
         }
         sleep(SHUTDOWN_POLL_INTERVAL).await;
--- a/crates/marigold-sidecar/tests/common/test_mesh.rs
+++ b/crates/marigold-sidecar/tests/common/test_mesh.rs
@@ -28,6 +28,9 @@
 /// Time that a failing backend server takes to respond.
 pub const FAILURE_DELAY: Duration = Duration::from_millis(20);
 
+/// Marks the paths at which [`BackendBehaviour::HangOnMark`] hangs.
+pub const HANG_MARK: &str = "/hang";
+
 /// How a simulated backend server handles each request.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub enum BackendBehaviour {
@@ -41,6 +44,8 @@
     Disconnect,
     /// Reads the request and never responds.
     Hang,
+    /// As [`Self::Hang`] for paths that contain [`HANG_MARK`], as [`Self::Succeed`] after [`FAILURE_DELAY`] for others.
+    HangOnMark,
 }
 
 /// One data centre with an ingress, and an executor and backend server for each behaviour.
@@ -254,8 +259,23 @@
         let path = text.split(' ').nth(1).unwrap_or_default().to_owned();
         let extra = *extra_fields.borrow();
         let head = format!("X-Id: {}\r\n{extra}Content-Length:", field("X-Id: "));
+        let hangs = match behaviour {
+            BackendBehaviour::Hang => true,
+            BackendBehaviour::HangOnMark => path.contains(HANG_MARK),
+            _ => false,
+        };
+        if hangs {
+            // The executor sends nothing more and eventually closes the connection.
+            if matches!(stream.read(&mut buffer).await, Ok(0) | Err(_)) {
+                disconnects.set(disconnects.get() + 1);
+            }
+            return;
+        }
         let response = match behaviour {
-            BackendBehaviour::Succeed => {
+            BackendBehaviour::Succeed | BackendBehaviour::HangOnMark | BackendBehaviour::Hang => {
+                if behaviour == BackendBehaviour::HangOnMark {
+                    sleep(FAILURE_DELAY).await;
+                }
                 let body = format!("{path} for {}", field("X-Origin: "));
                 format!(
                     "HTTP/1.1 200 OK\r\nX-Signed: s\r\n{head} {}\r\n\r\n{body}",
@@ -270,13 +290,6 @@
                 format!("HTTP/1.1 503 No\r\nX-Not-Run: 1\r\n{extra}Content-Length: 0\r\n\r\n")
             }
             BackendBehaviour::Disconnect => return,
-            BackendBehaviour::Hang => {
-                // The executor sends nothing more and eventually closes the connection.
-                if matches!(stream.read(&mut buffer).await, Ok(0) | Err(_)) {
-                    disconnects.set(disconnects.get() + 1);
-                }
-                return;
-            }
         };
         if stream.write_all(response.as_bytes()).await.is_err() {
             return;
