Refuse requests 3 s after the signal, however long the grace period is

A request accepted 3 to 5 s after SIGTERM with a grace period of 10 s had as little as 3.5 s to run before the ingress had to conclude it; meter-history runs up to 15 s. Callers have switched by then: two failed readiness checks, one a second. Test: requests_are_accepted_for_half_of_a_long_grace_period (Draining at 3.1 s of 20 s before, Refusing now). Grace periods of 6 s are unchanged.

--- a/crates/marigold-dispatch/src/shutdown.rs
+++ b/crates/marigold-dispatch/src/shutdown.rs
@@ -7,6 +7,9 @@
 /// The fraction of the grace period after which new requests are refused, so that the last accepted ones can
 /// still complete.
 const REFUSE_AFTER_RATIO: f64 = 0.5;
+/// New requests are refused after this time at the latest: callers have switched to other daemons by then, and a
+/// request that is accepted later has less time to complete.
+const MAX_ACCEPT_TIME: Duration = Duration::from_secs(3);
 /// The fraction of the grace period after which requests in flight get the outcome that is known, so that responses
 /// which are ready behind them on a connection are still sent.
 const CONCLUDE_AFTER_RATIO: f64 = 0.85;
@@ -64,7 +67,7 @@
         if elapsed >= grace.mul_f64(STOP_AFTER_RATIO) {
             return ShutdownStage::Ended;
         }
-        if elapsed < grace.mul_f64(REFUSE_AFTER_RATIO) {
+        if elapsed < grace.mul_f64(REFUSE_AFTER_RATIO).min(MAX_ACCEPT_TIME) {
             return ShutdownStage::Draining;
         }
         if in_flight == 0 && now.saturating_duration_since(last_request) >= QUIET_PERIOD {
--- a/crates/marigold-dispatch/tests/routing_and_retries.rs
+++ b/crates/marigold-dispatch/tests/routing_and_retries.rs
@@ -154,6 +154,18 @@
     ends_before_the_grace_period_is_over: 5_750, 2, 0 => Ended;
 }
 
+#[tokio::test(start_paused = true)]
+async fn requests_are_accepted_for_half_of_a_long_grace_period() {
+    let begin = Instant::now();
+    let mut shutdown = Shutdown::default();
+    shutdown.begin(begin);
+    let now = begin + ms(3_100);
+    assert_eq!(
+        shutdown.stage(ms(20_000), 1, now, now),
+        ShutdownStage::Refusing
+    );
+}
+
 #[tokio::test(start_paused = true)]
 async fn serving_without_a_signal() {
     let now = Instant::now();
