--- a/crates/marigold-sidecar/src/ingress/mesh.rs
+++ b/crates/marigold-sidecar/src/ingress/mesh.rs
@@ -8,7 +8,7 @@
 
 use marigold_dispatch::{
     AttemptOutcome, CallKind, Directory, ExecutorChoice, LinkSelector, Placement, PlacementRequest,
-    Reached, RetryBudget, SiteReport, select_trial_executor,
+    Reached, RetryBudget, SiteReport, SlackShare, select_trial_executor,
 };
 use marigold_request::quarantine::Fingerprint;
 use marigold_types::{DataCentre, ServiceName};
@@ -73,6 +73,7 @@
     placement: RefCell<Placement>,
     links: RefCell<HashMap<SocketAddr, LinkClient>>,
     retry_budgets: RefCell<HashMap<ServiceName, RetryBudget>>,
+    slack_share: RefCell<SlackShare>,
     rng: RefCell<SmallRng>,
     update_listener: RefCell<Option<Rc<dyn StoreUpdateListener>>>,
     myself: Weak<Self>,
@@ -100,6 +101,7 @@
             placement: RefCell::new(placement),
             links: RefCell::default(),
             retry_budgets: RefCell::default(),
+            slack_share: RefCell::new(SlackShare::new(options.tuning.retry_window)),
             rng: RefCell::new(rng),
             update_listener: RefCell::default(),
             myself: myself.clone(),
@@ -127,6 +129,10 @@
         if directory.generation() == before {
             return;
         }
+        let count = directory.len();
+        self.slack_share
+            .borrow_mut()
+            .record_daemons(count, Instant::now());
         self.placement.borrow_mut().retain(&directory);
         self.links.borrow_mut().retain(|address, link| {
             let is_listed = directory.get(*address).is_some();
@@ -280,9 +286,8 @@
 
     /// Takes one retry from the budget of `service`; returns whether there was one.
     pub fn try_spend_retry(&self, service: &ServiceName) -> bool {
-        let daemons = self.directory.borrow().len().max(1);
-        let daemon_count = f64::from(u32::try_from(daemons).unwrap_or(u32::MAX));
-        let slack = self.tuning.get().retry_slack / daemon_count;
+        let slack = self.tuning.get().retry_slack;
+        let slack = self.slack_share.borrow().of(slack, Instant::now());
         let granted = self.with_budget(service, |budget, now| budget.try_spend(slack, now));
         let granted_label = if granted { "yes" } else { "no" };
         metrics::counter!("marigold_repeats_total", "granted" => granted_label).increment(1);
