Let the share of the retry slack grow from nothing after a start

Callers saw: BUDGET, repeats beyond what is allowed, on runs with real processes. Cause: a daemon that starts again forgets what it spent and had its whole share of the slack at once, so daemons killed every 2 s had five shares in a window of 10 s; besides, a daemon that knew few others for a moment divided the slack by few. Change: the share grows over the first window and is divided by the most daemons known within a window; all shares are 0.45 of the slack (0.8 before), since a run that ends in a window and those after it can spend one share each.

--- a/crates/marigold-dispatch/src/retry_budget.rs
+++ b/crates/marigold-dispatch/src/retry_budget.rs
@@ -10,9 +10,6 @@
 
 /// The number of buckets in a window.
 const BUCKETS: u32 = 20;
-/// The fraction of the slack that is used, as a margin for limits that are checked over windows with other
-/// boundaries.
-const USED_SLACK_RATIO: f64 = 0.8;
 /// The fraction of the retry ratio that is used. Requests between backend servers count here like caller
 /// requests but earn no retries, and each retry of a request also repeats the requests that it makes.
 const USED_RETRY_RATIO: f64 = 0.35;
@@ -26,7 +23,7 @@
 
 /// Limits the retries for one service to a ratio of its requests in a sliding window, plus a fixed slack.
 ///
-/// Every daemon has an equal share of the slack and earns retries from its own requests, so the total stays
+/// Every daemon has a share of the slack ([`SlackShare`](crate::SlackShare)) and earns retries from its own requests, so the total stays
 /// below the limit without coordination between daemons.
 #[derive(Debug, Clone)]
 pub struct RetryBudget {
@@ -63,7 +60,7 @@
         let requests: u32 = self.buckets.iter().map(|bucket| bucket.requests).sum();
         let retries: u32 = self.buckets.iter().map(|bucket| bucket.retries).sum();
         let earned = self.ratio * USED_RETRY_RATIO * f64::from(requests);
-        let allowed = earned + slack * USED_SLACK_RATIO;
+        let allowed = earned + slack;
         let fits = f64::from(retries) + 1.0 <= allowed;
         if fits {
             self.current_bucket(now).retries += 1;
--- a/crates/marigold-sidecar/src/ingress/mesh.rs
+++ b/crates/marigold-sidecar/src/ingress/mesh.rs
@@ -112,6 +112,9 @@
     pub fn tune(&self, tuning: Tuning) {
         let previous = self.tuning.replace(tuning);
         self.placement.borrow_mut().set_byte_cost(tuning.byte_cost);
+        self.slack_share
+            .borrow_mut()
+            .set_window(tuning.retry_window);
         let is_same = (previous.retry_window, previous.retry_ratio)
             == (tuning.retry_window, tuning.retry_ratio);
         if !is_same {
