Call an executor unresponsive only once a ping goes unanswered

Cause: the ping itself was reported as silence, so each call longer than 300 ms made its link silent. Evidence: executor_that_answers_pings_is_reported_as_unresponsive failed before and passes; a silent executor is still reported (executor_that_falls_silent_goes_unreported).

--- a/crates/marigold-sidecar/src/link.rs
+++ b/crates/marigold-sidecar/src/link.rs
@@ -8,6 +8,7 @@
 mod client;
 mod frame;
 mod frame_codec;
+mod keepalive;
 mod open_calls;
 mod outcome;
 mod server;
@@ -15,7 +16,7 @@
 mod socket;
 
 pub use call_id::{CallId, SessionId};
-pub use client::{LinkClient, LinkEvent, OpenCall, SendQueueFull};
+pub use client::{LinkClient, LinkEvent, LinkListener, OpenCall, SendQueueFull};
 pub use frame::{
     Call, ConfigChange, Follow, Frame, Hello, Reply, SiteRecord, StoreUpdate, Welcome,
 };
--- a/crates/marigold-sidecar/src/link/client.rs
+++ b/crates/marigold-sidecar/src/link/client.rs
@@ -19,6 +19,7 @@
 
 use super::frame::CRASH_RECORDS_FEATURE;
 use super::frame_codec::{MAX_BODY_PART_BYTES, Packet};
+use super::keepalive::{Keepalive, KeepaliveAction};
 use super::open_calls::OpenCalls;
 use super::{
     Call, CallId, CallResult, Follow, Frame, FrameCodec, Hello, Reply, SessionId, StoreUpdate,
@@ -27,10 +28,6 @@
 
 /// Timeout for opening a connection, including the handshake.
 const CONNECT_TIMEOUT: Duration = Duration::from_millis(500);
-/// An executor with open calls is pinged after it has sent nothing for this long.
-const PING_AFTER_SILENCE: Duration = Duration::from_millis(300);
-/// Time limit for the response to a ping, after which the connection is replaced.
-const PING_TIMEOUT: Duration = Duration::from_millis(400);
 /// Delay after the first failed attempt to connect, doubled after each further one.
 const MIN_BACKOFF: Duration = Duration::from_millis(100);
 /// Limit on the delay between attempts to connect.
@@ -49,7 +46,7 @@
 pub enum LinkEvent {
     /// The executor has reported its state.
     Report(SiteReport),
-    /// It has sent nothing for a while although calls are open.
+    /// It has not responded to a ping although calls are open.
     Unresponsive,
     /// A connection to it could not be opened.
     Unreachable,
@@ -355,24 +352,17 @@
     let write = async {
         let mut codec = FrameCodec::default();
         let mut out = BytesMut::new();
-        let mut pinged_at: Option<Instant> = None;
+        let mut keepalive = Keepalive::default();
         loop {
             shared.state.borrow_mut().encode(&mut codec, &mut out)?;
-            let now = Instant::now();
             let is_waiting = shared.state.borrow().open_calls.has_sent();
-            if pinged_at.is_some_and(|at| last_received.get() > at) {
-                pinged_at = None;
-            }
-            let is_silent =
-                now.saturating_duration_since(last_received.get()) >= PING_AFTER_SILENCE;
-            if is_waiting && is_silent && pinged_at.is_none() {
-                encode_empty(&mut codec, Frame::Ping, &mut out)?;
-                pinged_at = Some(now);
-                // No further calls are placed there until a response arrives.
-                (shared.listener)(shared.address, LinkEvent::Unresponsive);
-            }
-            if pinged_at.is_some_and(|at| now.saturating_duration_since(at) >= PING_TIMEOUT) {
-                return Err(io::ErrorKind::TimedOut.into());
+            match keepalive.poll(is_waiting, last_received.get(), Instant::now()) {
+                KeepaliveAction::Nothing => {}
+                KeepaliveAction::Ping => encode_empty(&mut codec, Frame::Ping, &mut out)?,
+                KeepaliveAction::Suspect => {
+                    (shared.listener)(shared.address, LinkEvent::Unresponsive);
+                }
+                KeepaliveAction::Reconnect => return Err(io::ErrorKind::TimedOut.into()),
             }
             if shared.closed.get() {
                 return Ok(());
@@ -381,16 +371,9 @@
                 writer.write_all(&out).await?;
                 out.clear();
             }
-            let wait = if pinged_at.is_some() {
-                PING_TIMEOUT
-            } else {
-                PING_AFTER_SILENCE
-            };
-            // Silence does not matter without open calls.
-            if is_waiting {
-                timeout(wait, shared.wake.notified()).await.ok();
-            } else {
-                shared.wake.notified().await;
+            match keepalive.wait(is_waiting) {
+                Some(wait) => _ = timeout(wait, shared.wake.notified()).await,
+                None => shared.wake.notified().await,
             }
         }
     };
--- a/crates/marigold-sidecar/tests/links.rs
+++ b/crates/marigold-sidecar/tests/links.rs
@@ -13,7 +13,7 @@
 use marigold_request::quarantine::{CrashRecord, Fingerprint};
 use marigold_sidecar::link::{
     Call, CallHandler, CallId, CallOutcome, CallResult, Frame, FrameCodec, Hello, LinkClient,
-    LinkEvent, LinkServer, Packet, Reply, ReplyHandle, SessionId,
+    LinkEvent, LinkListener, LinkServer, Packet, Reply, ReplyHandle, SessionId, Welcome,
 };
 use tokio::io::{AsyncReadExt, AsyncWriteExt, copy_bidirectional};
 use tokio::net::{TcpListener, TcpStream};
@@ -115,6 +115,16 @@
     LinkClient::start(address, Rc::new(|_, _| {}))
 }
 
+/// Returns a listener that counts reports, and the times that the executor was unresponsive.
+fn count_events(reports: &Rc<Cell<u32>>, unresponsive: &Rc<Cell<u32>>) -> LinkListener {
+    let (reports, unresponsive) = (reports.clone(), unresponsive.clone());
+    Rc::new(move |_, event| match event {
+        LinkEvent::Report(_) => reports.set(reports.get() + 1),
+        LinkEvent::Unresponsive => unresponsive.set(unresponsive.get() + 1),
+        _ => {}
+    })
+}
+
 /// Waits until `done` returns true.
 async fn wait_until(done: impl Fn() -> bool) {
     let wait = async {
@@ -260,6 +270,36 @@
         }
     }
 
+    executor_that_answers_pings_is_reported_as_unresponsive {
+        let handler = Rc::new(HoldingHandler::default());
+        let (address, _task) = serve(1, handler.clone()).await;
+        let (reports, unresponsive) = (Rc::new(Cell::new(0)), Rc::new(Cell::new(0)));
+        let link = LinkClient::start(address, count_events(&reports, &unresponsive));
+        let open = link.call(call("r1", true)).expect("room in the send queue");
+        // The first report is in the handshake, and each further one answers a ping.
+        wait_until(|| reports.get() == 3).await;
+        handler.answer_next();
+        assert!(matches!(result(open).await, CallResult::Replied(_)));
+        assert_eq!(unresponsive.get(), 0);
+    }
+
+    executor_that_falls_silent_goes_unreported {
+        let (listener, address) = listener().await;
+        spawn_local(async move {
+            let (mut stream, _) = listener.accept().await.expect("a connection");
+            let frame = Frame::Welcome(Welcome { run_id: 1, unknown: Vec::new(), site: site() });
+            let mut bytes = BytesMut::new();
+            let packet = Packet { frame, body: Bytes::new() };
+            FrameCodec::default().encode(packet, &mut bytes).expect("an encoded frame");
+            stream.write_all(&bytes).await.expect("an open connection");
+            while stream.read_buf(&mut bytes).await.is_ok_and(|count| count > 0) {}
+        });
+        let (reports, unresponsive) = (Rc::new(Cell::new(0)), Rc::new(Cell::new(0)));
+        let link = LinkClient::start(address, count_events(&reports, &unresponsive));
+        let _open = link.call(call("r1", true)).expect("room in the send queue");
+        wait_until(|| unresponsive.get() == 1).await;
+    }
+
     restarted_executor_reports_without_a_call {
         let first = Rc::new(HoldingHandler::default());
         let (address, task) = serve(1, first.clone()).await;
