Ask a backend server for its limit of requests after a start

Cause: a daemon that starts runs one request at a time until a response has told whether there is a limit, and that request may take seconds: call_ended shows refusals with 1 slot of 14 busy and 15 to 39 calls queued. Change: a health check is sent at once, as BackendDiscovery does when no announcement has come before. Evidence: slots_stay_unused_until_the_first_response_after_a_restart fails without it.

--- a/crates/marigold-sidecar/src/executor.rs
+++ b/crates/marigold-sidecar/src/executor.rs
@@ -9,6 +9,7 @@
 mod crash_check;
 mod exchange;
 mod executor_options;
+mod health_probes;
 mod limit_watch;
 mod local_executor;
 mod probe;
--- a/crates/marigold-sidecar/src/executor/local_executor.rs
+++ b/crates/marigold-sidecar/src/executor/local_executor.rs
@@ -20,8 +20,9 @@
 use super::call_progress::{CallProgress, millis};
 use super::exchange::{BackendRequest, BackendStatement, ExchangeOutcome, exchange};
 use super::executor_options::{ExecutorOptions, HealthPathSource, VersionListener};
+use super::health_probes::{probe_until_heard, probe_until_limit_is_known};
 use super::limit_watch::LimitWatch;
-use super::probe::probe;
+use super::probe::{ProbeResponse, probe};
 use super::silence_watch::SilenceChange;
 use super::slot_queue::SlotQueue;
 use crate::crash_tracker::TRIAL_RETRY_DELAY;
@@ -33,8 +34,6 @@
 const SWEEP_INTERVAL: Duration = Duration::from_millis(20);
 /// Retry delay while the backend server is draining or absent.
 const UNAVAILABLE_RETRY_DELAY: Duration = Duration::from_millis(300);
-/// Interval at which a silent backend server is asked whether it is alive.
-const SILENCE_PROBE_INTERVAL: Duration = Duration::from_millis(400);
 /// Status of a backend server's response to a request whose deadline has passed.
 const STATUS_DEADLINE_PASSED: u16 = 504;
 /// Time reserved before the deadline for the response to reach the caller.
@@ -128,7 +127,7 @@
                 self.crashes.record_silence();
                 self.apply_backend_state();
                 if let Some(executor) = self.myself.upgrade() {
-                    tokio::task::spawn_local(executor.probe_until_heard());
+                    tokio::task::spawn_local(probe_until_heard(executor));
                 }
             }
             Some(SilenceChange::Heard) => {
@@ -139,32 +138,17 @@
         }
     }
 
-    /// Asks the silent backend server whether it is alive, so that no request is spent on that.
-    async fn probe_until_heard(self: Rc<Self>) {
-        let Some(pool) = self.backend.pool() else {
-            return;
-        };
-        loop {
-            sleep(SILENCE_PROBE_INTERVAL).await;
-            if !self.backend.is_current(&pool) || !self.backend.silence.is_silent() {
-                return;
-            }
-            let Some(address) = self.backend.serving().map(|instance| instance.address) else {
-                return;
-            };
-            let path = (self.health_path.borrow().as_ref()).and_then(|source| source());
-            let is_alive = match path {
-                Some(path) => {
-                    self.queue.record_probe();
-                    probe(address, &path, &self.options.names).await.is_ok()
-                }
-                // Without a health check, requests show it.
-                None => true,
-            };
-            if is_alive {
-                self.backend.silence.record_sound();
-            }
-        }
+    /// Sends a health check to the backend server, or returns `None` if there is no path to send it to.
+    pub(super) async fn check_health(&self) -> Option<io::Result<ProbeResponse>> {
+        let address = self.backend.serving().map(|instance| instance.address)?;
+        let path = (self.health_path.borrow().as_ref()).and_then(|source| source())?;
+        self.queue.record_probe();
+        Some(probe(address, &path, &self.options.names).await)
+    }
+
+    /// Returns the current instance of the backend server and its connections.
+    pub(super) fn backend(&self) -> &BackendMonitor {
+        &self.backend
     }
 
     /// Applies an announcement of the backend server.
@@ -181,6 +165,11 @@
                 crash_check.reset();
                 self.queue.set_request_limit(None);
                 self.apply_backend_state();
+                if let Some(executor) = self.myself.upgrade()
+                    && self.backend.is_limit_unknown()
+                {
+                    tokio::task::spawn_local(probe_until_limit_is_known(executor));
+                }
             }
             AnnouncementOutcome::Unchanged => {
                 if self.queue.read(AdmissionController::slots) != self.backend.usable_slots() {
--- a/crates/marigold-sidecar/tests/common/test_mesh.rs
+++ b/crates/marigold-sidecar/tests/common/test_mesh.rs
@@ -28,6 +28,8 @@
 /// Time that a failing backend server takes to respond.
 pub const FAILURE_DELAY: Duration = Duration::from_millis(20);
 
+/// Path of the health check of the simulated backend servers, which tests have to set.
+pub const HEALTH_PATH: &str = "/health";
 /// Marks the paths at which [`BackendBehaviour::HangOnMark`] hangs.
 pub const HANG_MARK: &str = "/hang";
 
@@ -246,6 +248,16 @@
             continue;
         }
         input.clear();
+        if text.starts_with(&format!("GET {HEALTH_PATH} ")) {
+            let extra = *extra_fields.borrow();
+            let response = format!(
+                "HTTP/1.1 200 OK\r\nX-Identity: life-1\r\n{extra}Content-Length: 0\r\n\r\n"
+            );
+            if stream.write_all(response.as_bytes()).await.is_err() {
+                return;
+            }
+            continue;
+        }
         *arrivals.borrow_mut().entry(address).or_default() += 1;
         let field = |name: &str| {
             let line = text.lines().find_map(|line| line.strip_prefix(name));
--- a/crates/marigold-sidecar/tests/request_limits.rs
+++ b/crates/marigold-sidecar/tests/request_limits.rs
@@ -5,7 +5,7 @@
 use std::sync::Arc;
 
 use common::announcement;
-use common::test_mesh::{BackendBehaviour, TestMesh, get, until};
+use common::test_mesh::{BackendBehaviour, HANG_MARK, HEALTH_PATH, TestMesh, get, until};
 use futures_util::future::join;
 use marigold_dispatch::{Announcement, ServingState};
 use marigold_sidecar::link::CallHandler;
@@ -133,6 +133,36 @@
         assert!(!is_limited(&mesh));
     }
 
+    slots_stay_unused_until_the_first_response_after_a_restart {
+        let mesh = TestMesh::new(&[BackendBehaviour::HangOnMark]).await;
+        mesh.executors[0].set_health_path(Box::new(|| Some(Arc::from(HEALTH_PATH))));
+        let next = Announcement {
+            started_ms: Some(2),
+            ..announcement(mesh.backends[0], 7, ServingState::Ready)
+        };
+        mesh.executors[0].apply_announcement(&next);
+        let long = get(&format!("/safe{HANG_MARK}"), CONNECTION_CLOSE);
+        tokio::select! {
+            _ = mesh.send(&long) => panic!("the caller gave up first"),
+            response = async {
+                until(|| mesh.arrivals() == 1).await;
+                send(&mesh).await
+            } => assert!(response.starts_with("HTTP/1.1 200"), "{response}"),
+        }
+    }
+
+    limit_in_a_health_check_after_a_restart_is_not_heard {
+        let mesh = mesh_naming(BackendBehaviour::Succeed, "X-Limit: 0.5\r\n").await;
+        mesh.executors[0].set_health_path(Box::new(|| Some(Arc::from(HEALTH_PATH))));
+        let next = Announcement {
+            started_ms: Some(2),
+            ..announcement(mesh.backends[0], 7, ServingState::Ready)
+        };
+        mesh.executors[0].apply_announcement(&next);
+        until(|| is_limited(&mesh)).await;
+        assert_eq!(mesh.arrivals(), 0);
+    }
+
     daemon_that_starts_sends_many_requests_before_it_knows_the_limit {
         let mesh = TestMesh::new(&[BackendBehaviour::Hang]).await;
         let next = Announcement {
