Give the slots of requests whose response is most likely lost to others

Change: a request is overdue after two mean run times and six mean deviations of its kind (times the pace of late), once three that started later have ended. It holds no slot then (half of the slots at most), and an idempotent one is sent to another backend server within the retry budget instead of waiting.

--- a/crates/marigold-dispatch/src/admission_controller.rs
+++ b/crates/marigold-dispatch/src/admission_controller.rs
@@ -13,6 +13,7 @@
 use tokio::time::Instant;
 
 use crate::kind_stats::{DEMAND_DECAY_TIME, KindStats};
+use crate::running_set::{Permit, RunningSet};
 use crate::wait_queue::WaitQueue;
 use crate::{CallKind, Rank, RequestLimit, RequestPacer, RunTime, SiteReport};
 
@@ -39,8 +40,6 @@
 const MAX_KINDS: usize = 512;
 
 new_key_type! {
-    /// Identifies a request that holds a slot.
-    pub struct Permit;
     /// Identifies a request that waits for a slot.
     pub struct Ticket;
 }
@@ -84,19 +83,13 @@
     expected_run: Duration,
 }
 
-#[derive(Debug, Clone)]
-struct Running {
-    kind: CallKind,
-    started_at: Instant,
-}
-
 /// Assigns the slots of the backend server beside the sidecar to requests, by value per second of slot time.
 ///
 /// The controller of marigoldd, which schedules by priority class, is in marigold-request.
 #[derive(Debug)]
 pub struct AdmissionController {
     slots: u32,
-    running: SlotMap<Permit, Running>,
+    running: RunningSet,
     waiting: SlotMap<Ticket, Waiting>,
     /// The queues of waiting requests; empty queues are removed.
     queues: BTreeMap<QueueKey, WaitQueue>,
@@ -117,7 +110,7 @@
     pub fn new(slots: SlotCount) -> Self {
         Self {
             slots: slots.0,
-            running: SlotMap::with_key(),
+            running: RunningSet::default(),
             waiting: SlotMap::with_key(),
             queues: BTreeMap::new(),
             kinds: BTreeMap::new(),
@@ -201,7 +194,20 @@
     /// Returns the number of requests that hold a slot.
     #[must_use]
     pub fn busy(&self) -> usize {
-        self.running.len()
+        self.running.holding()
+    }
+
+    /// Takes the slots of requests whose response is most likely lost; returns whether there is a new one.
+    pub fn mark_overdue(&mut self, now: Instant) -> bool {
+        let kinds = &self.kinds;
+        let overdue_after = |kind: &CallKind| kinds.get(kind)?.run_time.overdue_after();
+        self.running.mark_overdue(self.slots, overdue_after, now)
+    }
+
+    /// Returns whether the response to a request is most likely lost.
+    #[must_use]
+    pub fn is_overdue(&self, permit: Permit) -> bool {
+        self.running.is_overdue(permit)
     }
 
     /// Returns the number of waiting requests.
@@ -264,16 +270,15 @@
 
     /// Frees the slot of a request that has ended. If `ran` is true, its run time is added to the averages.
     pub fn release(&mut self, permit: Permit, ran: bool, now: Instant) {
-        let Some(running) = self.running.remove(permit) else {
+        let Some(ended) = self.running.end(permit, ran, now) else {
             return;
         };
         if !ran {
             return;
         }
-        let time = now.saturating_duration_since(running.started_at);
-        self.run_time.observe(time);
-        if let Some(kind) = self.kinds.get_mut(&running.kind) {
-            kind.run_time.observe(time);
+        self.run_time.observe(ended.time);
+        if let Some(kind) = self.kinds.get_mut(&ended.kind) {
+            kind.run_time.observe(ended.time);
         }
     }
 
@@ -349,7 +354,7 @@
         } else {
             self.slots
         };
-        let has_free_slot = self.running.len() < usize::try_from(slots).unwrap_or(usize::MAX);
+        let has_free_slot = self.running.holding() < usize::try_from(slots).unwrap_or(usize::MAX);
         has_free_slot && self.pacer.is_open(now)
     }
 
@@ -359,10 +364,8 @@
 
     fn start(&mut self, kind: CallKind, now: Instant) -> Permit {
         self.pacer.record_sent(now);
-        self.running.insert(Running {
-            kind,
-            started_at: now,
-        })
+        let expected = self.kinds.get(&kind).map(KindStats::run);
+        self.running.start(kind, expected.unwrap_or_default(), now)
     }
 
     fn record_demand(&mut self, request: &SlotRequest, now: Instant) {
--- a/crates/marigold-dispatch/src/lib.rs
+++ b/crates/marigold-dispatch/src/lib.rs
@@ -31,6 +31,7 @@
 mod route_policy;
 mod route_table;
 mod run_time;
+mod running_set;
 mod shutdown;
 mod silence_detector;
 mod site_report;
@@ -40,9 +41,7 @@
 mod wait_queue;
 mod weighted_round_robin;
 
-pub use admission_controller::{
-    AdmissionController, AdmissionDecision, Permit, SlotRequest, Ticket,
-};
+pub use admission_controller::{AdmissionController, AdmissionDecision, SlotRequest, Ticket};
 pub use announcement::{Announcement, ServingState};
 pub use attempt_outcome::AttemptOutcome;
 pub use backend_state::{AnnouncementOutcome, BackendInstance, BackendState, NamedLimit};
@@ -64,6 +63,7 @@
 pub use route_policy::RoutePolicy;
 pub use route_table::{RouteTable, ServicePolicy};
 pub use run_time::RunTime;
+pub use running_set::Permit;
 pub use shutdown::{Shutdown, ShutdownStage};
 pub use silence_detector::{SilenceDetector, WatchedRun};
 pub use site_report::SiteReport;
--- a/crates/marigold-sidecar/src/executor/local_executor.rs
+++ b/crates/marigold-sidecar/src/executor/local_executor.rs
@@ -98,6 +98,7 @@
         loop {
             sleep(SWEEP_INTERVAL).await;
             self.queue.remove_expired();
+            self.queue.reclaim_overdue();
             self.check_silence();
             let limits = &self.backend.limits;
             let now = Instant::now();
@@ -374,8 +375,14 @@
             deadline,
             self.watched_exchange(&pool, conn, &request, expected_run),
         );
-        match result.await {
-            Ok(ExchangeOutcome::Answered(response)) => {
+        let result = tokio::select! {
+            biased;
+            result = result => result.ok(),
+            // Another backend server may still answer in time.
+            () = slot.overdue(), if call.idempotent => None,
+        };
+        match result {
+            Some(ExchangeOutcome::Answered(response)) => {
                 slot.mark_completed();
                 // Responses with this status end runs that may go on.
                 if response.status == STATUS_DEADLINE_PASSED {
@@ -389,11 +396,11 @@
                     fields: response.fields,
                 }
             }
-            Ok(ExchangeOutcome::Rejected { status }) => {
+            Some(ExchangeOutcome::Rejected { status }) => {
                 run.ended();
                 CallOutcome::Rejected { status }
             }
-            Ok(ExchangeOutcome::Broken(error)) => {
+            Some(ExchangeOutcome::Broken(error)) => {
                 self.events.emit(
                     "backend_exchange_broken",
                     Severity::Warn,
@@ -407,7 +414,7 @@
                 self.check_for_crash(&pool, run);
                 CallOutcome::Lost { broken: true }
             }
-            Err(_) => CallOutcome::Lost { broken: false },
+            None => CallOutcome::Lost { broken: false },
         }
     }
 
--- a/crates/marigold-sidecar/tests/common/test_mesh.rs
+++ b/crates/marigold-sidecar/tests/common/test_mesh.rs
@@ -25,7 +25,7 @@
 
 use super::{TEST_TIMEOUT, announcement, listener, names, service};
 
-/// Time that a failing backend server takes to respond.
+/// Time that a failing or slow backend server takes to respond.
 pub const FAILURE_DELAY: Duration = Duration::from_millis(20);
 
 /// Path of the health check of the simulated backend servers, which tests have to set.
@@ -38,6 +38,8 @@
 pub enum BackendBehaviour {
     /// Responds with 200 and the path and origin of the request.
     Succeed,
+    /// As [`Self::Succeed`], after [`FAILURE_DELAY`].
+    SucceedSlowly,
     /// Responds with 500, after [`FAILURE_DELAY`].
     Fail,
     /// Responds that it did not run the request.
@@ -281,8 +283,11 @@
             return;
         }
         let response = match behaviour {
-            BackendBehaviour::Succeed | BackendBehaviour::HangOnMark | BackendBehaviour::Hang => {
-                if behaviour == BackendBehaviour::HangOnMark {
+            BackendBehaviour::Succeed
+            | BackendBehaviour::SucceedSlowly
+            | BackendBehaviour::HangOnMark
+            | BackendBehaviour::Hang => {
+                if behaviour != BackendBehaviour::Succeed {
                     sleep(FAILURE_DELAY).await;
                 }
                 let body = format!("{path} for {}", field("X-Origin: "));
--- /dev/null
+++ b/crates/marigold-sidecar/tests/lost_responses.rs
@@ -0,0 +1,66 @@
+//! Requests that run but whose response never arrives.
+
+mod common;
+
+use common::test_mesh::{BackendBehaviour, HANG_MARK, TestMesh, get, until};
+use futures_util::future::join_all;
+use marigold_sidecar::link::CallHandler;
+use tokio::task::LocalSet;
+
+const CONNECTION_CLOSE: &str = "Connection: close\r\n";
+/// Sound requests sent one after another, enough for both backend servers to have run several.
+const SOUND_REQUESTS: usize = 40;
+const LOST_REQUESTS: usize = 4;
+
+async fn send_sound_requests(mesh: &TestMesh, path: &str) {
+    for _ in 0..SOUND_REQUESTS {
+        let response = mesh.send(&get(path, CONNECTION_CLOSE)).await;
+        assert!(response.starts_with("HTTP/1.1 200"), "{response}");
+    }
+}
+
+/// Runs each test in a [`LocalSet`], which the daemons' tasks require.
+macro_rules! local_tests {
+    ($($name:ident $body:block)*) => {$(
+        #[tokio::test]
+        async fn $name() {
+            LocalSet::new().run_until(async $body).await;
+        }
+    )*};
+}
+
+local_tests! {
+    idempotent_request_waits_for_a_lost_response_until_its_deadline {
+        let behaviours = [BackendBehaviour::HangOnMark, BackendBehaviour::SucceedSlowly];
+        let mesh = TestMesh::new(&behaviours).await;
+        send_sound_requests(&mesh, "/safe/a").await;
+        let path = format!("/safe{HANG_MARK}");
+        let request = get(&path, CONNECTION_CLOSE);
+        // Some of them are sent to the backend server that loses the response.
+        for _ in 0..LOST_REQUESTS {
+            // As many as leave one slot of the other backend server free.
+            let sound = join_all((0..3).map(|_| send_sound_requests(&mesh, "/safe/a")));
+            let (response, _) = tokio::join!(mesh.send(&request), sound);
+            assert!(response.contains(&format!("{path} for ledger")), "{response}");
+        }
+        assert!(mesh.disconnects.get() > 0, "no response was lost");
+    }
+
+    request_that_may_run_once_is_sent_again_after_a_lost_response {
+        let mesh = TestMesh::new(&[BackendBehaviour::HangOnMark]).await;
+        send_sound_requests(&mesh, "/once/a").await;
+        let request = get(&format!("/once{HANG_MARK}"), CONNECTION_CLOSE);
+        let before = mesh.arrivals();
+        tokio::select! {
+            _ = mesh.send(&request) => panic!("the caller gave up first"),
+            () = async {
+                until(|| mesh.arrivals() == before + 1).await;
+                send_sound_requests(&mesh, "/once/a").await;
+                // Its slot serves others, but it is not sent again.
+                until(|| mesh.executors[0].report().busy.0 == 0).await;
+            } => {}
+        }
+        let sound = u32::try_from(SOUND_REQUESTS).expect("fits");
+        assert_eq!(mesh.arrivals(), before + 1 + sound);
+    }
+}
