Await an overdue run beside a second attempt instead of giving it up

Cause: a lost response and a long run look alike; giving up the first was final. Change: the ingress keeps the first attempt open, sends the request to a second executor within the retry budget, and takes the first success; without a second one nothing changes. The executor only stops counting the slot. Evidence: request_that_runs_long_is_given_up_where_no_other_server_has_room failed before (502), passes now.

--- a/crates/marigold-dispatch/src/placement.rs
+++ b/crates/marigold-dispatch/src/placement.rs
@@ -203,6 +203,23 @@
             .map_or(DEFAULT_RUN_TIME, |time| time.mean_or(DEFAULT_RUN_TIME))
     }
 
+    /// Returns the time after which the response to a call of `kind` is most likely lost, or `None` while the run times of
+    /// that kind are not known well enough.
+    #[must_use]
+    pub fn overdue_after(
+        &self,
+        choice: &ExecutorChoice,
+        kind: &CallKind,
+        now: Instant,
+    ) -> Option<Duration> {
+        let limit = self.run_times.get(kind)?.overdue_after()?;
+        let slowness = self
+            .executors
+            .get(&choice.address)
+            .map_or(1.0, |executor| executor.slowness(now));
+        Some(choice.wait + limit.mul_f64(slowness.max(1.0)))
+    }
+
     /// Selects the executor of least cost, or `None` if no executor accepts calls.
     pub fn choose<R: Rng>(
         &mut self,
--- a/crates/marigold-sidecar/src/executor/local_executor.rs
+++ b/crates/marigold-sidecar/src/executor/local_executor.rs
@@ -375,14 +375,8 @@
             deadline,
             self.watched_exchange(&pool, conn, &request, expected_run),
         );
-        let result = tokio::select! {
-            biased;
-            result = result => result.ok(),
-            // Another backend server may still answer in time.
-            () = slot.overdue(), if call.idempotent => None,
-        };
-        match result {
-            Some(ExchangeOutcome::Answered(response)) => {
+        match result.await {
+            Ok(ExchangeOutcome::Answered(response)) => {
                 slot.mark_completed();
                 // Responses with this status end runs that may go on.
                 if response.status == STATUS_DEADLINE_PASSED {
@@ -396,11 +390,11 @@
                     fields: response.fields,
                 }
             }
-            Some(ExchangeOutcome::Rejected { status }) => {
+            Ok(ExchangeOutcome::Rejected { status }) => {
                 run.ended();
                 CallOutcome::Rejected { status }
             }
-            Some(ExchangeOutcome::Broken(error)) => {
+            Ok(ExchangeOutcome::Broken(error)) => {
                 self.events.emit(
                     "backend_exchange_broken",
                     Severity::Warn,
@@ -414,7 +408,7 @@
                 self.check_for_crash(&pool, run);
                 CallOutcome::Lost { broken: true }
             }
-            None => CallOutcome::Lost { broken: false },
+            Err(_) => CallOutcome::Lost { broken: false },
         }
     }
 
--- a/crates/marigold-sidecar/src/executor/slot_queue.rs
+++ b/crates/marigold-sidecar/src/executor/slot_queue.rs
@@ -9,7 +9,7 @@
     AdmissionController, AdmissionDecision, Permit, RequestLimit, SlotRequest, Ticket,
 };
 use marigold_types::SlotCount;
-use tokio::sync::{Notify, oneshot};
+use tokio::sync::oneshot;
 use tokio::time::Instant;
 
 /// A slot, or the delay after which one is likely to be free.
@@ -19,8 +19,6 @@
 pub struct SlotQueue {
     controller: RefCell<AdmissionController>,
     waiters: RefCell<HashMap<Ticket, oneshot::Sender<SlotResult>>>,
-    /// Notified when responses are found to be lost.
-    has_overdue: Notify,
 }
 
 impl SlotQueue {
@@ -30,7 +28,6 @@
         Rc::new(Self {
             controller: RefCell::new(AdmissionController::new(SlotCount(0))),
             waiters: RefCell::default(),
-            has_overdue: Notify::new(),
         })
     }
 
@@ -103,7 +100,6 @@
     pub fn reclaim_overdue(self: &Rc<Self>) {
         let has_new = self.controller.borrow_mut().mark_overdue(Instant::now());
         if has_new {
-            self.has_overdue.notify_waiters();
             self.grant_free_slots();
         }
     }
@@ -166,20 +162,6 @@
 }
 
 impl Slot {
-    /// Waits until the response to the request is most likely lost.
-    pub async fn overdue(&self) {
-        loop {
-            let notified = self.queue.has_overdue.notified();
-            if self
-                .queue
-                .read(|controller| controller.is_overdue(self.permit))
-            {
-                return;
-            }
-            notified.await;
-        }
-    }
-
     /// Records that the backend server has responded. Only then does the time that the slot was held count
     /// towards the mean run time.
     pub fn mark_completed(&mut self) {
--- a/crates/marigold-sidecar/src/ingress/mesh.rs
+++ b/crates/marigold-sidecar/src/ingress/mesh.rs
@@ -216,13 +216,18 @@
         service: &ServiceName,
         fingerprint: &Fingerprint,
         tried: &[SocketAddr],
-    ) -> Option<SocketAddr> {
+    ) -> Option<ExecutorChoice> {
         let now = Instant::now();
         let placement = self.placement.borrow();
         let is_eligible =
             |address| placement.accepts(address, service, now) && !tried.contains(&address);
         let directory = self.directory.borrow();
-        select_trial_executor(&directory, service, fingerprint, is_eligible)
+        let address = select_trial_executor(&directory, service, fingerprint, is_eligible)?;
+        Some(ExecutorChoice {
+            address,
+            wait: Duration::ZERO,
+            is_remote: false,
+        })
     }
 
     /// Returns whether at least half of the executors of `service` take calls. Otherwise those that do say little about
--- a/crates/marigold-sidecar/src/ingress/request_handler.rs
+++ b/crates/marigold-sidecar/src/ingress/request_handler.rs
@@ -1,5 +1,6 @@
 //! Processes a request from routing to its final outcome.
 
+mod hedge;
 mod in_flight_request;
 mod request_context;
 
@@ -11,8 +12,8 @@
 use std::time::Duration;
 
 use marigold_dispatch::{
-    CallKind, CallerLimits, CallerTimeouts, Conclusion, PlacementRequest, Progress, RoutePolicy,
-    RouteTable, Shutdown, ShutdownStage, WeightedRoundRobin,
+    CallKind, CallerLimits, CallerTimeouts, Conclusion, ExecutorChoice, PlacementRequest, Progress,
+    RoutePolicy, RouteTable, Shutdown, ShutdownStage, WeightedRoundRobin,
 };
 use marigold_request::RefusalReason;
 use marigold_request::quarantine::QuarantineStatus;
@@ -23,7 +24,6 @@
 
 use self::in_flight_request::InFlightRequest;
 use self::request_context::RequestContext;
-use super::attempt::attempt;
 use super::mesh::Mesh;
 use super::request_outcome::RequestOutcome;
 use super::request_trace::RequestTrace;
@@ -262,7 +262,7 @@
         let mut tried = Vec::new();
         let mut progress = Progress::default();
         loop {
-            let address = match self.quarantine_status(request, context, trace) {
+            let choice = match self.quarantine_status(request, context, trace) {
                 QuarantineStatus::Refused(refusal) => {
                     let delay = refusal.retry_after.unwrap_or_default().duration();
                     return conclude_quarantined(&progress, failure.take(), delay);
@@ -279,7 +279,7 @@
                         .choose_for_trial(context.service, fingerprint, &tried)
                 }
             };
-            let Some(address) = address else {
+            let Some(choice) = choice else {
                 if !self.mesh.has_majority(context.service) {
                     progress.refused(UNAVAILABLE_RETRY_DELAY);
                 }
@@ -288,9 +288,9 @@
             if progress.arrivals() > 0 && !self.may_retry(context, progress.arrivals()) {
                 return conclude(&progress, failure.take());
             }
-            tried.push(address);
-            trace.executors.push(address);
-            let ending = attempt(&self.mesh, address, context.call(request)).await;
+            let (address, ending) = self
+                .attempt_with_hedge(request, context, choice, &mut tried, trace, &mut progress)
+                .await;
             let reply = match ending {
                 CallResult::Replied(reply) => reply,
                 CallResult::NotSent => {
@@ -364,10 +364,10 @@
         context: &RequestContext<'_>,
         bytes: usize,
         tried: &[SocketAddr],
-    ) -> Option<SocketAddr> {
+    ) -> Option<ExecutorChoice> {
         let now = Instant::now();
         let passed = now.saturating_duration_since(context.began);
-        let choice = self.mesh.choose(&PlacementRequest {
+        self.mesh.choose(&PlacementRequest {
             service: context.service,
             kind: &context.route.kind,
             rank: context.route.rank,
@@ -376,8 +376,7 @@
             time_left: context.deadline.saturating_duration_since(now),
             bytes: bytes as u64,
             tried,
-        })?;
-        Some(choice.address)
+        })
     }
 
     fn quarantine_status(
--- a/crates/marigold-sidecar/tests/lost_responses.rs
+++ b/crates/marigold-sidecar/tests/lost_responses.rs
@@ -46,6 +46,22 @@
         assert!(mesh.disconnects.get() > 0, "no response was lost");
     }
 
+    request_that_runs_long_is_given_up_where_no_other_server_has_room {
+        let mesh = TestMesh::new(&[BackendBehaviour::HangOnMark]).await;
+        send_sound_requests(&mesh, "/safe/a").await;
+        let request = get(&format!("/safe{HANG_MARK}"), CONNECTION_CLOSE);
+        let before = mesh.arrivals();
+        tokio::select! {
+            response = mesh.send(&request) => panic!("the run was given up: {response}"),
+            () = async {
+                until(|| mesh.arrivals() == before + 1).await;
+                send_sound_requests(&mesh, "/safe/a").await;
+                until(|| mesh.executors[0].report().busy.0 == 0).await;
+            } => {}
+        }
+        assert_eq!(mesh.disconnects.get(), 0);
+    }
+
     request_that_may_run_once_is_sent_again_after_a_lost_response {
         let mesh = TestMesh::new(&[BackendBehaviour::HangOnMark]).await;
         send_sound_requests(&mesh, "/once/a").await;
