--- a/crates/marigold-dispatch/src/relay_selector.rs
+++ b/crates/marigold-dispatch/src/relay_selector.rs
@@ -46,6 +46,12 @@
         }
     }
 
+    /// Returns the address of this daemon.
+    #[must_use]
+    pub fn own(&self) -> SocketAddr {
+        self.own
+    }
+
     /// Excludes a daemon that fell behind from selection for a few seconds.
     pub fn exclude(&mut self, address: SocketAddr, now: Instant) {
         self.excluded_until.insert(address, now + EXCLUSION_TIME);
--- a/crates/marigold-sidecar/src/control/relay.rs
+++ b/crates/marigold-sidecar/src/control/relay.rs
@@ -12,7 +12,7 @@
 use std::time::Duration;
 
 use bytes::Bytes;
-use marigold_dispatch::{RelaySelector, UpdateSource};
+use marigold_dispatch::{FirstContact, RelaySelector, UpdateSource};
 use marigold_log::{KeyedBatch, KeyedRecord, KeyedStore, LogError, LogFailure, TableName};
 use tokio::time::{Instant, sleep};
 
@@ -47,6 +47,8 @@
 const FIRST_CONFIG_TIMEOUT: Duration = Duration::from_millis(700);
 /// Interval at which a starting daemon checks for a reader that it can follow.
 const FIRST_CONFIG_INTERVAL: Duration = Duration::from_millis(20);
+/// How long a starting daemon waits for its first read of the records of daemons before it reads the configuration.
+const FIRST_READ_TIMEOUT: Duration = Duration::from_millis(500);
 /// How long a starting daemon waits for the record of any daemon before it reads the store itself.
 const FIRST_SITE_TIMEOUT: Duration = Duration::from_millis(100);
 /// Minimum time between two requests for the configuration to daemons that connect.
@@ -88,6 +90,7 @@
     site_table: SiteTable,
     /// When the directory was last known to be complete.
     sites_confirmed_at: Cell<Option<Instant>>,
+    first_contact: Cell<FirstContact>,
     /// The source at the last check, to log changes of it.
     last_source: Cell<Option<UpdateSource>>,
     /// When a daemon that connected was last asked for the configuration.
@@ -107,6 +110,7 @@
             config_confirmed_at: Cell::new(None),
             site_table,
             sites_confirmed_at: Cell::new(None),
+            first_contact: Cell::default(),
             last_source: Cell::new(None),
             peer_requested_at: Cell::new(None),
         })
@@ -126,6 +130,26 @@
         self.sites_confirmed_at.get().is_some()
     }
 
+    /// Returns whether this daemon has just started and others are about to tell more than the store.
+    fn awaits_contact(&self) -> bool {
+        let mesh = &self.parts.mesh;
+        let others = self.other_daemons();
+        let has_link = mesh.with_directory(|directory| {
+            let is_up = |address| mesh.with_placement(|placement| placement.is_up(address));
+            directory.all().any(|site| is_up(site.address))
+        });
+        self.first_contact
+            .get()
+            .is_waiting(others, has_link, Instant::now())
+    }
+
+    fn other_daemons(&self) -> usize {
+        let own = self.selector.borrow().own();
+        self.parts
+            .mesh
+            .with_directory(|directory| directory.all().filter(|site| site.address != own).count())
+    }
+
     /// Selects the current source of updates and logs a change of it.
     fn source(&self) -> UpdateSource {
         let mesh = &self.parts.mesh;
@@ -189,6 +213,14 @@
     ///
     /// Returns early if this daemon will be the reader itself, or no record of any daemon arrives.
     async fn request_first_config(&self) {
+        let began = Instant::now();
+        let awaits_sites = || !self.knows_sites() && began.elapsed() < FIRST_READ_TIMEOUT;
+        while awaits_sites() || self.awaits_contact() {
+            if self.configs.borrow().version().is_some() {
+                return;
+            }
+            sleep(FIRST_CONFIG_INTERVAL).await;
+        }
         let began = Instant::now();
         let mut requested_from = None;
         while began.elapsed() < FIRST_CONFIG_TIMEOUT && self.configs.borrow().version().is_none() {
--- a/crates/marigold-sidecar/src/control/relay/sites.rs
+++ b/crates/marigold-sidecar/src/control/relay/sites.rs
@@ -8,8 +8,8 @@
 use tokio::time::{Instant, sleep};
 
 use super::{
-    CHANGE_BATCH_DELAY, CHECK_INTERVAL, FALLBACK_READ_INTERVAL, MAX_SITES_AGE, Relay, SITES,
-    SITES_POLL_TIMEOUT,
+    CHANGE_BATCH_DELAY, CHECK_INTERVAL, FALLBACK_READ_INTERVAL, FIRST_CONFIG_INTERVAL,
+    MAX_SITES_AGE, Relay, SITES, SITES_POLL_TIMEOUT,
 };
 use crate::control::store_health::StoreHealth;
 use crate::events::Severity;
@@ -19,6 +19,10 @@
     pub(super) async fn sync_sites(self: Rc<Self>) {
         let mut health = StoreHealth::new(SITES, self.parts.events.clone());
         loop {
+            if self.awaits_contact() {
+                sleep(FIRST_CONFIG_INTERVAL).await;
+                continue;
+            }
             let now = Instant::now();
             let elapsed = |since: Instant| now.saturating_duration_since(since);
             let is_stale = self
@@ -47,6 +51,9 @@
         // Records missing from a read of the whole table are kept: the store may have lost them, in which
         // case their daemons write them again. Calls detect daemons that are really gone.
         let changed = self.apply_sites(&records);
+        let mut contact = self.first_contact.get();
+        contact.record_read(self.other_daemons(), Instant::now());
+        self.first_contact.set(contact);
         if changed {
             self.notify_followers(|| StoreUpdate {
                 sites: records,
