Confirm the configuration to followers in time after a change and while the store is slow

Cause: the reader pauses 250 ms after a change and then waits 900 ms, and followers hear of it every 400 ms, so each of them takes the reader for stale; the same with a store that takes 380 ms to respond. Change: the wait is shorter by the pause and by the latency of the last read; changed records of daemons are read in batches of 600 ms.

--- a/crates/marigold-sidecar/src/control/relay.rs
+++ b/crates/marigold-sidecar/src/control/relay.rs
@@ -12,7 +12,7 @@
 use std::time::Duration;
 
 use bytes::Bytes;
-use marigold_dispatch::{FirstContact, RelaySelector, UpdateSource};
+use marigold_dispatch::{FirstContact, PollTimer, RelaySelector, UpdateSource};
 use marigold_log::{KeyedBatch, KeyedRecord, KeyedStore, LogError, LogFailure, TableName};
 use tokio::time::{Instant, sleep};
 
@@ -24,13 +24,12 @@
 use crate::ingress::{Ingress, Mesh};
 use crate::link::{Follow, LinkServer};
 
-/// Long-poll timeout of the reader for the configuration. Each response confirms that the store is
-/// reachable, which followers depend on.
-const CONFIG_POLL_TIMEOUT: Duration = Duration::from_millis(900);
 /// Long-poll timeout of the reader for the records of daemons.
 const SITES_POLL_TIMEOUT: Duration = Duration::from_secs(15);
 /// Delay after a change, so that versions in quick succession are read together.
 const CHANGE_BATCH_DELAY: Duration = Duration::from_millis(250);
+/// Delay after changed records of daemons, which come one by one while many are replaced. Links show sooner who is gone.
+const SITES_BATCH_DELAY: Duration = Duration::from_millis(600);
 /// Interval at which a follower checks how current its data is.
 const CHECK_INTERVAL: Duration = Duration::from_millis(100);
 /// Interval of the reader's heartbeats to its followers.
@@ -175,12 +174,20 @@
         let mut health = StoreHealth::new(CONFIG, self.parts.events.clone());
         let mut last_read = Instant::now();
         let mut behind_since: Option<Instant> = None;
+        let mut poll_timer = PollTimer::default();
+        let mut polled_at = Instant::now();
         self.request_first_config().await;
         loop {
             let has_config = self.configs.borrow().version().is_some();
             let is_reader = self.source() == UpdateSource::Store;
             if !has_config || is_reader {
-                let result = self.read_config(CONFIG_POLL_TIMEOUT).await;
+                let began = Instant::now();
+                let wait = poll_timer.wait(began.saturating_duration_since(polled_at));
+                let result = self.read_config(wait).await;
+                polled_at = Instant::now();
+                if matches!(result, Ok(false)) {
+                    poll_timer.record_unchanged(polled_at - began, wait);
+                }
                 let changed = self.record_result(result, &mut health).await;
                 if changed {
                     sleep(CHANGE_BATCH_DELAY).await;
--- a/crates/marigold-sidecar/src/control/relay/sites.rs
+++ b/crates/marigold-sidecar/src/control/relay/sites.rs
@@ -8,8 +8,8 @@
 use tokio::time::{Instant, sleep};
 
 use super::{
-    CHANGE_BATCH_DELAY, CHECK_INTERVAL, FALLBACK_READ_INTERVAL, FIRST_CONFIG_INTERVAL,
-    MAX_SITES_AGE, Relay, SITES, SITES_POLL_TIMEOUT,
+    CHECK_INTERVAL, FALLBACK_READ_INTERVAL, FIRST_CONFIG_INTERVAL, MAX_SITES_AGE, Relay, SITES,
+    SITES_BATCH_DELAY, SITES_POLL_TIMEOUT,
 };
 use crate::control::store_health::StoreHealth;
 use crate::events::Severity;
@@ -32,7 +32,7 @@
             if self.source() == UpdateSource::Store {
                 let result = self.read_sites(SITES_POLL_TIMEOUT).await;
                 if self.record_result(result, &mut health).await {
-                    sleep(CHANGE_BATCH_DELAY).await;
+                    sleep(SITES_BATCH_DELAY).await;
                 }
             } else if is_stale {
                 let result = self.read_sites(Duration::ZERO).await;
