Ask a quiet backend server with few requests in flight whether it is alive

The hole that the postmortem of the silent ends leaves: with fewer than three requests in flight, an end showed only with the announcement of the successor. Change: once a run is overdue (four run times, 250 ms at least) with nothing heard since, a health check is sent; if it goes unanswered for 500 ms and nothing else is heard, the backend server counts as silent until it answers one. Evidence: backend_server_that_ends_under_its_only_request_gets_more fails without it; a long run on a server that answers keeps its slots (long_run_takes_the_slots_...). daemon_that_starts_sends_many_requests_... failed once in a run of all tests: it asked for the arrivals as soon as the second request was queued, which may be before the bytes of the first arrive. It waits for them now, and still requires exactly one.

--- a/crates/marigold-dispatch/src/silence_detector.rs
+++ b/crates/marigold-dispatch/src/silence_detector.rs
@@ -35,6 +35,8 @@
     last_heard: Option<Instant>,
     /// The overdue runs that ended without a response since the last one.
     overdue_ended: usize,
+    /// Whether a health check went unanswered, and nothing was heard since.
+    has_failed_probe: bool,
 }
 
 impl SilenceDetector {
@@ -57,6 +59,12 @@
     pub fn record_sound(&mut self, now: Instant) {
         self.last_heard = Some(now);
         self.overdue_ended = 0;
+        self.has_failed_probe = false;
+    }
+
+    /// Records that a health check sent at `sent_at` went unanswered.
+    pub fn record_failed_probe(&mut self, sent_at: Instant) {
+        self.has_failed_probe = self.last_heard.is_none_or(|heard| heard < sent_at);
     }
 
     /// Returns whether the backend server, which has `slots`, seems to have ended.
@@ -65,7 +73,15 @@
         let is_overdue = |run: &&Run| self.is_overdue(**run, now);
         let overdue = self.runs.values().filter(is_overdue).count() + self.overdue_ended;
         let slots = usize::try_from(slots).unwrap_or(usize::MAX);
-        overdue >= OVERDUE_RUNS.min(slots.max(1))
+        overdue >= OVERDUE_RUNS.min(slots.max(1)) || self.has_failed_probe
+    }
+
+    /// Returns whether a health check can tell if the backend server, which has `slots`, has ended: too few runs are
+    /// overdue to show it.
+    #[must_use]
+    pub fn needs_probe(&self, slots: u32, now: Instant) -> bool {
+        let is_overdue = self.runs.values().any(|run| self.is_overdue(*run, now));
+        is_overdue && !self.is_silent(slots, now)
     }
 
     /// Returns whether the backend server is idle or has responded so recently that it is alive.
--- a/crates/marigold-dispatch/tests/silence_detector.rs
+++ b/crates/marigold-dispatch/tests/silence_detector.rs
@@ -91,3 +91,26 @@
     assert!(detector.is_alive(now + 249 * MS));
     assert!(!detector.is_alive(now + 250 * MS));
 }
+
+#[test]
+fn backend_server_that_ends_under_one_request_goes_unnoticed() {
+    let now = Instant::now();
+    let mut detector = with_runs(1, now);
+    assert!(!detector.needs_probe(SLOTS, now + 399 * MS));
+    assert!(detector.needs_probe(SLOTS, now + 400 * MS));
+    detector.record_failed_probe(now + 400 * MS);
+    assert!(detector.is_silent(SLOTS, now + 900 * MS));
+    assert!(!detector.needs_probe(SLOTS, now + 900 * MS));
+    detector.record_sound(now + 901 * MS);
+    assert!(!detector.is_silent(SLOTS, now + 901 * MS));
+}
+
+#[test]
+fn long_run_on_a_backend_server_that_answers_is_taken_for_silence() {
+    let now = Instant::now();
+    let mut detector = with_runs(1, now);
+    // A response to something else arrives while the health check waits.
+    detector.record_sound(now + 450 * MS);
+    detector.record_failed_probe(now + 400 * MS);
+    assert!(!detector.is_silent(SLOTS, now + 900 * MS));
+}
--- a/crates/marigold-sidecar/src/executor/health_probes.rs
+++ b/crates/marigold-sidecar/src/executor/health_probes.rs
@@ -3,7 +3,7 @@
 use std::rc::Rc;
 use std::time::Duration;
 
-use tokio::time::sleep;
+use tokio::time::{Instant, sleep};
 
 use super::LocalExecutor;
 
@@ -35,6 +35,21 @@
     }
 }
 
+/// Asks a backend server from which the response to a run is overdue whether it is alive. With few requests in flight,
+/// nothing else tells that it has ended until its successor announces itself.
+pub async fn probe_quiet_backend(executor: Rc<LocalExecutor>) {
+    let backend = executor.backend();
+    let Some(pool) = backend.pool() else {
+        return;
+    };
+    let sent_at = Instant::now();
+    let result = executor.check_health().await;
+    if backend.is_current(&pool) {
+        let answered = result.map(|result| result.is_ok());
+        backend.silence.end_probe(sent_at, answered);
+    }
+}
+
 /// Asks a backend server that served before this daemon started for its limit of requests. It runs one request at a
 /// time until it has responded, and that request may be a long one.
 pub async fn probe_until_limit_is_known(executor: Rc<LocalExecutor>) {
--- a/crates/marigold-sidecar/src/executor/local_executor.rs
+++ b/crates/marigold-sidecar/src/executor/local_executor.rs
@@ -20,7 +20,7 @@
 use super::call_progress::{CallProgress, millis};
 use super::exchange::{BackendRequest, BackendStatement, ExchangeOutcome, exchange};
 use super::executor_options::{ExecutorOptions, HealthPathSource, VersionListener};
-use super::health_probes::{probe_until_heard, probe_until_limit_is_known};
+use super::health_probes::{probe_quiet_backend, probe_until_heard, probe_until_limit_is_known};
 use super::limit_watch::LimitWatch;
 use super::probe::{ProbeResponse, probe};
 use super::silence_watch::SilenceChange;
@@ -123,6 +123,11 @@
         let Some((_, slots)) = self.serving() else {
             return;
         };
+        if self.backend.silence.begin_probe(slots.0)
+            && let Some(executor) = self.myself.upgrade()
+        {
+            tokio::task::spawn_local(probe_quiet_backend(executor));
+        }
         match self.backend.silence.poll(slots.0) {
             Some(SilenceChange::Silent) => {
                 self.crashes.record_silence();
--- a/crates/marigold-sidecar/src/executor/silence_watch.rs
+++ b/crates/marigold-sidecar/src/executor/silence_watch.rs
@@ -11,6 +11,8 @@
 pub struct SilenceWatch {
     detector: RefCell<SilenceDetector>,
     is_silent: Cell<bool>,
+    /// Whether a health check of a quiet backend server is pending.
+    is_probing: Cell<bool>,
 }
 
 /// A change in what is heard from the backend server.
@@ -44,6 +46,22 @@
         self.detector.borrow_mut().record_sound(Instant::now());
     }
 
+    /// Returns whether a health check is to be sent to a backend server with `slots`, which [`Self::end_probe`] ends.
+    pub fn begin_probe(&self, slots: u32) -> bool {
+        let is_due = self.detector.borrow().needs_probe(slots, Instant::now());
+        is_due && !self.is_probing.replace(true)
+    }
+
+    /// Records the end of a health check sent at `sent_at`; `answered` is whether there was a response, if one was sent.
+    pub fn end_probe(&self, sent_at: Instant, answered: Option<bool>) {
+        self.is_probing.set(false);
+        match answered {
+            Some(true) => self.record_sound(),
+            Some(false) => self.detector.borrow_mut().record_failed_probe(sent_at),
+            None => {}
+        }
+    }
+
     /// Returns what has changed since the last call for a backend server with `slots`.
     pub fn poll(&self, slots: u32) -> Option<SilenceChange> {
         let is_silent = self.detector.borrow().is_silent(slots, Instant::now());
@@ -58,6 +76,7 @@
     pub fn reset(&self) {
         *self.detector.borrow_mut() = SilenceDetector::default();
         self.is_silent.set(false);
+        self.is_probing.set(false);
     }
 }
 
--- a/crates/marigold-sidecar/tests/common/test_mesh.rs
+++ b/crates/marigold-sidecar/tests/common/test_mesh.rs
@@ -46,7 +46,7 @@
     Reject,
     /// Reads the request and closes the connection.
     Disconnect,
-    /// Reads the request and never responds.
+    /// Reads the request, or the health check, and never responds.
     Hang,
     /// As [`Self::Hang`] for paths that contain [`HANG_MARK`], as [`Self::Succeed`] after [`FAILURE_DELAY`] for others.
     HangOnMark,
@@ -251,7 +251,8 @@
             continue;
         }
         input.clear();
-        if text.starts_with(&format!("GET {HEALTH_PATH} ")) {
+        let is_health_check = text.starts_with(&format!("GET {HEALTH_PATH} "));
+        if is_health_check && behaviour != BackendBehaviour::Hang {
             let extra = *extra_fields.borrow();
             let response = format!(
                 "HTTP/1.1 200 OK\r\nX-Identity: life-1\r\n{extra}Content-Length: 0\r\n\r\n"
@@ -261,13 +262,17 @@
             }
             continue;
         }
-        *arrivals.borrow_mut().entry(address).or_default() += 1;
+        if !is_health_check {
+            *arrivals.borrow_mut().entry(address).or_default() += 1;
+        }
         let field = |name: &str| {
             let line = text.lines().find_map(|line| line.strip_prefix(name));
             line.unwrap_or_default().to_owned()
         };
-        let millis = field("X-Left: ").parse().expect("a time in milliseconds");
-        times_left.borrow_mut().push(millis);
+        if !is_health_check {
+            let millis = field("X-Left: ").parse().expect("a time in milliseconds");
+            times_left.borrow_mut().push(millis);
+        }
         let path = text.split(' ').nth(1).unwrap_or_default().to_owned();
         let extra = *extra_fields.borrow();
         let head = format!("X-Id: {}\r\n{extra}Content-Length:", field("X-Id: "));
--- a/crates/marigold-sidecar/tests/lost_responses.rs
+++ b/crates/marigold-sidecar/tests/lost_responses.rs
@@ -2,7 +2,11 @@
 
 mod common;
 
-use common::test_mesh::{BackendBehaviour, HANG_MARK, TestMesh, get, until};
+use std::cell::Cell;
+use std::rc::Rc;
+use std::sync::Arc;
+
+use common::test_mesh::{BackendBehaviour, HANG_MARK, HEALTH_PATH, TestMesh, get, until};
 use futures_util::future::join_all;
 use marigold_sidecar::link::CallHandler;
 use tokio::task::LocalSet;
@@ -62,6 +66,32 @@
         assert_eq!(mesh.disconnects.get(), 0);
     }
 
+    backend_server_that_ends_under_its_only_request_gets_more {
+        let mesh = TestMesh::new(&[BackendBehaviour::Hang]).await;
+        mesh.executors[0].set_health_path(Box::new(|| Some(Arc::from(HEALTH_PATH))));
+        let request = get("/safe/a", CONNECTION_CLOSE);
+        tokio::select! {
+            _ = mesh.send(&request) => panic!("the caller gave up first"),
+            () = until(|| mesh.executors[0].report().slots.0 == 0) => {}
+        }
+    }
+
+    long_run_takes_the_slots_of_a_backend_server_that_is_alive {
+        let mesh = TestMesh::new(&[BackendBehaviour::HangOnMark]).await;
+        let health_checks = Rc::new(Cell::new(0));
+        let count = health_checks.clone();
+        mesh.executors[0].set_health_path(Box::new(move || {
+            count.set(count.get() + 1);
+            Some(Arc::from(HEALTH_PATH))
+        }));
+        let request = get(&format!("/safe{HANG_MARK}"), CONNECTION_CLOSE);
+        tokio::select! {
+            _ = mesh.send(&request) => panic!("the caller gave up first"),
+            () = until(|| health_checks.get() == 3) => {}
+        }
+        assert_ne!(mesh.executors[0].report().slots.0, 0);
+    }
+
     request_that_may_run_once_is_sent_again_after_a_lost_response {
         let mesh = TestMesh::new(&[BackendBehaviour::HangOnMark]).await;
         send_sound_requests(&mesh, "/once/a").await;
--- a/crates/marigold-sidecar/tests/request_limits.rs
+++ b/crates/marigold-sidecar/tests/request_limits.rs
@@ -174,9 +174,11 @@
         assert_eq!(mesh.executors[0].report().slots, SLOTS);
         let requests = ["/safe/a", "/safe/b"].map(|path| get(path, CONNECTION_CLOSE));
         let [first, second] = requests.each_ref().map(|request| mesh.send(request));
+        // The second may be queued before the bytes of the first arrive.
+        let is_queued = || mesh.executors[0].report().queued == SlotCount(1);
         tokio::select! {
             _ = join(first, second) => panic!("callers gave up first"),
-            () = until(|| mesh.executors[0].report().queued == SlotCount(1)) => {}
+            () = until(|| is_queued() && mesh.arrivals() > 0) => {}
         }
         assert_eq!(mesh.arrivals(), 1);
     }
