Use all slots of a backend server that breaks exchanges after a start

Trace: the sidecar starts again beside a backend server that resets every connection, health checks included, so its limit stays unknown and one request runs at a time; the queue of six grows to waits of 100 ms and more for a second. Change: a broken exchange ends that state. The test named after it failed before (one of two requests reached the server) and passes.

--- a/crates/marigold-sidecar/src/executor/local_executor.rs
+++ b/crates/marigold-sidecar/src/executor/local_executor.rs
@@ -6,7 +6,7 @@
 use std::time::Duration;
 
 use marigold_dispatch::{
-    AdmissionController, Announcement, AnnouncementOutcome, SiteReport, SlotRequest,
+    AdmissionController, Announcement, AnnouncementOutcome, NamedLimit, SiteReport, SlotRequest,
 };
 use marigold_request::RefusalReason;
 use marigold_request::quarantine::{CrashRecord, Fingerprint, QuarantineStatus};
@@ -188,6 +188,15 @@
         outcome
     }
 
+    /// Gives up learning the limit from the first response, as the backend server breaks exchanges: one request at a time
+    /// would leave its slots unused for as long as it does.
+    fn end_wait_for_limit(&self) {
+        if self.backend.is_limit_unknown() {
+            self.backend.record_limit(NamedLimit::None);
+            self.apply_backend_state();
+        }
+    }
+
     /// Applies what a response of the backend server says about it.
     pub fn apply_statement(&self, statement: &BackendStatement) {
         if statement.leaving {
@@ -428,6 +437,9 @@
         let watched = self.backend.silence.watch(expected_run);
         let result = exchange(pool, conn, &self.options.names, request).await;
         watched.record_sound();
+        if matches!(result.outcome, ExchangeOutcome::Broken(_)) && self.backend.is_current(pool) {
+            self.end_wait_for_limit();
+        }
         // The response of a previous instance says nothing about the current one.
         if let Some(statement) = &result.statement
             && self.backend.is_current(pool)
--- a/crates/marigold-sidecar/tests/common/test_mesh.rs
+++ b/crates/marigold-sidecar/tests/common/test_mesh.rs
@@ -32,6 +32,8 @@
 pub const HEALTH_PATH: &str = "/health";
 /// Marks the paths at which [`BackendBehaviour::HangOnMark`] hangs.
 pub const HANG_MARK: &str = "/hang";
+/// Marks the paths at which it disconnects.
+pub const CUT_MARK: &str = "/cut";
 
 /// How a simulated backend server handles each request.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
@@ -48,7 +50,8 @@
     Disconnect,
     /// Reads the request, or the health check, and never responds.
     Hang,
-    /// As [`Self::Hang`] for paths that contain [`HANG_MARK`], as [`Self::Succeed`] after [`FAILURE_DELAY`] for others.
+    /// As [`Self::Hang`] for paths that contain [`HANG_MARK`], as [`Self::Disconnect`] for those that contain
+    /// [`CUT_MARK`], as [`Self::Succeed`] after [`FAILURE_DELAY`] for others.
     HangOnMark,
 }
 
@@ -288,6 +291,9 @@
             }
             return;
         }
+        if behaviour == BackendBehaviour::HangOnMark && path.contains(CUT_MARK) {
+            return;
+        }
         let response = match behaviour {
             BackendBehaviour::Succeed
             | BackendBehaviour::SucceedSlowly
--- a/crates/marigold-sidecar/tests/request_limits.rs
+++ b/crates/marigold-sidecar/tests/request_limits.rs
@@ -5,7 +5,7 @@
 use std::sync::Arc;
 
 use common::announcement;
-use common::test_mesh::{BackendBehaviour, HANG_MARK, HEALTH_PATH, TestMesh, get, until};
+use common::test_mesh::{BackendBehaviour, CUT_MARK, HANG_MARK, HEALTH_PATH, TestMesh, get, until};
 use futures_util::future::join;
 use marigold_dispatch::{Announcement, ServingState};
 use marigold_sidecar::link::CallHandler;
@@ -151,6 +151,21 @@
         }
     }
 
+    slots_stay_unused_while_a_backend_server_resets_connections_after_a_restart {
+        let mesh = TestMesh::new(&[BackendBehaviour::HangOnMark]).await;
+        let next = Announcement {
+            started_ms: Some(2),
+            ..announcement(mesh.backends[0], 7, ServingState::Ready)
+        };
+        mesh.executors[0].apply_announcement(&next);
+        mesh.send(&get(&format!("/once{CUT_MARK}"), CONNECTION_CLOSE)).await;
+        let long = get(&format!("/safe{HANG_MARK}"), CONNECTION_CLOSE);
+        tokio::select! {
+            _ = join(mesh.send(&long), mesh.send(&long)) => panic!("callers gave up first"),
+            () = until(|| mesh.arrivals() == 3) => {}
+        }
+    }
+
     limit_in_a_health_check_after_a_restart_is_not_heard {
         let mesh = mesh_naming(BackendBehaviour::Succeed, "X-Limit: 0.5\r\n").await;
         mesh.executors[0].set_health_path(Box::new(|| Some(Arc::from(HEALTH_PATH))));
