--- a/crates/marigold-sidecar/tests/common/mod.rs
+++ b/crates/marigold-sidecar/tests/common/mod.rs
@@ -1,5 +1,21 @@
 //! Fixtures shared by the integration tests of the sidecar.
-#![allow(dead_code, reason = "no test file uses all of it")]
+#![allow(
+    dead_code,
+    unused_imports,
+    unused_macros,
+    reason = "no test file uses all of it"
+)]
+
+/// Runs each test in a [`LocalSet`](tokio::task::LocalSet), which the tasks of daemons require.
+macro_rules! local_tests {
+    ($($name:ident $body:block)*) => {$(
+        #[tokio::test]
+        async fn $name() {
+            tokio::task::LocalSet::new().run_until(async $body).await;
+        }
+    )*};
+}
+pub(crate) use local_tests;
 
 pub mod test_mesh;
 
--- a/crates/marigold-sidecar/tests/crashing_requests.rs
+++ b/crates/marigold-sidecar/tests/crashing_requests.rs
@@ -10,7 +10,7 @@
 
 use bytes::{Bytes, BytesMut};
 use common::test_mesh::{BackendBehaviour, TestMesh, get, until};
-use common::{announcement, listener, names, service};
+use common::{announcement, listener, local_tests, names, service};
 use futures_util::future::join;
 use marigold_dispatch::{LinkRate, ServingState, Site};
 use marigold_request::quarantine::{CrashId, CrashRecord, Fingerprint, QuarantineStatus};
@@ -24,7 +24,7 @@
 use rand::rngs::SmallRng;
 use tokio::io::AsyncReadExt;
 use tokio::net::TcpListener;
-use tokio::task::{JoinSet, LocalSet, spawn_local};
+use tokio::task::{JoinSet, spawn_local};
 use tokio::time::{advance, sleep};
 use tokio_util::codec::Encoder;
 
@@ -33,16 +33,6 @@
 const MAX_RECORD_BYTES: usize = 160;
 const PRINT: Fingerprint = Fingerprint([1; 16]);
 
-/// Runs each test in a [`LocalSet`], which the daemons' tasks require.
-macro_rules! local_tests {
-    ($($name:ident $body:block)*) => {$(
-        #[tokio::test]
-        async fn $name() {
-            LocalSet::new().run_until(async $body).await;
-        }
-    )*};
-}
-
 fn events() -> Rc<EventLog> {
     Rc::new(EventLog::new(Arc::from("test"), spdlog::default_logger()))
 }
--- a/crates/marigold-sidecar/tests/graceful_shutdown.rs
+++ b/crates/marigold-sidecar/tests/graceful_shutdown.rs
@@ -4,27 +4,16 @@
 
 use std::time::Duration;
 
-use common::TEST_TIMEOUT;
 use common::test_mesh::{BackendBehaviour, TestMesh, get, until};
+use common::{TEST_TIMEOUT, local_tests};
 use tokio::io::{AsyncReadExt, AsyncWriteExt};
 use tokio::net::TcpStream;
-use tokio::task::LocalSet;
 use tokio::time::timeout;
 
 /// Grace period of the stopped ingress. No check depends on how long it is.
 const GRACE: Duration = Duration::from_millis(600);
 const CLOSE: &str = "Connection: close";
 
-/// Runs each test in a [`LocalSet`], which the daemons' tasks require.
-macro_rules! local_tests {
-    ($($name:ident $body:block)*) => {$(
-        #[tokio::test]
-        async fn $name() {
-            LocalSet::new().run_until(async $body).await;
-        }
-    )*};
-}
-
 /// A caller's connection to the ingress of a mesh that is stopped while requests are pending.
 struct PipeliningCaller {
     mesh: TestMesh,
--- a/crates/marigold-sidecar/tests/leaving_servers.rs
+++ b/crates/marigold-sidecar/tests/leaving_servers.rs
@@ -4,8 +4,8 @@
 
 use std::sync::Arc;
 
-use common::announcement;
 use common::test_mesh::{BackendBehaviour, TestMesh, get};
+use common::{announcement, local_tests};
 use marigold_dispatch::{Announcement, AnnouncementOutcome, ServingState};
 use tokio::task::LocalSet;
 
@@ -15,16 +15,6 @@
     mesh.send(&get("/safe/a", CONNECTION_CLOSE)).await
 }
 
-/// Runs each test in a [`LocalSet`], which the daemons' tasks require.
-macro_rules! local_tests {
-    ($($name:ident $body:block)*) => {$(
-        #[tokio::test]
-        async fn $name() {
-            LocalSet::new().run_until(async $body).await;
-        }
-    )*};
-}
-
 /// Returns whether a backend server that behaves so and says `fields` still gets requests, and whether the caller
 /// receives what it says.
 async fn is_sent_on(behaviour: BackendBehaviour, fields: &'static str) -> bool {
--- a/crates/marigold-sidecar/tests/links.rs
+++ b/crates/marigold-sidecar/tests/links.rs
@@ -8,7 +8,7 @@
 use std::time::Duration;
 
 use bytes::{Bytes, BytesMut};
-use common::{TEST_TIMEOUT, call, listener, site};
+use common::{TEST_TIMEOUT, call, listener, local_tests, site};
 use marigold_dispatch::SiteReport;
 use marigold_request::quarantine::{CrashRecord, Fingerprint};
 use marigold_sidecar::link::{
@@ -17,7 +17,7 @@
 };
 use tokio::io::{AsyncReadExt, AsyncWriteExt, copy_bidirectional};
 use tokio::net::{TcpListener, TcpStream};
-use tokio::task::{JoinHandle, LocalSet, spawn_local};
+use tokio::task::{JoinHandle, spawn_local};
 use tokio::time::timeout;
 use tokio_util::codec::{Decoder, Encoder};
 use tokio_util::sync::CancellationToken;
@@ -143,16 +143,6 @@
         .expect("a result in time")
 }
 
-/// Runs each test in a [`LocalSet`], which the tasks of a link require.
-macro_rules! local_tests {
-    ($($name:ident $body:block)*) => {$(
-        #[tokio::test]
-        async fn $name() {
-            LocalSet::new().run_until(async $body).await;
-        }
-    )*};
-}
-
 local_tests! {
     answered_call_gets_its_reply {
         let handler = Rc::new(HoldingHandler::default());
--- a/crates/marigold-sidecar/tests/lost_responses.rs
+++ b/crates/marigold-sidecar/tests/lost_responses.rs
@@ -6,10 +6,10 @@
 use std::rc::Rc;
 use std::sync::Arc;
 
+use common::local_tests;
 use common::test_mesh::{BackendBehaviour, HANG_MARK, HEALTH_PATH, TestMesh, get, until};
 use futures_util::future::join_all;
 use marigold_sidecar::link::CallHandler;
-use tokio::task::LocalSet;
 
 const CONNECTION_CLOSE: &str = "Connection: close\r\n";
 /// Sound requests sent one after another, enough for both backend servers to have run several.
@@ -23,16 +23,6 @@
     }
 }
 
-/// Runs each test in a [`LocalSet`], which the daemons' tasks require.
-macro_rules! local_tests {
-    ($($name:ident $body:block)*) => {$(
-        #[tokio::test]
-        async fn $name() {
-            LocalSet::new().run_until(async $body).await;
-        }
-    )*};
-}
-
 local_tests! {
     idempotent_request_waits_for_a_lost_response_until_its_deadline {
         let behaviours = [BackendBehaviour::HangOnMark, BackendBehaviour::SucceedSlowly];
--- a/crates/marigold-sidecar/tests/request_limits.rs
+++ b/crates/marigold-sidecar/tests/request_limits.rs
@@ -4,8 +4,8 @@
 
 use std::sync::Arc;
 
-use common::announcement;
 use common::test_mesh::{BackendBehaviour, CUT_MARK, HANG_MARK, HEALTH_PATH, TestMesh, get, until};
+use common::{announcement, local_tests};
 use futures_util::future::join;
 use marigold_dispatch::{Announcement, ServingState};
 use marigold_sidecar::link::CallHandler;
@@ -16,16 +16,6 @@
 /// Slots of each backend server of a [`TestMesh`].
 const SLOTS: SlotCount = SlotCount(2);
 
-/// Runs each test in a [`LocalSet`], which the daemons' tasks require.
-macro_rules! local_tests {
-    ($($name:ident $body:block)*) => {$(
-        #[tokio::test]
-        async fn $name() {
-            LocalSet::new().run_until(async $body).await;
-        }
-    )*};
-}
-
 async fn mesh_naming(behaviour: BackendBehaviour, fields: &'static str) -> TestMesh {
     let mesh = TestMesh::new(&[behaviour]).await;
     *mesh.extra_fields.borrow_mut() = fields;
--- a/crates/marigold-sidecar/tests/whole_path.rs
+++ b/crates/marigold-sidecar/tests/whole_path.rs
@@ -7,27 +7,17 @@
 use std::time::Duration;
 
 use common::test_mesh::{BackendBehaviour, FAILURE_DELAY, TestMesh, get, until};
-use common::{announcement, listener};
+use common::{announcement, listener, local_tests};
 use marigold_dispatch::ServingState;
 use marigold_sidecar::events::EventLog;
 use marigold_sidecar::ingress::{Ingress, Tuning, listen};
 use tokio::io::AsyncWriteExt;
 use tokio::net::TcpStream;
-use tokio::task::{LocalSet, spawn_local};
+use tokio::task::spawn_local;
 use tokio::time::Instant;
 
 const CONNECTION_CLOSE: &str = "Connection: close\r\n";
 
-/// Runs each test in a [`LocalSet`], which the daemons' tasks require.
-macro_rules! local_tests {
-    ($($name:ident $body:block)*) => {$(
-        #[tokio::test]
-        async fn $name() {
-            LocalSet::new().run_until(async $body).await;
-        }
-    )*};
-}
-
 /// Each case lists the behaviour of the backend servers, the path, the expected status, and the number of
 /// requests that backend servers receive.
 macro_rules! outcome_tests {
