--- a/crates/marigold-sidecar/src/ingress/request_handler.rs
+++ b/crates/marigold-sidecar/src/ingress/request_handler.rs
@@ -1,5 +1,6 @@
 //! Processes a request from routing to its final outcome.
 
+mod conclusion;
 mod hedge;
 mod in_flight_request;
 mod request_context;
@@ -12,7 +13,7 @@
 use std::time::Duration;
 
 use marigold_dispatch::{
-    CallKind, CallerLimits, CallerTimeouts, Conclusion, ExecutorChoice, PlacementRequest, Progress,
+    CallKind, CallerLimits, CallerTimeouts, ExecutorChoice, PlacementRequest, Progress,
     RoutePolicy, RouteTable, Shutdown, ShutdownStage, WeightedRoundRobin,
 };
 use marigold_request::RefusalReason;
@@ -22,6 +23,7 @@
 use tokio::time::{Instant, sleep_until, timeout_at};
 use tokio_util::sync::CancellationToken;
 
+use self::conclusion::{conclude, conclude_quarantined, invalid, not_run, unknown};
 use self::in_flight_request::InFlightRequest;
 use self::request_context::RequestContext;
 use super::mesh::Mesh;
@@ -43,8 +45,6 @@
 const REJECTED_RETRY_DELAY: Duration = Duration::from_millis(20);
 /// A retry is worthwhile only if this fraction of the expected run time is left before the deadline.
 const MIN_RETRY_TIME_FRACTION: f64 = 0.6;
-/// Maximum jitter of retry delays relative to the delay, so that callers do not retry at the same time.
-const RETRY_JITTER_FRACTION: f64 = 0.5;
 
 /// Options of an [`Ingress`], fixed for its lifetime.
 #[derive(Debug, Clone)]
@@ -471,51 +471,6 @@
     }
 }
 
-/// Returns the outcome of a request for which no further attempt is made.
-fn conclude(progress: &Progress, failure: Option<Response>) -> RequestOutcome {
-    if let Some(response) = failure {
-        return RequestOutcome::Answered(response);
-    }
-    match progress.conclusion() {
-        Conclusion::Unknown => unknown("no backend server answered"),
-        Conclusion::NotRun(soonest) => {
-            let jitter = 1.0 + RETRY_JITTER_FRACTION * rand::random::<f64>();
-            let delay = soonest.unwrap_or(UNAVAILABLE_RETRY_DELAY).mul_f64(jitter);
-            not_run("no backend server has room", delay)
-        }
-    }
-}
-
-/// Returns the outcome of a request that may not run because it may crash a backend server.
-fn conclude_quarantined(
-    progress: &Progress,
-    failure: Option<Response>,
-    retry_after: Duration,
-) -> RequestOutcome {
-    match progress.conclusion() {
-        Conclusion::NotRun(_) => not_run("the request may crash backend servers", retry_after),
-        Conclusion::Unknown => conclude(progress, failure),
-    }
-}
-
-fn not_run(reason: &'static str, retry_after: Duration) -> RequestOutcome {
-    RequestOutcome::NotRun {
-        reason,
-        retry_after,
-    }
-}
-
-fn unknown(reason: &'static str) -> RequestOutcome {
-    RequestOutcome::Unknown {
-        reason,
-        timed_out: false,
-    }
-}
-
-fn invalid(status: u16, reason: &'static str) -> RequestOutcome {
-    RequestOutcome::Invalid { status, reason }
-}
-
 fn millis(time: Duration) -> u64 {
     u64::try_from(time.as_millis()).unwrap_or(u64::MAX)
 }
--- /dev/null
+++ b/crates/marigold-sidecar/src/ingress/request_handler/conclusion.rs
@@ -0,0 +1,57 @@
+//! The outcome of a request for which no further attempt is made.
+
+use std::time::Duration;
+
+use marigold_dispatch::{Conclusion, Progress};
+
+use super::UNAVAILABLE_RETRY_DELAY;
+use crate::http1::Response;
+use crate::ingress::request_outcome::RequestOutcome;
+
+/// Maximum jitter of retry delays relative to the delay, so that callers do not retry at the same time.
+const RETRY_JITTER_FRACTION: f64 = 0.5;
+
+/// Returns the outcome of a request for which no further attempt is made.
+pub(super) fn conclude(progress: &Progress, failure: Option<Response>) -> RequestOutcome {
+    if let Some(response) = failure {
+        return RequestOutcome::Answered(response);
+    }
+    match progress.conclusion() {
+        Conclusion::Unknown => unknown("no backend server answered"),
+        Conclusion::NotRun(soonest) => {
+            let jitter = 1.0 + RETRY_JITTER_FRACTION * rand::random::<f64>();
+            let delay = soonest.unwrap_or(UNAVAILABLE_RETRY_DELAY).mul_f64(jitter);
+            not_run("no backend server has room", delay)
+        }
+    }
+}
+
+/// Returns the outcome of a request that may not run because it may crash a backend server.
+pub(super) fn conclude_quarantined(
+    progress: &Progress,
+    failure: Option<Response>,
+    retry_after: Duration,
+) -> RequestOutcome {
+    match progress.conclusion() {
+        Conclusion::NotRun(_) => not_run("the request may crash backend servers", retry_after),
+        Conclusion::Unknown => conclude(progress, failure),
+    }
+}
+
+pub(super) fn not_run(reason: &'static str, retry_after: Duration) -> RequestOutcome {
+    RequestOutcome::NotRun {
+        reason,
+        retry_after,
+    }
+}
+
+pub(super) fn unknown(reason: &'static str) -> RequestOutcome {
+    RequestOutcome::Unknown {
+        reason,
+        timed_out: false,
+    }
+}
+
+pub(super) fn invalid(status: u16, reason: &'static str) -> RequestOutcome {
+    RequestOutcome::Invalid { status, reason }
+}
