Dispatch: types of workspaces, quotas, precedence and server versions

Shared types for the parts that follow: a request's workspace and precedence travel with calls and slot requests, announcements and daemon records name the server's version. No decision uses them yet.

--- a/crates/marigold-dispatch/src/admission_controller.rs
+++ b/crates/marigold-dispatch/src/admission_controller.rs
@@ -8,14 +8,14 @@
 use std::collections::BTreeMap;
 use std::time::Duration;
 
-use marigold_types::{ServiceName, SlotCount};
+use marigold_types::{ServiceName, SlotCount, WorkspaceName};
 use slotmap::{SlotMap, new_key_type};
 use tokio::time::Instant;
 
 use crate::kind_stats::{DEMAND_DECAY_TIME, KindStats};
 use crate::running_set::{Permit, RunningSet};
 use crate::wait_queue::WaitQueue;
-use crate::{CallKind, Rank, RequestLimit, RequestPacer, RunTime, SiteReport};
+use crate::{CallKind, Precedence, Rank, RequestLimit, RequestPacer, RunTime, SiteReport};
 
 /// The run time assumed before the first run is the objective divided by this number.
 const INITIAL_RUN_DIVISOR: u32 = 3;
@@ -49,6 +49,10 @@
 pub struct SlotRequest {
     /// The kind of the request.
     pub kind: CallKind,
+    /// The workspace of the caller, or `None` if the route is open or the configuration has no workspaces.
+    pub workspace: Option<WorkspaceName>,
+    /// The precedence of the workspace, which goes before the rank.
+    pub precedence: Precedence,
     /// The priority of the request.
     pub rank: Rank,
     /// The time after which a response no longer has its full value.
--- a/crates/marigold-dispatch/src/announcement.rs
+++ b/crates/marigold-dispatch/src/announcement.rs
@@ -6,6 +6,8 @@
 
 use marigold_types::{ServiceName, SlotCount};
 
+use crate::ServerVersion;
+
 /// Whether a backend server accepts requests.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub enum ServingState {
@@ -27,6 +29,8 @@
     pub sequence: u64,
     /// The service that the backend server implements.
     pub service: ServiceName,
+    /// The version of its software, or `None` if it is not known yet.
+    pub version: Option<ServerVersion>,
     /// The address that accepts requests.
     pub address: SocketAddr,
     /// The number of requests that it processes concurrently.
--- a/crates/marigold-dispatch/src/backend_state.rs
+++ b/crates/marigold-dispatch/src/backend_state.rs
@@ -7,7 +7,7 @@
 use marigold_types::{ServiceName, SlotCount};
 use tokio::time::Instant;
 
-use crate::{Announcement, RequestLimit, ServingState};
+use crate::{Announcement, RequestLimit, ServerVersion, ServingState};
 
 /// The number of departed instances to remember, so that a delayed announcement does not revive one.
 const MAX_DEPARTED: usize = 64;
@@ -48,6 +48,8 @@
     pub sequence: u64,
     /// The service that the backend server implements.
     pub service: ServiceName,
+    /// The version of its software, or `None` until it is announced.
+    pub version: Option<ServerVersion>,
     /// The address that accepts requests.
     pub address: SocketAddr,
     /// The number of requests that it processes concurrently.
@@ -159,6 +161,9 @@
         instance.started_ms = instance.started_ms.or(announcement.started_ms);
         instance.last_announced = now;
         instance.slots = announcement.slots;
+        if announcement.version.is_some() {
+            instance.version.clone_from(&announcement.version);
+        }
         instance.address = announcement.address;
         if announcement.state == ServingState::Draining && instance.draining_since.is_none() {
             instance.draining_since = Some(now);
@@ -176,6 +181,7 @@
             started_ms: announcement.started_ms,
             sequence: announcement.sequence,
             service: announcement.service.clone(),
+            version: announcement.version.clone(),
             address: announcement.address,
             slots: announcement.slots,
             draining_since: (announcement.state == ServingState::Draining).then_some(now),
--- a/crates/marigold-dispatch/src/directory.rs
+++ b/crates/marigold-dispatch/src/directory.rs
@@ -6,7 +6,7 @@
 use marigold_types::{DataCentre, ServiceName, SlotCount};
 use serde::{Deserialize, Serialize};
 
-use crate::LinkRate;
+use crate::{LinkRate, ServerVersion};
 
 /// The record of a daemon and the backend server beside it.
 #[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
@@ -17,6 +17,9 @@
     pub data_centre: DataCentre,
     /// The service that the backend server implements.
     pub service: ServiceName,
+    /// The software version of the backend server, or `None` if it has not announced one.
+    #[serde(default)]
+    pub version: Option<ServerVersion>,
     /// The number of requests that the backend server processes concurrently.
     pub slots: SlotCount,
     /// The bandwidth of the daemon's network link.
--- a/crates/marigold-dispatch/src/route_policy.rs
+++ b/crates/marigold-dispatch/src/route_policy.rs
@@ -24,6 +24,8 @@
     pub rank: Rank,
     /// The maximum number of backend servers that a request is sent to.
     pub attempts: u32,
+    /// Whether callers need no key, although the configuration has workspaces.
+    pub is_open: bool,
     /// The services that the requests are split between; at least one.
     pub targets: Vec<Target>,
 }
--- a/crates/marigold-dispatch/src/route_table.rs
+++ b/crates/marigold-dispatch/src/route_table.rs
@@ -5,7 +5,7 @@
 
 use marigold_types::{ServiceName, Version};
 
-use crate::{CallerLimits, RoutePolicy};
+use crate::{CallerLimits, RoutePolicy, WorkspaceTable};
 
 /// The configuration of a service.
 #[derive(Debug, Clone, PartialEq, Eq)]
@@ -25,6 +25,7 @@
     hosts: HashMap<Arc<str>, HashMap<Arc<str>, Arc<RoutePolicy>>>,
     services: HashMap<ServiceName, ServicePolicy>,
     limits: CallerLimits,
+    workspaces: Option<Arc<WorkspaceTable>>,
 }
 
 impl RouteTable {
@@ -46,9 +47,23 @@
             hosts,
             services,
             limits,
+            workspaces: None,
         }
     }
 
+    /// Sets the workspaces. Without them, callers need no key.
+    #[must_use]
+    pub fn with_workspaces(mut self, workspaces: WorkspaceTable) -> Self {
+        self.workspaces = Some(Arc::new(workspaces));
+        self
+    }
+
+    /// Returns the workspaces, or `None` if callers need no key.
+    #[must_use]
+    pub fn workspaces(&self) -> Option<&Arc<WorkspaceTable>> {
+        self.workspaces.as_ref()
+    }
+
     /// Returns the configuration version.
     #[must_use]
     pub fn version(&self) -> Version {
--- a/crates/marigold-dispatch/tests/common/mod.rs
+++ b/crates/marigold-dispatch/tests/common/mod.rs
@@ -45,6 +45,8 @@
     now: Instant,
 ) -> SlotRequest {
     SlotRequest {
+        workspace: None,
+        precedence: marigold_dispatch::Precedence::default(),
         kind: kind(name),
         rank: Rank(rank),
         objective: now + ms(objective),
@@ -58,6 +60,7 @@
         address: address(number),
         data_centre: data_centre(data_centre_name),
         service: service("desk"),
+        version: None,
         slots: SlotCount(4),
         link: LinkRate(100),
     }
@@ -81,6 +84,7 @@
         started_ms: Some(started_ms),
         sequence,
         service: service("desk"),
+        version: None,
         address: address(9),
         slots: SlotCount(4),
         state: ServingState::Ready,
--- a/crates/marigold-dispatch/tests/load/simulation.rs
+++ b/crates/marigold-dispatch/tests/load/simulation.rs
@@ -102,6 +102,7 @@
                 address: address(number),
                 data_centre: data_centre_name(server.data_centre),
                 service: server.service.parse().expect("valid service name"),
+                version: None,
                 slots: SlotCount(server.slots),
                 link: LinkRate(100),
             });
--- a/crates/marigold-dispatch/tests/load/simulation/serving.rs
+++ b/crates/marigold-dispatch/tests/load/simulation/serving.rs
@@ -22,6 +22,8 @@
         }
         let elapsed = self.now.saturating_duration_since(request.arrived_at);
         let slot_request = SlotRequest {
+            workspace: None,
+            precedence: marigold_dispatch::Precedence::default(),
             kind: class.kind.clone(),
             rank: class.rank,
             objective: self.now + request.objective.saturating_sub(elapsed),
--- a/crates/marigold-dispatch/tests/request_limits.rs
+++ b/crates/marigold-dispatch/tests/request_limits.rs
@@ -126,6 +126,8 @@
 
 fn request(kind: &str, rank: u8, now: Instant) -> SlotRequest {
     SlotRequest {
+        workspace: None,
+        precedence: marigold_dispatch::Precedence::default(),
         kind: CallKind(Arc::from(kind)),
         rank: Rank(rank),
         objective: now + SECOND,
--- a/crates/marigold-dispatch/tests/routing_and_retries.rs
+++ b/crates/marigold-dispatch/tests/routing_and_retries.rs
@@ -25,6 +25,7 @@
         objective: ms(200),
         rank: Rank(1),
         attempts: 2,
+        is_open: false,
         targets: targets(&[1]),
     }
 }
--- a/crates/marigold-dispatch/tests/trial.rs
+++ b/crates/marigold-dispatch/tests/trial.rs
@@ -22,6 +22,7 @@
             address: address(host),
             data_centre: "here".parse().expect("a name"),
             service: service(if host % 2 == 0 { "desk" } else { "ledger" }),
+            version: None,
             slots: SlotCount(2),
             link: LinkRate(100),
         });
--- a/crates/marigold-sidecar/src/control/backend_discovery.rs
+++ b/crates/marigold-sidecar/src/control/backend_discovery.rs
@@ -97,6 +97,7 @@
             started_ms: None,
             sequence: 0,
             service: site.service,
+            version: site.version,
             address: self.backend_address,
             slots: site.slots,
             state: ServingState::Ready,
--- a/crates/marigold-sidecar/src/control/site_publisher.rs
+++ b/crates/marigold-sidecar/src/control/site_publisher.rs
@@ -75,6 +75,7 @@
                 address: self.location.address,
                 data_centre: self.location.data_centre.clone(),
                 service,
+                version: self.executor.version(),
                 slots,
                 link: self.location.link,
             };
--- a/crates/marigold-sidecar/src/executor/local_executor.rs
+++ b/crates/marigold-sidecar/src/executor/local_executor.rs
@@ -6,7 +6,8 @@
 use std::time::Duration;
 
 use marigold_dispatch::{
-    AdmissionController, Announcement, AnnouncementOutcome, NamedLimit, SiteReport, SlotRequest,
+    AdmissionController, Announcement, AnnouncementOutcome, NamedLimit, ServerVersion, SiteReport,
+    SlotRequest,
 };
 use marigold_request::RefusalReason;
 use marigold_request::quarantine::{CrashRecord, Fingerprint, QuarantineStatus};
@@ -268,6 +269,12 @@
         Some((instance.service.clone(), instance.slots))
     }
 
+    /// Returns the software version of the backend server, or `None` if none is known or it accepts no calls.
+    #[must_use]
+    pub fn version(&self) -> Option<ServerVersion> {
+        self.backend.serving()?.version.clone()
+    }
+
     fn update_gauges(&self) {
         let (busy, queued) = self
             .queue
@@ -341,6 +348,8 @@
         }
         let slot_request = SlotRequest {
             kind: call.kind.clone(),
+            workspace: call.workspace.clone(),
+            precedence: call.precedence,
             rank: call.rank,
             objective: arrived_at + call.objective,
             deadline,
--- a/crates/marigold-sidecar/src/ingress/request_handler.rs
+++ b/crates/marigold-sidecar/src/ingress/request_handler.rs
@@ -222,6 +222,7 @@
             table: &table,
             route: &route,
             service: &service,
+            workspace: None,
             origin: &self.options.origin,
             id,
             began,
--- a/crates/marigold-sidecar/src/ingress/request_handler/request_context.rs
+++ b/crates/marigold-sidecar/src/ingress/request_handler/request_context.rs
@@ -4,7 +4,7 @@
 use std::sync::Arc;
 use std::time::Duration;
 
-use marigold_dispatch::{RoutePolicy, RouteTable};
+use marigold_dispatch::{RoutePolicy, RouteTable, Workspace};
 use marigold_request::quarantine::Fingerprint;
 use marigold_types::ServiceName;
 use tokio::time::Instant;
@@ -17,6 +17,8 @@
     pub table: &'a RouteTable,
     pub route: &'a RoutePolicy,
     pub service: &'a ServiceName,
+    /// Workspace of the caller, or `None` if the route is open or the configuration has no workspaces.
+    pub workspace: Option<&'a Workspace>,
     /// Service of the instance at which the request entered the mesh.
     pub origin: &'a ServiceName,
     pub id: Arc<str>,
@@ -52,6 +54,11 @@
             service: self.service.clone(),
             origin: self.origin.clone(),
             kind: self.route.kind.clone(),
+            workspace: self.workspace.map(|workspace| workspace.name.clone()),
+            precedence: self
+                .workspace
+                .map(|workspace| workspace.precedence)
+                .unwrap_or_default(),
             rank: self.route.rank,
             idempotent: self.route.idempotent,
             objective: self.objective.saturating_sub(passed),
--- a/crates/marigold-sidecar/src/link/frame.rs
+++ b/crates/marigold-sidecar/src/link/frame.rs
@@ -5,9 +5,9 @@
 use std::time::Duration;
 
 use bytes::Bytes;
-use marigold_dispatch::{CallKind, Rank, Site, SiteReport};
+use marigold_dispatch::{CallKind, Precedence, Rank, Site, SiteReport};
 use marigold_request::quarantine::{CrashRecord, Fingerprint};
-use marigold_types::{Digest, LogOffset, ServiceName, Version};
+use marigold_types::{Digest, LogOffset, ServiceName, Version, WorkspaceName};
 use serde::{Deserialize, Serialize};
 
 use super::{CallId, CallOutcome, SessionId};
@@ -135,6 +135,10 @@
     pub origin: ServiceName,
     /// Kind of the route, by which run times are predicted.
     pub kind: CallKind,
+    /// Workspace of the caller, or `None` if the route is open or the configuration has no workspaces.
+    pub workspace: Option<WorkspaceName>,
+    /// Precedence of the workspace, which goes before the rank.
+    pub precedence: Precedence,
     /// Urgency of the request.
     pub rank: Rank,
     /// Whether the request may run more than once.
--- a/crates/marigold-sidecar/tests/common/test_mesh.rs
+++ b/crates/marigold-sidecar/tests/common/test_mesh.rs
@@ -177,6 +177,7 @@
                 address,
                 data_centre: "here".parse().expect("a name"),
                 service: service("desk"),
+                version: None,
                 slots: SlotCount(2),
                 link: LinkRate(100),
             });
@@ -223,6 +224,7 @@
         objective: Duration::from_secs(1),
         rank: Rank(1),
         attempts: 2,
+        is_open: false,
         targets: vec![Target {
             service: service("desk"),
             weight: 1,
--- a/crates/marigold-sidecar/tests/crashing_requests.rs
+++ b/crates/marigold-sidecar/tests/crashing_requests.rs
@@ -361,6 +361,7 @@
                 address: other.address,
                 data_centre: data_centre.parse().expect("a name"),
                 service: service("desk"),
+                version: None,
                 slots: SlotCount(2),
                 link: LinkRate(100),
             });
--- a/crates/marigold-types/src/lib.rs
+++ b/crates/marigold-types/src/lib.rs
@@ -27,7 +27,9 @@
 pub use instance_id::InstanceId;
 pub use interval::Interval;
 pub use log_offset::LogOffset;
-pub use names::{CallerName, DataCentre, OperatorName, Region, RouteName, ServiceName};
+pub use names::{
+    CallerName, DataCentre, OperatorName, Region, RouteName, ServiceName, WorkspaceName,
+};
 pub use outcome::Outcome;
 pub use parse_error::ParseError;
 pub use rate::Rate;
--- a/crates/marigold-types/src/names.rs
+++ b/crates/marigold-types/src/names.rs
@@ -97,6 +97,11 @@
     CallerName,
     "caller name"
 );
+name!(
+    /// The name of a workspace, whose callers share keys, a quota and a precedence.
+    WorkspaceName,
+    "workspace name"
+);
 
 #[cfg(test)]
 mod tests {
