--- a/crates/marigoldd/src/executor/prober.rs
+++ b/crates/marigoldd/src/executor/prober.rs
@@ -1,5 +1,6 @@
 //! Probes the health of the backend server. Answers to real requests override failed probes.
 
+use std::io::ErrorKind;
 use std::net::SocketAddr;
 use std::sync::Arc;
 use std::time::Duration;
@@ -28,6 +29,8 @@
 pub struct Prober {
     executor: Arc<LocalExecutor>,
     consecutive_failures: u32,
+    /// Whether the latest probe was refused a connection.
+    is_refused: bool,
 }
 
 impl Prober {
@@ -37,6 +40,7 @@
         Self {
             executor,
             consecutive_failures: MAX_CONSECUTIVE_FAILURES,
+            is_refused: false,
         }
     }
 
@@ -58,6 +62,11 @@
                 }
             }
             let healthy = self.check().await;
+            let was_healthy = *self.executor.shared.healthy.borrow();
+            if self.is_refused && was_healthy {
+                // Nothing listens any more. Exchanges that their callers had given up cannot show the crash.
+                self.executor.crashes.record_crash();
+            }
             self.executor.shared.healthy.send_if_modified(|current| {
                 let changed = *current != healthy;
                 *current = healthy;
@@ -77,7 +86,8 @@
             .service(&server.service)
             .map_or_else(|| DEFAULT_PATH.to_owned(), |s| s.health.to_string());
         let probed = timeout(PROBE_TIMEOUT, probe(server.address, &path)).await;
-        if matches!(probed, Ok(Some(true))) {
+        self.is_refused = matches!(probed, Ok(ProbeOutcome::Refused));
+        if matches!(probed, Ok(ProbeOutcome::Healthy)) {
             self.consecutive_failures = 0;
         } else {
             self.consecutive_failures = self.consecutive_failures.saturating_add(1);
@@ -87,13 +97,35 @@
         let answered = self.executor.answered_at();
         let is_answering =
             answered.is_some_and(|at| Instant::now().duration_since(at) < ANSWER_VALIDITY);
-        is_answering || self.consecutive_failures < MAX_CONSECUTIVE_FAILURES
+        !self.is_refused && (is_answering || self.consecutive_failures < MAX_CONSECUTIVE_FAILURES)
+    }
+}
+
+/// The outcome of a probe.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+enum ProbeOutcome {
+    /// The health endpoint reports success.
+    Healthy,
+    /// The health endpoint reports a failure, or does not answer.
+    Unhealthy,
+    /// Nothing accepts connections at the address.
+    Refused,
+}
+
+async fn probe(address: SocketAddr, path: &str) -> ProbeOutcome {
+    let stream = match TcpStream::connect(address).await {
+        Ok(stream) => stream,
+        Err(error) if error.kind() == ErrorKind::ConnectionRefused => return ProbeOutcome::Refused,
+        Err(_) => return ProbeOutcome::Unhealthy,
+    };
+    match ask(stream, path).await {
+        Some(true) => ProbeOutcome::Healthy,
+        _ => ProbeOutcome::Unhealthy,
     }
 }
 
 /// Returns whether the health endpoint reports success; `None` if it gave no answer.
-async fn probe(address: SocketAddr, path: &str) -> Option<bool> {
-    let stream = TcpStream::connect(address).await.ok()?;
+async fn ask(stream: TcpStream, path: &str) -> Option<bool> {
     let (mut sender, connection) = http1::handshake(TokioIo::new(stream)).await.ok()?;
     let mut request = Request::new(Empty::<Bytes>::new());
     *request.uri_mut() = path.parse::<Uri>().ok()?;
--- a/crates/marigoldd/tests/failures.rs
+++ b/crates/marigoldd/tests/failures.rs
@@ -345,6 +345,45 @@
     assert!(!late.is_stopped());
 }
 
+/// The caller leaves before the crash, so that no exchange with the backend server shows it.
+#[tokio::test]
+async fn request_whose_caller_left_before_the_crash_is_quarantined() {
+    let servers = [
+        Backend::start().await,
+        Backend::start().await,
+        Backend::start().await,
+        Backend::start().await,
+    ];
+    let list: Vec<&Backend> = servers.iter().collect();
+    let mesh = Mesh::start(&list, 1).await;
+    let caller = mesh.daemons[4].caller;
+    let mut is_quarantined = false;
+    for _ in 0..servers.len() {
+        let request = tokio::spawn(async move {
+            let reply = http(caller, "GET", "/read/hold", &[], "").await;
+            reply.unwrap().reason().to_owned()
+        });
+        let runs = futures_util::future::select_all(
+            list.iter().map(|server| Box::pin(server.wait_busy(1))),
+        );
+        tokio::pin!(request);
+        let index = tokio::select! {
+            reason = &mut request => {
+                assert_eq!(reason.unwrap(), "quarantined");
+                is_quarantined = true;
+                break;
+            }
+            ((), index, _) = runs => index,
+        };
+        request.abort();
+        servers[index].wait_busy(0).await;
+        servers[index].state.crash.notify_one();
+        let mut healthy = mesh.daemons[index].shared.healthy.subscribe();
+        healthy.wait_for(|healthy| !*healthy).await.unwrap();
+    }
+    assert!(is_quarantined);
+}
+
 #[tokio::test]
 async fn rate_limited_request_is_not_sent_to_the_backend_server() {
     use marigold_config::{Config, Declaration, Limit, Resource};
