Sidecar: close connections after responses without an id

Cause: a backend server that rejects a request may leave out the request's id. A late second copy of such a rejection, on the connection in use again, was taken for the response to the next request, which runs: a false promise, and for requests that may run once a second run elsewhere. Change: a connection is reused only after a response with the id of its request. second_copy_of_a_rejection_does_not_reach_the_next_request and the two cases without an id failed before. The cases not_run and wrong_backend_server now carry the id; those without it expect a closed connection.

--- a/crates/marigold-sidecar/src/executor/exchange.rs
+++ b/crates/marigold-sidecar/src/executor/exchange.rs
@@ -153,7 +153,9 @@
     // Excess input belongs to no request. If the request was not sent completely, the backend server would
     // take the next request for the rest of its body.
     let is_clean = stray_responses == 0 && conn.input.is_empty() && sent == request.bytes.len();
-    if is_clean && !parsed.close && !parsed.close_delimited {
+    // A late second copy of a response without an id would pass for the response to the next request.
+    let has_id = parsed.id.is_some();
+    if is_clean && has_id && !parsed.close && !parsed.close_delimited {
         pool.release(conn, parsed.idle_timeout);
     }
     let statement = (parsed.response.status != STATUS_MISDIRECTED).then(|| BackendStatement {
--- a/crates/marigold-sidecar/tests/backend_exchange.rs
+++ b/crates/marigold-sidecar/tests/backend_exchange.rs
@@ -110,10 +110,14 @@
         Open => ExchangeOutcome::Broken(_), true;
     error_response: "HTTP/1.1 500 No\r\nX-Id: r1\r\nX-Signed: s\r\nContent-Length: 0\r\n\r\n", Open
         => ExchangeOutcome::Answered(_), true;
-    not_run: "HTTP/1.1 503 No\r\nX-Not-Run: 1\r\nContent-Length: 0\r\n\r\n", Open
+    not_run: "HTTP/1.1 503 No\r\nX-Id: r1\r\nX-Not-Run: 1\r\nContent-Length: 0\r\n\r\n", Open
         => ExchangeOutcome::Rejected { status: 503 }, true;
-    wrong_backend_server: "HTTP/1.1 421 No\r\nX-Identity: other\r\nContent-Length: 0\r\n\r\n", Open
+    wrong_backend_server: "HTTP/1.1 421 No\r\nX-Id: r1\r\nX-Identity: other\r\nContent-Length: 0\r\n\r\n", Open
         => ExchangeOutcome::Rejected { status: 421 }, true;
+    not_run_without_id: "HTTP/1.1 503 No\r\nX-Not-Run: 1\r\nContent-Length: 0\r\n\r\n", Open
+        => ExchangeOutcome::Rejected { status: 503 }, false;
+    wrong_backend_server_without_id: "HTTP/1.1 421 No\r\nX-Identity: other\r\nContent-Length: 0\r\n\r\n", Open
+        => ExchangeOutcome::Rejected { status: 421 }, false;
     connection_close: "HTTP/1.1 200 OK\r\nX-Id: r1\r\nX-Signed: s\r\nConnection: close\r\nContent-Length: 0\r\n\r\n",
         Open => ExchangeOutcome::Answered(_), false;
     late_response_of_another_request_first: "HTTP/1.1 200 OK\r\nX-Id: r0\r\nX-Signed: s\r\nContent-Length: 3\r\n\r\noldHTTP/1.1 200 OK\r\nX-Id: r1\r\nX-Signed: s\r\nContent-Length: 2\r\n\r\nhi",
@@ -137,6 +141,50 @@
     assert_eq!(&*response.body, b"hi");
 }
 
+/// Answers each of two requests by a rejection without an id. The second copy of the first rejection arrives once the
+/// next request has been sent.
+async fn reject_twice(mut stream: TcpStream) {
+    let rejection = b"HTTP/1.1 503 No\r\nX-Not-Run: 1\r\nContent-Length: 0\r\n\r\n";
+    let mut buffer = [0; READ_BUFFER_BYTES];
+    for _ in 0..2 {
+        if !matches!(stream.read(&mut buffer).await, Ok(1..)) {
+            return;
+        }
+        stream
+            .write_all(rejection)
+            .await
+            .expect("an open connection");
+    }
+    let _ = stream.read(&mut buffer).await;
+}
+
+/// Guards against taking the late second copy of a rejection for the response to the next request on the connection, which
+/// runs.
+#[tokio::test]
+async fn second_copy_of_a_rejection_does_not_reach_the_next_request() {
+    let (listener, address) = listener().await;
+    let server: JoinHandle<()> = tokio::spawn(async move {
+        let (stream, _) = listener.accept().await.expect("a connection");
+        tokio::spawn(reject_twice(stream));
+        let (stream, _) = listener.accept().await.expect("a second connection");
+        respond(stream, VALID_RESPONSE, End::Open).await;
+    });
+    let pool = BackendPool::new(address);
+    let (names, request) = (names(), request());
+    let mut outcomes = Vec::new();
+    for _ in 0..2 {
+        let conn = pool.acquire(true).await.expect("a connection");
+        let result = timeout(TEST_TIMEOUT, exchange(&pool, conn, &names, &request));
+        outcomes.push(result.await.expect("a result in time").outcome);
+    }
+    let next = outcomes.pop();
+    assert!(
+        matches!(next, Some(ExchangeOutcome::Answered(_))),
+        "{next:?}"
+    );
+    server.abort();
+}
+
 /// Guards against sending a non-idempotent request on an idle connection that the backend server may be
 /// closing.
 #[tokio::test]
