Sidecar: keys of callers name their workspace, and uploads may run once

A configuration with a route of kind `upload` was refused as a whole, so the deployment served nothing; one with `tenants` ran requests with any key or none and passed the key on. Now `upload` and any unknown kind may run once, the tenants are decoded into workspaces, a request without a key that a workspace holds is answered 401, and backend servers receive the workspace's name in place of the key. The key is reduced to its digest while the head is parsed. Each attempt checks it again by the newest configuration. Parts of a configuration that are not understood are logged and counted. Where a configuration has no workspaces, both fields are forwarded as before.

--- a/crates/marigold-sidecar/src/control.rs
+++ b/crates/marigold-sidecar/src/control.rs
@@ -13,6 +13,8 @@
 pub use backend_discovery::BackendDiscovery;
 pub use config_history::ConfigHistory;
 pub use control_server::{ControlServer, ReadinessCheck};
-pub use protocol::{ConfigSource, ControlCall, ControlProtocol, DecodeError};
+pub use protocol::{
+    ConfigSource, ControlCall, ControlProtocol, DecodeError, DecodedConfig, UnknownPart,
+};
 pub use relay::{Relay, RelayParts};
 pub use site_publisher::{DaemonLocation, SitePublisher};
--- a/crates/marigold-sidecar/src/control/protocol.rs
+++ b/crates/marigold-sidecar/src/control/protocol.rs
@@ -43,6 +43,24 @@
     fn acknowledgement(&self) -> (Bytes, &'static str);
 }
 
+/// A part of a configuration that its decoder does not understand.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub struct UnknownPart {
+    /// Path of the part, for example "routes.read.kind". It contains no values other than names.
+    pub path: String,
+    /// How the part is read.
+    pub reading: &'static str,
+}
+
+/// A decoded configuration.
+#[derive(Debug, Clone, PartialEq)]
+pub struct DecodedConfig {
+    /// The routes, services and workspaces.
+    pub table: RouteTable,
+    /// Parts that may restrict callers and are not understood.
+    pub unknown: Vec<UnknownPart>,
+}
+
 /// Location and format of the configuration in the store.
 pub trait ConfigSource {
     /// Returns the table that holds the configuration.
@@ -55,6 +73,6 @@
     ///
     /// # Errors
     ///
-    /// If any part is invalid; a configuration is never applied partially.
-    fn decode(&self, bytes: &[u8]) -> Result<RouteTable, DecodeError>;
+    /// If any part is invalid; a configuration is never applied partially. Errors contain no keys of callers.
+    fn decode(&self, bytes: &[u8]) -> Result<DecodedConfig, DecodeError>;
 }
--- a/crates/marigold-sidecar/src/control/relay.rs
+++ b/crates/marigold-sidecar/src/control/relay.rs
@@ -14,10 +14,11 @@
 use bytes::Bytes;
 use marigold_dispatch::{FirstContact, PollTimer, RelaySelector, UpdateSource};
 use marigold_log::{KeyedBatch, KeyedRecord, KeyedStore, LogError, LogFailure, TableName};
+use marigold_types::Version;
 use tokio::time::{Instant, sleep};
 
 use super::config_history::ConfigHistory;
-use super::protocol::ConfigSource;
+use super::protocol::{ConfigSource, DecodedConfig, UnknownPart};
 use super::site_table::SiteTable;
 use super::store_health::StoreHealth;
 use crate::events::{EventLog, Severity};
@@ -56,6 +57,8 @@
 const FALLBACK_READ_INTERVAL: Duration = Duration::from_secs(1);
 /// A follower reads the records of daemons itself once it has had no reader for this long.
 const MAX_SITES_AGE: Duration = Duration::from_secs(3);
+/// Limit on the parts of one configuration that are reported as not understood, which bounds the labels of the metric.
+const MAX_UNKNOWN_PARTS: usize = 16;
 /// Names of the tables in log events.
 const CONFIG: &str = "config";
 const SITES: &str = "sites";
@@ -297,8 +300,8 @@
     /// Applies a configuration if it is newer than the current one, and sends it to followers.
     fn install(&self, value: Bytes) -> bool {
         let events = &self.parts.events;
-        let table = match self.parts.config_source.decode(&value) {
-            Ok(table) => table,
+        let DecodedConfig { table, unknown } = match self.parts.config_source.decode(&value) {
+            Ok(config) => config,
             Err(error) => {
                 let cause = error.to_string().into();
                 events.emit("config_refused", Severity::Warn, &[("cause", cause)]);
@@ -316,6 +319,7 @@
             Severity::Info,
             &[("version", version.0.into()), ("bytes", value.len().into())],
         );
+        self.report_unknown(version, &unknown);
         let previous = self.configs.borrow().version();
         self.configs.borrow_mut().push(version, value);
         if let Some(previous) = previous {
@@ -324,6 +328,21 @@
         true
     }
 
+    /// Reports the parts of a configuration that were not understood, once for each version.
+    fn report_unknown(&self, version: Version, unknown: &[UnknownPart]) {
+        for part in unknown.iter().take(MAX_UNKNOWN_PARTS) {
+            let fields = [
+                ("version", version.0.into()),
+                ("part", part.path.as_str().into()),
+                ("reading", part.reading.into()),
+            ];
+            let event = "config_part_unknown";
+            self.parts.events.emit(event, Severity::Warn, &fields);
+            metrics::counter!("marigold_config_unknown_parts_total", "part" => part.path.clone(), "reading" => part.reading)
+                .increment(1);
+        }
+    }
+
     /// Sends heartbeats to followers, and renews this daemon's own subscription to the reader.
     async fn send_heartbeats(self: Rc<Self>) {
         let mut last_follow: Option<(Instant, UpdateSource)> = None;
--- a/crates/marigold-sidecar/src/executor/exchange.rs
+++ b/crates/marigold-sidecar/src/executor/exchange.rs
@@ -48,7 +48,7 @@
         options: &ExecutorOptions,
     ) -> Self {
         let names = &options.names;
-        let extra = format!(
+        let mut extra = format!(
             "{}: {}\r\n{}: {identity}\r\n{}: {}\r\n",
             names.deadline,
             time_left.as_millis().max(1),
@@ -56,6 +56,9 @@
             names.origin,
             call.origin,
         );
+        if let Some(workspace) = &call.workspace {
+            extra.push_str(&format!("{}: {workspace}\r\n", names.workspace));
+        }
         let bytes = encode_request(&call.method, &call.target, &call.fields, &extra, &call.body);
         Self {
             id: call.request_id.clone(),
--- a/crates/marigold-sidecar/src/header_names.rs
+++ b/crates/marigold-sidecar/src/header_names.rs
@@ -25,6 +25,10 @@
     pub origin: Arc<str>,
     /// Identity of the backend server that sent the response.
     pub identity: Arc<str>,
+    /// Key of the caller, if the configuration has workspaces. It is never forwarded.
+    pub key: Arc<str>,
+    /// Workspace of the caller, which the daemon sets if the configuration has workspaces.
+    pub workspace: Arc<str>,
 }
 
 impl HeaderNames {
--- a/crates/marigold-sidecar/src/http1.rs
+++ b/crates/marigold-sidecar/src/http1.rs
@@ -4,6 +4,7 @@
 //! to its request by id, not by its order on the connection, which existing HTTP clients do not support. See docs/design/platform.md.
 
 mod body_decoder;
+mod caller_key;
 mod error;
 mod field_block;
 mod request;
@@ -13,6 +14,7 @@
 mod writer;
 
 pub use body_decoder::BodyDecoder;
+pub use caller_key::CallerKey;
 pub use error::{HttpError, Rejection};
 pub use field_block::FieldBlock;
 pub use request::Request;
--- a/crates/marigold-sidecar/src/http1/request.rs
+++ b/crates/marigold-sidecar/src/http1/request.rs
@@ -5,6 +5,8 @@
 
 use bytes::Bytes;
 
+use super::CallerKey;
+
 /// A complete request.
 #[derive(Debug, Clone)]
 pub struct Request {
@@ -18,6 +20,8 @@
     pub id: Option<Arc<str>>,
     /// How long the caller waits for the response, if it states that.
     pub caller_timeout: Option<Duration>,
+    /// Key of the caller.
+    pub key: CallerKey,
     /// Encoded header fields to forward.
     pub fields: Bytes,
     /// Body without transfer encoding.
--- a/crates/marigold-sidecar/src/http1/request_reader.rs
+++ b/crates/marigold-sidecar/src/http1/request_reader.rs
@@ -8,7 +8,7 @@
 use tokio::time::Instant;
 
 use super::field_block::is_hop_by_hop;
-use super::{BodyDecoder, FieldBlock, HttpError, Request};
+use super::{BodyDecoder, CallerKey, FieldBlock, HttpError, Request};
 use crate::HeaderNames;
 
 /// Limit on the header fields of a request.
@@ -27,6 +27,8 @@
 #[derive(Debug)]
 pub struct RequestReader {
     names: Arc<HeaderNames>,
+    /// Whether the fields of keys and workspaces are taken out, see [`Self::set_keyed`].
+    is_keyed: bool,
     partial: Option<Partial>,
     head_since: Option<Instant>,
 }
@@ -37,11 +39,17 @@
     pub fn new(names: Arc<HeaderNames>) -> Self {
         Self {
             names,
+            is_keyed: true,
             partial: None,
             head_since: None,
         }
     }
 
+    /// Sets whether keys and workspaces have a meaning. If they have none, their fields are forwarded like any other.
+    pub fn set_keyed(&mut self, is_keyed: bool) {
+        self.is_keyed = is_keyed;
+    }
+
     /// Returns when the first byte of an incomplete head was received, or `None` if no head is incomplete.
     #[must_use]
     pub fn head_since(&self) -> Option<Instant> {
@@ -115,7 +123,7 @@
             Ok(_) | Err(httparse::Error::TooManyHeaders) => return Err(HttpError::HeadSize),
             Err(_) => return Err(HttpError::Head),
         };
-        let partial = parse_head(&self.names, &head)?;
+        let partial = parse_head(&self.names, self.is_keyed, &head)?;
         if partial.decoder.remaining() > Some(limits.max_body.0) {
             return Err(HttpError::BodySize);
         }
@@ -125,7 +133,11 @@
     }
 }
 
-fn parse_head(names: &HeaderNames, head: &httparse::Request<'_, '_>) -> Result<Partial, HttpError> {
+fn parse_head(
+    names: &HeaderNames,
+    is_keyed: bool,
+    head: &httparse::Request<'_, '_>,
+) -> Result<Partial, HttpError> {
     let text = |value: &[u8]| {
         std::str::from_utf8(value)
             .map(str::trim)
@@ -144,6 +156,7 @@
         host: Arc::from(""),
         id: None,
         caller_timeout: None,
+        key: CallerKey::Absent,
         fields: Bytes::new(),
         body: Bytes::new(),
         close: wants_close(&connection, head.version),
@@ -171,6 +184,10 @@
         } else if is(&names.deadline) {
             let value = text(field.value).map_err(|_| HttpError::Head)?;
             request.caller_timeout = parse_millis(&value);
+        } else if is_keyed && is(&names.key) {
+            request.key.add(field.value);
+        } else if is_keyed && is(&names.workspace) {
+            // Only the daemon says whose the request is.
         } else if is(&names.request_id) {
             request.id = text(field.value).ok();
             block.push(field.name, field.value);
@@ -178,6 +195,9 @@
             request.host = text(field.value).map_err(|_| HttpError::Head)?;
             block.push(field.name, field.value);
         } else if !names.is_daemon_owned(field.name) && !is_hop_by_hop(field.name, &connection) {
+            if is(&names.key) || is(&names.workspace) {
+                request.key = CallerKey::Forwarded;
+            }
             block.push(field.name, field.value);
         }
     }
--- a/crates/marigold-sidecar/src/ingress.rs
+++ b/crates/marigold-sidecar/src/ingress.rs
@@ -1,6 +1,7 @@
 //! Accepts callers' requests and forwards them to executors.
 
 mod attempt;
+mod caller_check;
 mod connection;
 mod mesh;
 mod request_handler;
--- a/crates/marigold-sidecar/src/ingress/connection.rs
+++ b/crates/marigold-sidecar/src/ingress/connection.rs
@@ -73,6 +73,7 @@
     let mut closing: Option<Option<Rejection>> = None;
     loop {
         let limits = ingress.limits();
+        reader.set_keyed(ingress.is_keyed());
         while closing.is_none() && may_start(&ingress, responses.len()) {
             match reader.next(&mut input, &limits, Instant::now()) {
                 Ok(Some(request)) => {
--- a/crates/marigold-sidecar/src/ingress/request_handler.rs
+++ b/crates/marigold-sidecar/src/ingress/request_handler.rs
@@ -23,9 +23,12 @@
 use tokio::time::{Instant, sleep_until, timeout_at};
 use tokio_util::sync::CancellationToken;
 
-use self::conclusion::{conclude, conclude_quarantined, invalid, not_run, unknown};
+use self::conclusion::{
+    conclude, conclude_quarantined, conclude_refused, invalid, not_run, refuse_caller, unknown,
+};
 use self::in_flight_request::InFlightRequest;
 use self::request_context::RequestContext;
+use super::caller_check::{CallerRefusal, check_again, check_caller};
 use super::mesh::Mesh;
 use super::request_outcome::RequestOutcome;
 use super::request_trace::RequestTrace;
@@ -130,6 +133,15 @@
             .unwrap_or_default()
     }
 
+    /// Returns whether keys of callers have a meaning, as they may before the first configuration.
+    #[must_use]
+    pub fn is_keyed(&self) -> bool {
+        let table = self.table.borrow();
+        table
+            .as_ref()
+            .is_none_or(|table| table.workspaces().is_some())
+    }
+
     /// Sets the grace period of a shutdown.
     pub fn set_grace(&self, grace: Duration) {
         self.grace.set(grace);
@@ -194,6 +206,10 @@
             return invalid(404, "no route takes this host and path");
         };
         trace.route = route.kind.to_string();
+        let workspace = match check_caller(&table, &route, &request.key) {
+            Ok(workspace) => workspace.cloned(),
+            Err(refusal) => return refuse_caller(refusal),
+        };
         if !matches!(
             self.stage(0),
             ShutdownStage::Serving | ShutdownStage::Draining
@@ -222,7 +238,7 @@
             table: &table,
             route: &route,
             service: &service,
-            workspace: None,
+            workspace: workspace.as_deref(),
             origin: &self.options.origin,
             id,
             began,
@@ -289,6 +305,9 @@
             if progress.arrivals() > 0 && !self.may_retry(context, progress.arrivals()) {
                 return conclude(&progress, failure.take());
             }
+            if let Err(refusal) = self.check_caller_again(request, context) {
+                return conclude_refused(refusal, &progress, failure.take());
+            }
             let (address, ending) = self
                 .attempt_with_hedge(request, context, choice, &mut tried, trace, &mut progress)
                 .await;
@@ -360,6 +379,22 @@
         }
     }
 
+    /// Checks the caller by the newest configuration, if it is newer than the one the request is routed by.
+    fn check_caller_again(
+        &self,
+        request: &Request,
+        context: &RequestContext<'_>,
+    ) -> Result<(), CallerRefusal> {
+        let newest = self.table.borrow();
+        match &*newest {
+            Some(newest) if newest.version() != context.table.version() => {
+                let address = (&*request.host, &*request.target);
+                check_again(newest, address, &request.key, context.workspace)
+            }
+            _ => Ok(()),
+        }
+    }
+
     fn choose_executor(
         &self,
         context: &RequestContext<'_>,
--- a/crates/marigold-sidecar/src/ingress/request_handler/conclusion.rs
+++ b/crates/marigold-sidecar/src/ingress/request_handler/conclusion.rs
@@ -6,6 +6,7 @@
 
 use super::UNAVAILABLE_RETRY_DELAY;
 use crate::http1::Response;
+use crate::ingress::caller_check::CallerRefusal;
 use crate::ingress::request_outcome::RequestOutcome;
 
 /// Maximum jitter of retry delays relative to the delay, so that callers do not retry at the same time.
@@ -38,6 +39,26 @@
     }
 }
 
+/// Returns the outcome of a request that may no longer run for its caller.
+pub(super) fn conclude_refused(
+    refusal: CallerRefusal,
+    progress: &Progress,
+    failure: Option<Response>,
+) -> RequestOutcome {
+    match progress.conclusion() {
+        Conclusion::NotRun(_) => refuse_caller(refusal),
+        Conclusion::Unknown => conclude(progress, failure),
+    }
+}
+
+/// Returns the outcome of a request that was not sent since it may not run for its caller.
+pub(super) fn refuse_caller(refusal: CallerRefusal) -> RequestOutcome {
+    match refusal {
+        CallerRefusal::UnknownKey { reason } => invalid(401, reason),
+        CallerRefusal::Changed { reason } => not_run(reason, UNAVAILABLE_RETRY_DELAY),
+    }
+}
+
 pub(super) fn not_run(reason: &'static str, retry_after: Duration) -> RequestOutcome {
     RequestOutcome::NotRun {
         reason,
--- a/crates/marigold-sidecar/tests/common/mod.rs
+++ b/crates/marigold-sidecar/tests/common/mod.rs
@@ -17,6 +17,7 @@
 }
 pub(crate) use local_tests;
 
+pub mod log_buffer;
 pub mod test_mesh;
 
 use std::net::SocketAddr;
@@ -46,6 +47,8 @@
         leaving: Arc::from("X-Leaving"),
         origin: Arc::from("X-Origin"),
         identity: Arc::from("X-Identity"),
+        key: Arc::from("X-Key"),
+        workspace: Arc::from("X-Workspace"),
     })
 }
 
