--- a/crates/marigold-dispatch/src/admission_controller.rs
+++ b/crates/marigold-dispatch/src/admission_controller.rs
@@ -5,22 +5,25 @@
 //! served. Requests with the highest value per second of slot time go first, and a request that will miss
 //! its objective has a lower value.
 
+mod estimates;
+
 use std::collections::BTreeMap;
 use std::time::Duration;
 
-use marigold_types::{ServiceName, SlotCount, WorkspaceName};
+use marigold_types::{ServiceName, SlotCount};
 use slotmap::{SlotMap, new_key_type};
 use tokio::time::Instant;
 
-use crate::kind_stats::{DEMAND_DECAY_TIME, KindStats};
+use self::estimates::INITIAL_RUN_DIVISOR;
+use crate::kind_stats::KindStats;
+use crate::queue_key::QueueKey;
 use crate::running_set::{Permit, RunningSet};
 use crate::wait_queue::WaitQueue;
-use crate::{CallKind, Precedence, Rank, RequestLimit, RequestPacer, RunTime, SiteReport};
+use crate::waiting_request::WaitingRequest;
+use crate::{
+    AdmissionDecision, CallKind, RequestLimit, RequestPacer, RunTime, SiteReport, SlotRequest,
+};
 
-/// The run time assumed before the first run is the objective divided by this number.
-const INITIAL_RUN_DIVISOR: u32 = 3;
-/// The maximum fraction of the slots that an estimate assigns to more urgent demand.
-const MAX_DEMAND_RATIO: f64 = 0.9;
 /// A late request is queued only if its estimated wait is at most its remaining time divided by this number,
 /// since many requests may overtake it.
 const LATE_WAIT_DIVISOR: u32 = 2;
@@ -29,8 +32,6 @@
 /// One in this number of grants goes to the least urgent queue of requests on time, to prevent starvation. Late
 /// queues are excluded, since their requests have already lost most of their value.
 const FAIR_GRANT_INTERVAL: u32 = 32;
-/// The minimum retry delay given to a refused caller.
-const MIN_RETRY_AFTER: Duration = Duration::from_millis(30);
 /// A request waits for at most this many intervals of a request limit, so that the most urgent ones are sent next.
 const MAX_PACED_WAIT_INTERVALS: u32 = 2;
 /// The run time assumed when a request is queued, as a multiple of the mean: three in four runs take no
@@ -44,49 +45,6 @@
     pub struct Ticket;
 }
 
-/// A request for a slot.
-#[derive(Debug, Clone, PartialEq, Eq)]
-pub struct SlotRequest {
-    /// The kind of the request.
-    pub kind: CallKind,
-    /// The workspace of the caller, or `None` if the route is open or the configuration has no workspaces.
-    pub workspace: Option<WorkspaceName>,
-    /// The precedence of the workspace, which goes before the rank.
-    pub precedence: Precedence,
-    /// The priority of the request.
-    pub rank: Rank,
-    /// The time after which a response no longer has its full value.
-    pub objective: Instant,
-    /// The time at which the caller stops waiting.
-    pub deadline: Instant,
-}
-
-/// The decision of the [`AdmissionController`] on a [`SlotRequest`].
-#[derive(Debug, Clone, Copy, PartialEq, Eq)]
-pub enum AdmissionDecision {
-    /// The request has a slot.
-    Run(Permit),
-    /// The request waits in a queue.
-    Wait(Ticket),
-    /// The request is refused and has not run; the delay after which to retry.
-    Refuse(Duration),
-}
-
-/// Each queue holds requests of one kind, either on time or late.
-#[derive(Debug, Clone, PartialEq, Eq, PartialOrd, Ord)]
-struct QueueKey {
-    late: bool,
-    kind: CallKind,
-}
-
-#[derive(Debug, Clone)]
-struct Waiting {
-    request: SlotRequest,
-    key: QueueKey,
-    /// The expected run time that was added to its queue.
-    expected_run: Duration,
-}
-
 /// Assigns the slots of the backend server beside the sidecar to requests, by value per second of slot time.
 ///
 /// The controller of marigoldd, which schedules by priority class, is in marigold-request.
@@ -94,7 +52,7 @@
 pub struct AdmissionController {
     slots: u32,
     running: RunningSet,
-    waiting: SlotMap<Ticket, Waiting>,
+    waiting: SlotMap<Ticket, WaitingRequest>,
     /// The queues of waiting requests; empty queues are removed.
     queues: BTreeMap<QueueKey, WaitQueue>,
     kinds: BTreeMap<CallKind, KindStats>,
@@ -317,7 +275,7 @@
     /// Removes the waiting requests that can no longer complete by their deadline, and returns the retry delay of
     /// each.
     pub fn remove_expired(&mut self, now: Instant) -> Vec<(Ticket, Duration)> {
-        let is_expired = |waiting: &Waiting, start: Instant| {
+        let is_expired = |waiting: &WaitingRequest, start: Instant| {
             let run = self.expected_run(&waiting.request, now);
             start + run / 2 > waiting.request.deadline
         };
@@ -336,21 +294,6 @@
         removed
     }
 
-    /// Returns when each waiting request can start at the earliest. Only a request limit delays it beyond `now`: how
-    /// soon slots become free is uncertain.
-    fn earliest_starts(&self, now: Instant) -> Vec<(Ticket, Instant)> {
-        if self.pacer.limit().is_none() {
-            return self.waiting.keys().map(|ticket| (ticket, now)).collect();
-        }
-        let mut queues: Vec<_> = self.queues.iter().collect();
-        queues.sort_by(|a, b| self.urgency(b.0).total_cmp(&self.urgency(a.0)));
-        let tickets = queues.into_iter().flat_map(|(_, queue)| queue.tickets());
-        tickets
-            .enumerate()
-            .map(|(ahead, ticket)| (ticket, now + self.pacer.wait(ahead, now)))
-            .collect()
-    }
-
     /// Returns whether a slot is free and the backend server takes another request now.
     fn may_start(&self, now: Instant) -> bool {
         let slots = if self.one_at_a_time {
@@ -387,7 +330,7 @@
 
     fn enqueue(&mut self, request: SlotRequest, key: QueueKey, expected_run: Duration) -> Ticket {
         let queue = self.queues.entry(key.clone()).or_default();
-        let ticket = self.waiting.insert(Waiting {
+        let ticket = self.waiting.insert(WaitingRequest {
             request,
             key,
             expected_run,
@@ -405,29 +348,6 @@
         }
     }
 
-    /// Returns how long a request is expected to run.
-    #[must_use]
-    pub fn expected_run(&self, request: &SlotRequest, now: Instant) -> Duration {
-        let initial_run = || request.objective.saturating_duration_since(now) / INITIAL_RUN_DIVISOR;
-        self.kinds
-            .get(&request.kind)
-            .map_or_else(initial_run, KindStats::run)
-    }
-
-    /// Returns the urgency of a queue, or 0 if its kind is not tracked.
-    fn urgency(&self, key: &QueueKey) -> f64 {
-        let known = self.kinds.get(&key.kind);
-        known.map_or(0.0, |kind| self.urgency_of(kind, key.late))
-    }
-
-    fn urgency_of(&self, kind: &KindStats, late: bool) -> f64 {
-        if self.pacer.limit().is_some() {
-            kind.value(late)
-        } else {
-            kind.urgency(late)
-        }
-    }
-
     fn next_ticket(&self) -> Option<Ticket> {
         let order = |a: &&QueueKey, b: &&QueueKey| self.urgency(a).total_cmp(&self.urgency(b));
         let least = self.queues.keys().filter(|key| !key.late).min_by(order);
@@ -459,51 +379,4 @@
             .or_default()
             .push_front(ticket, expected_run);
     }
-
-    /// Estimates the wait of a request added to the queue `key` now.
-    fn estimated_wait(&self, key: &QueueKey, now: Instant) -> Duration {
-        if self.slots == 0 {
-            return Duration::MAX;
-        }
-        let own = self.urgency(key);
-        let ahead: Duration = self
-            .queues
-            .iter()
-            .filter(|(other, _)| self.urgency(other) >= own)
-            .map(|(_, queue)| queue.total_run_time())
-            .sum();
-        let overtaking_kinds = || {
-            let kinds = self.kinds.iter();
-            kinds.filter(|(kind, known)| {
-                (key.late || **kind != key.kind) && self.urgency_of(known, false) > own
-            })
-        };
-        let overtaking: f64 = overtaking_kinds()
-            .map(|(_, known)| known.demand_at(now))
-            .sum();
-        let slots = f64::from(self.slots);
-        let open = 1.0 - (overtaking / slots).min(MAX_DEMAND_RATIO);
-        // On average, a slot becomes free after the mean run time divided by the number of slots.
-        let first = self.mean_run().as_secs_f64();
-        let wait = Duration::from_secs_f64((ahead.as_secs_f64() + first) / slots / open);
-        let Some(limit) = self.pacer.limit() else {
-            return wait;
-        };
-        let ahead = self
-            .queues
-            .iter()
-            .filter(|(other, _)| self.urgency(other) >= own)
-            .map(|(_, queue)| queue.len())
-            .sum();
-        let overtaking: f64 = overtaking_kinds()
-            .map(|(_, known)| known.arrival_rate_at(now))
-            .sum();
-        let open = 1.0 - (overtaking / limit.rate()).min(MAX_DEMAND_RATIO);
-        wait.max(self.pacer.wait(ahead, now).div_f64(open))
-    }
-
-    fn retry_after(&self, key: &QueueKey, spare: Duration, now: Instant) -> Duration {
-        let wait = self.estimated_wait(key, now).min(DEMAND_DECAY_TIME);
-        wait.saturating_sub(spare).max(MIN_RETRY_AFTER)
-    }
 }
--- a/crates/marigold-dispatch/src/lib.rs
+++ b/crates/marigold-dispatch/src/lib.rs
@@ -8,6 +8,7 @@
 //! sidecar connects the decisions to the network. See docs/design/platform.md.
 
 mod admission_controller;
+mod admission_decision;
 mod announcement;
 mod attempt_outcome;
 mod backend_state;
@@ -25,6 +26,7 @@
 mod poll_timer;
 mod precedence;
 mod progress;
+mod queue_key;
 mod rank;
 mod relay_selector;
 mod request_limit;
@@ -41,14 +43,17 @@
 mod silence_detector;
 mod site_report;
 mod slack_share;
+mod slot_request;
 mod target;
 mod trial;
 mod wait_queue;
+mod waiting_request;
 mod weighted_round_robin;
 mod workspace;
 mod workspace_table;
 
-pub use admission_controller::{AdmissionController, AdmissionDecision, SlotRequest, Ticket};
+pub use admission_controller::{AdmissionController, Ticket};
+pub use admission_decision::AdmissionDecision;
 pub use announcement::{Announcement, ServingState};
 pub use attempt_outcome::AttemptOutcome;
 pub use backend_state::{AnnouncementOutcome, BackendInstance, BackendState, NamedLimit};
@@ -80,6 +85,7 @@
 pub use silence_detector::{SilenceDetector, WatchedRun};
 pub use site_report::SiteReport;
 pub use slack_share::SlackShare;
+pub use slot_request::SlotRequest;
 pub use target::Target;
 pub use trial::select_trial_executor;
 pub use weighted_round_robin::WeightedRoundRobin;
