Admission: precedence of workspaces first, then even parts of the slot time

Cause: requests carry a workspace and a precedence, and executors ordered by rank and run time only. One workspace that sends several times its usual took the slots of the others.

Change: queues are served by precedence, then by whether the workspace is within its part of the slot time, then as before. Estimates count what goes before; a waiting request makes room for one of a workspace within its part or of a smaller precedence. New counter marigold_admissions_total.

--- a/crates/marigold-dispatch/src/admission_controller.rs
+++ b/crates/marigold-dispatch/src/admission_controller.rs
@@ -5,6 +5,7 @@
 //! served. Requests with the highest value per second of slot time go first, and a request that will miss
 //! its objective has a lower value.
 
+mod displacement;
 mod estimates;
 
 use std::collections::BTreeMap;
@@ -17,9 +18,11 @@
 use self::estimates::INITIAL_RUN_DIVISOR;
 use crate::kind_stats::KindStats;
 use crate::queue_key::QueueKey;
+use crate::queue_order::QueueOrder;
 use crate::running_set::{Permit, RunningSet};
 use crate::wait_queue::WaitQueue;
 use crate::waiting_request::WaitingRequest;
+use crate::workspace_shares::WorkspaceShares;
 use crate::{
     AdmissionDecision, CallKind, RequestLimit, RequestPacer, RunTime, SiteReport, SlotRequest,
 };
@@ -40,6 +43,9 @@
 /// The maximum number of kinds that are tracked; further ones use the initial run time.
 const MAX_KINDS: usize = 512;
 
+/// A queue that may be served next.
+type Candidate<'a> = (QueueOrder, &'a QueueKey, &'a WaitQueue);
+
 new_key_type! {
     /// Identifies a request that waits for a slot.
     pub struct Ticket;
@@ -56,6 +62,9 @@
     /// The queues of waiting requests; empty queues are removed.
     queues: BTreeMap<QueueKey, WaitQueue>,
     kinds: BTreeMap<CallKind, KindStats>,
+    shares: WorkspaceShares,
+    /// The removed requests that [`Self::take_displaced`] has not returned yet.
+    displaced: Vec<(Ticket, Duration)>,
     /// The average run time of all kinds.
     run_time: RunTime,
     /// The number of grant attempts modulo `FAIR_GRANT_INTERVAL`.
@@ -76,6 +85,8 @@
             waiting: SlotMap::with_key(),
             queues: BTreeMap::new(),
             kinds: BTreeMap::new(),
+            shares: WorkspaceShares::default(),
+            displaced: Vec::new(),
             run_time: RunTime::default(),
             grant_count: 0,
             pacer: RequestPacer::new(),
@@ -184,18 +195,17 @@
         self.run_time.mean_or(Duration::ZERO)
     }
 
-    /// Runs, queues or refuses a request.
+    /// Runs, queues or refuses a request. Others may be refused instead, see [`Self::take_displaced`].
     pub fn admit(&mut self, request: SlotRequest, now: Instant) -> AdmissionDecision {
         self.record_demand(&request, now);
         let run = self.expected_run(&request, now);
         if self.may_start(now) && self.waiting.is_empty() {
-            return AdmissionDecision::Run(self.start(request.kind, now));
+            return AdmissionDecision::Run(self.start(request, run, now, now));
         }
-        let on_time_key = QueueKey {
-            late: false,
-            kind: request.kind.clone(),
-        };
-        if self.slots == 0 || self.waiting.len() >= self.max_waiting() {
+        self.shares.update();
+        let on_time_key = QueueKey::of(&request, false);
+        let is_full = self.waiting.len() >= self.max_waiting();
+        if self.slots == 0 || is_full && !self.displace_last(&self.order(&on_time_key), now) {
             return AdmissionDecision::Refuse(self.retry_after(&on_time_key, Duration::ZERO, now));
         }
         let wait = self.estimated_wait(&on_time_key, now);
@@ -208,19 +218,16 @@
         }
         let left = request.objective.saturating_duration_since(now);
         if wait + run.mul_f64(RUN_TIME_MARGIN) <= left {
-            return AdmissionDecision::Wait(self.enqueue(request, on_time_key, run));
+            return AdmissionDecision::Wait(self.enqueue(request, on_time_key, run, now));
         }
-        let late_key = QueueKey {
-            late: true,
-            ..on_time_key.clone()
-        };
+        let late_key = QueueKey::of(&request, true);
         let left = request.deadline.saturating_duration_since(now);
         let late_wait = self.estimated_wait(&late_key, now);
         if run < left
             && late_wait <= max_wait
             && late_wait <= left.saturating_sub(run) / LATE_WAIT_DIVISOR
         {
-            return AdmissionDecision::Wait(self.enqueue(request, late_key, run));
+            return AdmissionDecision::Wait(self.enqueue(request, late_key, run, now));
         }
         let spare = request
             .objective
@@ -246,9 +253,13 @@
 
     /// Removes a waiting request.
     pub fn cancel(&mut self, ticket: Ticket) {
-        if let Some(waiting) = self.waiting.remove(ticket) {
-            self.remove_from_queue(ticket, &waiting.key, waiting.expected_run);
-        }
+        self.take(ticket);
+    }
+
+    fn take(&mut self, ticket: Ticket) -> Option<WaitingRequest> {
+        let waiting = self.waiting.remove(ticket)?;
+        self.remove_from_queue(ticket, &waiting.key, waiting.expected_run);
+        Some(waiting)
     }
 
     /// Assigns a free slot to the next waiting request, or returns `None` if either is missing.
@@ -256,6 +267,7 @@
         if !self.may_start(now) {
             return None;
         }
+        self.shares.update();
         self.grant_count = (self.grant_count + 1) % FAIR_GRANT_INTERVAL;
         loop {
             let ticket = self.next_ticket()?;
@@ -266,15 +278,21 @@
                 self.move_to_late_queue(ticket);
                 continue;
             }
-            let kind = waiting.request.kind.clone();
-            self.cancel(ticket);
-            return Some((ticket, self.start(kind, now)));
+            let waiting = self.take(ticket)?;
+            let permit = self.start(
+                waiting.request,
+                waiting.expected_run,
+                waiting.arrived_at,
+                now,
+            );
+            return Some((ticket, permit));
         }
     }
 
     /// Removes the waiting requests that can no longer complete by their deadline, and returns the retry delay of
     /// each.
     pub fn remove_expired(&mut self, now: Instant) -> Vec<(Ticket, Duration)> {
+        self.shares.update();
         let is_expired = |waiting: &WaitingRequest, start: Instant| {
             let run = self.expected_run(&waiting.request, now);
             start + run / 2 > waiting.request.deadline
@@ -291,6 +309,8 @@
             self.cancel(ticket);
             removed.push((ticket, self.retry_after(&key, Duration::ZERO, now)));
         }
+        self.displace_overtaken(now);
+        removed.append(&mut self.displaced);
         removed
     }
 
@@ -309,10 +329,21 @@
         usize::try_from(self.slots).unwrap_or(usize::MAX) * MAX_QUEUE_PER_SLOT
     }
 
-    fn start(&mut self, kind: CallKind, now: Instant) -> Permit {
+    /// Starts a request whose demand for `asked` was recorded at `asked_at`.
+    fn start(
+        &mut self,
+        request: SlotRequest,
+        asked: Duration,
+        asked_at: Instant,
+        now: Instant,
+    ) -> Permit {
         self.pacer.record_sent(now);
-        let expected = self.kinds.get(&kind).map(KindStats::run);
-        self.running.start(kind, expected.unwrap_or_default(), now)
+        if let Some(name) = &request.workspace {
+            self.shares.record_used(name, asked, asked_at);
+        }
+        let expected = self.kinds.get(&request.kind).map(KindStats::run);
+        self.running
+            .start(request.kind, expected.unwrap_or_default(), now)
     }
 
     fn record_demand(&mut self, request: &SlotRequest, now: Instant) {
@@ -323,17 +354,28 @@
         let kind = self
             .kinds
             .entry(request.kind.clone())
-            .or_insert_with(|| KindStats::new(request.rank, initial_run, now));
+            .or_insert_with(|| KindStats::new(request.rank, initial_run));
         kind.rank = request.rank;
-        kind.add_demand(now);
+        kind.add_demand(request.precedence, now);
+        let run = kind.run();
+        if let Some(name) = &request.workspace {
+            self.shares.record_asked(name, request.precedence, run, now);
+        }
     }
 
-    fn enqueue(&mut self, request: SlotRequest, key: QueueKey, expected_run: Duration) -> Ticket {
+    fn enqueue(
+        &mut self,
+        request: SlotRequest,
+        key: QueueKey,
+        expected_run: Duration,
+        now: Instant,
+    ) -> Ticket {
         let queue = self.queues.entry(key.clone()).or_default();
         let ticket = self.waiting.insert(WaitingRequest {
             request,
             key,
             expected_run,
+            arrived_at: now,
         });
         queue.push(ticket, expected_run);
         ticket
@@ -349,13 +391,27 @@
     }
 
     fn next_ticket(&self) -> Option<Ticket> {
-        let order = |a: &&QueueKey, b: &&QueueKey| self.urgency(a).total_cmp(&self.urgency(b));
-        let least = self.queues.keys().filter(|key| !key.late).min_by(order);
-        let key = match least {
-            Some(key) if self.grant_count == 0 => Some(key),
-            _ => self.queues.keys().max_by(order),
+        let queues = || {
+            let queues = self.queues.iter();
+            queues.map(|(key, queue)| (self.order(key), key, queue))
+        };
+        // Workspaces whose requests have equal urgency take turns by arrival.
+        let turn = |(a, key, queue): &Candidate<'_>, (b, other, others): &Candidate<'_>| {
+            let kind = || (key.late, &key.kind).cmp(&(other.late, &other.kind));
+            let arrival = || self.first_arrival(others).cmp(&self.first_arrival(queue));
+            a.cmp(b).then_with(kind).then_with(arrival)
         };
-        self.queues.get(key?).and_then(WaitQueue::first)
+        let is_fair = |(order, key, _): &Candidate<'_>| !key.late && !order.is_beyond;
+        let next = match queues().filter(is_fair).min_by(turn) {
+            Some(least) if self.grant_count == 0 => Some(least),
+            _ => queues().max_by(turn),
+        };
+        next.and_then(|(_, _, queue)| queue.first())
+    }
+
+    fn first_arrival(&self, queue: &WaitQueue) -> Option<Instant> {
+        let first = queue.first().and_then(|ticket| self.waiting.get(ticket));
+        first.map(|waiting| waiting.arrived_at)
     }
 
     fn has_other_on_time(&self, ticket: Ticket) -> bool {
--- a/crates/marigold-dispatch/src/admission_controller/estimates.rs
+++ b/crates/marigold-dispatch/src/admission_controller/estimates.rs
@@ -1,13 +1,16 @@
 //! Estimates of run times, waits and retry delays.
 
+use std::cmp::Ordering;
 use std::time::Duration;
 
 use tokio::time::Instant;
 
 use super::AdmissionController;
-use crate::kind_stats::{DEMAND_DECAY_TIME, KindStats};
+use crate::demand::DEMAND_DECAY_TIME;
+use crate::kind_stats::KindStats;
 use crate::queue_key::QueueKey;
-use crate::{SlotRequest, Ticket};
+use crate::queue_order::QueueOrder;
+use crate::{CallKind, Precedence, SlotRequest, Ticket};
 
 /// The run time assumed before the first run is the objective divided by this number.
 pub const INITIAL_RUN_DIVISOR: u32 = 3;
@@ -24,7 +27,7 @@
             return self.waiting.keys().map(|ticket| (ticket, now)).collect();
         }
         let mut queues: Vec<_> = self.queues.iter().collect();
-        queues.sort_by(|a, b| self.urgency(b.0).total_cmp(&self.urgency(a.0)));
+        queues.sort_by(|a, b| self.order(b.0).cmp(&self.order(a.0)));
         let tickets = queues.into_iter().flat_map(|(_, queue)| queue.tickets());
         tickets
             .enumerate()
@@ -41,6 +44,16 @@
             .map_or_else(initial_run, KindStats::run)
     }
 
+    /// Returns the place of a queue among all queues.
+    pub(super) fn order(&self, key: &QueueKey) -> QueueOrder {
+        let workspace = key.workspace.as_ref();
+        QueueOrder {
+            precedence: key.precedence,
+            is_beyond: workspace.is_some_and(|name| self.shares.is_beyond(name)),
+            urgency: self.urgency(key),
+        }
+    }
+
     /// Returns the urgency of a queue, or 0 if its kind is not tracked.
     pub(super) fn urgency(&self, key: &QueueKey) -> f64 {
         let known = self.kinds.get(&key.kind);
@@ -60,22 +73,19 @@
         if self.slots == 0 {
             return Duration::MAX;
         }
-        let own = self.urgency(key);
-        let ahead: Duration = self
-            .queues
-            .iter()
-            .filter(|(other, _)| self.urgency(other) >= own)
+        let own = self.order(key);
+        let queues_ahead = || {
+            let queues = self.queues.iter();
+            queues.filter(|(other, _)| self.order(other).is_ahead_of(&own))
+        };
+        let ahead: Duration = queues_ahead()
             .map(|(_, queue)| queue.total_run_time())
             .sum();
-        let overtaking_kinds = || {
+        let overtaking_demands = || {
             let kinds = self.kinds.iter();
-            kinds.filter(|(kind, known)| {
-                (key.late || **kind != key.kind) && self.urgency_of(known, false) > own
-            })
+            kinds.map(|(kind, known)| (known, self.overtaking(key, &own, kind, known, now)))
         };
-        let overtaking: f64 = overtaking_kinds()
-            .map(|(_, known)| known.demand_at(now))
-            .sum();
+        let overtaking: f64 = overtaking_demands().map(|(_, demand)| demand).sum();
         let slots = f64::from(self.slots);
         let open = 1.0 - (overtaking / slots).min(MAX_DEMAND_RATIO);
         // On average, a slot becomes free after the mean run time divided by the number of slots.
@@ -84,19 +94,41 @@
         let Some(limit) = self.pacer.limit() else {
             return wait;
         };
-        let ahead = self
-            .queues
-            .iter()
-            .filter(|(other, _)| self.urgency(other) >= own)
-            .map(|(_, queue)| queue.len())
-            .sum();
-        let overtaking: f64 = overtaking_kinds()
-            .map(|(_, known)| known.arrival_rate_at(now))
+        let ahead = queues_ahead().map(|(_, queue)| queue.len()).sum();
+        let overtaking: f64 = overtaking_demands()
+            .map(|(known, demand)| known.arrival_rate(demand))
             .sum();
         let open = 1.0 - (overtaking / limit.rate()).min(MAX_DEMAND_RATIO);
         wait.max(self.pacer.wait(ahead, now).div_f64(open))
     }
 
+    /// Returns the demand of a kind of request that is served before a request added to the queue `key`.
+    fn overtaking(
+        &self,
+        key: &QueueKey,
+        own: &QueueOrder,
+        kind: &CallKind,
+        known: &KindStats,
+        now: Instant,
+    ) -> f64 {
+        let is_other = key.late || *kind != key.kind;
+        let is_more_urgent = is_other && self.urgency_of(known, false) > own.urgency;
+        let more_urgent = if is_more_urgent { 1.0 } else { 0.0 };
+        let ratio = |precedence: Precedence| {
+            let within = self.shares.ratio_within(precedence);
+            match precedence.cmp(&own.precedence) {
+                Ordering::Less => 1.0,
+                Ordering::Equal if own.is_beyond => within + (1.0 - within) * more_urgent,
+                Ordering::Equal => within * more_urgent,
+                Ordering::Greater => 0.0,
+            }
+        };
+        let demands = known.demands_at(now);
+        demands
+            .map(|(precedence, demand)| ratio(precedence) * demand)
+            .sum()
+    }
+
     pub(super) fn retry_after(&self, key: &QueueKey, spare: Duration, now: Instant) -> Duration {
         let wait = self.estimated_wait(key, now).min(DEMAND_DECAY_TIME);
         wait.saturating_sub(spare).max(MIN_RETRY_AFTER)
--- a/crates/marigold-dispatch/src/kind_stats.rs
+++ b/crates/marigold-dispatch/src/kind_stats.rs
@@ -1,14 +1,14 @@
 //! Run time and demand statistics of one kind of request.
 
+use std::collections::BTreeMap;
 use std::time::Duration;
 
 use tokio::time::Instant;
 
+use crate::demand::Demand;
 use crate::rank::LATE_VALUE_RATIO;
-use crate::{Rank, RunTime};
+use crate::{Precedence, Rank, RunTime};
 
-/// The time constant of the exponential decay of demand.
-pub const DEMAND_DECAY_TIME: Duration = Duration::from_secs(2);
 /// The minimum run time for urgency; shorter runs count as this long.
 const MIN_RUN_TIME: Duration = Duration::from_millis(1);
 
@@ -19,19 +19,17 @@
     pub run_time: RunTime,
     /// The run time assumed until the first run has ended.
     initial_run: Duration,
-    /// The recent demand, in seconds of run time per second.
-    demand: f64,
-    demand_at: Instant,
+    /// The recent demand of requests with each precedence.
+    demands: BTreeMap<Precedence, Demand>,
 }
 
 impl KindStats {
-    pub fn new(rank: Rank, initial_run: Duration, now: Instant) -> Self {
+    pub fn new(rank: Rank, initial_run: Duration) -> Self {
         Self {
             rank,
             run_time: RunTime::default(),
             initial_run,
-            demand: 0.0,
-            demand_at: now,
+            demands: BTreeMap::new(),
         }
     }
 
@@ -53,19 +51,23 @@
         self.value(late) / self.run().max(MIN_RUN_TIME).as_secs_f64()
     }
 
-    pub fn add_demand(&mut self, now: Instant) {
-        let decay_s = DEMAND_DECAY_TIME.as_secs_f64();
-        self.demand = self.demand_at(now) + self.run().as_secs_f64() / decay_s;
-        self.demand_at = now;
+    pub fn add_demand(&mut self, precedence: Precedence, now: Instant) {
+        let run = self.run();
+        self.demands
+            .entry(precedence)
+            .or_insert_with(|| Demand::new(now))
+            .add(run, now);
     }
 
-    /// Returns the recent number of requests per second.
-    pub fn arrival_rate_at(&self, now: Instant) -> f64 {
-        self.demand_at(now) / self.run().max(MIN_RUN_TIME).as_secs_f64()
+    /// Returns the number of requests per second that a demand stands for.
+    pub fn arrival_rate(&self, demand: f64) -> f64 {
+        demand / self.run().max(MIN_RUN_TIME).as_secs_f64()
     }
 
-    pub fn demand_at(&self, now: Instant) -> f64 {
-        let age = now.saturating_duration_since(self.demand_at).as_secs_f64();
-        self.demand * (-age / DEMAND_DECAY_TIME.as_secs_f64()).exp()
+    /// Returns the recent demand of each precedence, in seconds of run time per second.
+    pub fn demands_at(&self, now: Instant) -> impl Iterator<Item = (Precedence, f64)> {
+        self.demands
+            .iter()
+            .map(move |(precedence, demand)| (*precedence, demand.at(now)))
     }
 }
--- a/crates/marigold-dispatch/src/wait_queue.rs
+++ b/crates/marigold-dispatch/src/wait_queue.rs
@@ -45,6 +45,11 @@
         self.tickets.front().copied()
     }
 
+    /// Returns the last ticket, or `None` if the queue is empty.
+    pub fn last(&self) -> Option<Ticket> {
+        self.tickets.back().copied()
+    }
+
     /// Removes a ticket from any position.
     pub fn remove(&mut self, ticket: Ticket, run_time: Duration) {
         if let Some(index) = self.tickets.iter().position(|other| *other == ticket) {
--- a/crates/marigold-dispatch/src/waiting_request.rs
+++ b/crates/marigold-dispatch/src/waiting_request.rs
@@ -2,6 +2,8 @@
 
 use std::time::Duration;
 
+use tokio::time::Instant;
+
 use crate::SlotRequest;
 use crate::queue_key::QueueKey;
 
@@ -12,4 +14,5 @@
     pub key: QueueKey,
     /// The expected run time that was added to its queue.
     pub expected_run: Duration,
+    pub arrived_at: Instant,
 }
--- a/crates/marigold-sidecar/src/executor/slot_queue.rs
+++ b/crates/marigold-sidecar/src/executor/slot_queue.rs
@@ -6,7 +6,7 @@
 use std::time::Duration;
 
 use marigold_dispatch::{
-    AdmissionController, AdmissionDecision, Permit, RequestLimit, SlotRequest, Ticket,
+    AdmissionController, AdmissionDecision, Permit, Precedence, RequestLimit, SlotRequest, Ticket,
 };
 use marigold_types::SlotCount;
 use tokio::sync::oneshot;
@@ -66,8 +66,7 @@
     /// If no slot can become free in time. The error is the delay after which one is likely to be free.
     pub async fn acquire(self: &Rc<Self>, request: SlotRequest) -> SlotResult {
         let now = Instant::now();
-        let admission = self.controller.borrow_mut().admit(request, now);
-        match admission {
+        match self.admit(request, now) {
             AdmissionDecision::Run(permit) => Ok(self.slot(permit)),
             AdmissionDecision::Refuse(retry_after) => Err(retry_after),
             AdmissionDecision::Wait(ticket) => {
@@ -84,16 +83,31 @@
         }
     }
 
+    fn admit(&self, request: SlotRequest, now: Instant) -> AdmissionDecision {
+        let precedence = request.precedence;
+        let mut controller = self.controller.borrow_mut();
+        let decision = controller.admit(request, now);
+        let displaced = controller.take_displaced();
+        drop(controller);
+        record_decision(precedence, decision);
+        self.refuse(displaced);
+        decision
+    }
+
     /// Refuses waiting requests that can no longer be served in time.
     pub fn remove_expired(self: &Rc<Self>) {
         if self.waiters.borrow().is_empty() {
             return;
         }
         let expired = self.controller.borrow_mut().remove_expired(Instant::now());
-        for (ticket, retry_after) in expired {
+        self.refuse(expired);
+        self.grant_free_slots();
+    }
+
+    fn refuse(&self, tickets: Vec<(Ticket, Duration)>) {
+        for (ticket, retry_after) in tickets {
             self.notify(ticket, Err(retry_after));
         }
-        self.grant_free_slots();
     }
 
     /// Gives the slots of requests whose response is most likely lost to others.
@@ -141,6 +155,27 @@
     }
 }
 
+/// Counts a decision; few precedences have a label of their own.
+fn record_decision(precedence: Precedence, decision: AdmissionDecision) {
+    let precedence = match precedence.0 {
+        0 => "0",
+        1 => "1",
+        2 => "2",
+        3 => "3",
+        _ => "4 and more",
+    };
+    let decision = match decision {
+        AdmissionDecision::Run(_) => "run",
+        AdmissionDecision::Wait(_) => "wait",
+        AdmissionDecision::Refuse(_) => "refuse",
+    };
+    metrics::counter!(
+        "marigold_admissions_total",
+        "precedence" => precedence, "decision" => decision
+    )
+    .increment(1);
+}
+
 /// Entry of a waiting task, removed when the task stops waiting.
 struct Registration {
     queue: Rc<SlotQueue>,
