Admission: refused callers of workspaces come back spread over time; load model with workspaces

Cause: callers refused in one moment were all told the same delay.

Change: an executor gives delays out one after the other, as far apart as slots become free for that precedence. The load model has workspaces, precedence and surges of a class.

--- a/crates/marigold-dispatch/src/admission_controller.rs
+++ b/crates/marigold-dispatch/src/admission_controller.rs
@@ -19,6 +19,7 @@
 use crate::kind_stats::KindStats;
 use crate::queue_key::QueueKey;
 use crate::queue_order::QueueOrder;
+use crate::return_schedule::ReturnSchedule;
 use crate::running_set::{Permit, RunningSet};
 use crate::wait_queue::WaitQueue;
 use crate::waiting_request::WaitingRequest;
@@ -63,6 +64,7 @@
     queues: BTreeMap<QueueKey, WaitQueue>,
     kinds: BTreeMap<CallKind, KindStats>,
     shares: WorkspaceShares,
+    returns: ReturnSchedule,
     /// The removed requests that [`Self::take_displaced`] has not returned yet.
     displaced: Vec<(Ticket, Duration)>,
     /// The average run time of all kinds.
@@ -86,6 +88,7 @@
             queues: BTreeMap::new(),
             kinds: BTreeMap::new(),
             shares: WorkspaceShares::default(),
+            returns: ReturnSchedule::default(),
             displaced: Vec::new(),
             run_time: RunTime::default(),
             grant_count: 0,
--- a/crates/marigold-dispatch/src/admission_controller/estimates.rs
+++ b/crates/marigold-dispatch/src/admission_controller/estimates.rs
@@ -81,13 +81,8 @@
         let ahead: Duration = queues_ahead()
             .map(|(_, queue)| queue.total_run_time())
             .sum();
-        let overtaking_demands = || {
-            let kinds = self.kinds.iter();
-            kinds.map(|(kind, known)| (known, self.overtaking(key, &own, kind, known, now)))
-        };
-        let overtaking: f64 = overtaking_demands().map(|(_, demand)| demand).sum();
         let slots = f64::from(self.slots);
-        let open = 1.0 - (overtaking / slots).min(MAX_DEMAND_RATIO);
+        let open = self.open_ratio(key, &own, now);
         // On average, a slot becomes free after the mean run time divided by the number of slots.
         let first = self.mean_run().as_secs_f64();
         let wait = Duration::from_secs_f64((ahead.as_secs_f64() + first) / slots / open);
@@ -95,13 +90,21 @@
             return wait;
         };
         let ahead = queues_ahead().map(|(_, queue)| queue.len()).sum();
-        let overtaking: f64 = overtaking_demands()
-            .map(|(known, demand)| known.arrival_rate(demand))
+        let overtaking: f64 = (self.kinds.iter())
+            .map(|(kind, known)| known.arrival_rate(self.overtaking(key, &own, kind, known, now)))
             .sum();
         let open = 1.0 - (overtaking / limit.rate()).min(MAX_DEMAND_RATIO);
         wait.max(self.pacer.wait(ahead, now).div_f64(open))
     }
 
+    /// Returns the fraction of the slots that is left for requests of the queue `key`.
+    fn open_ratio(&self, key: &QueueKey, own: &QueueOrder, now: Instant) -> f64 {
+        let overtaking: f64 = (self.kinds.iter())
+            .map(|(kind, known)| self.overtaking(key, own, kind, known, now))
+            .sum();
+        1.0 - (overtaking / f64::from(self.slots)).min(MAX_DEMAND_RATIO)
+    }
+
     /// Returns the demand of a kind of request that is served before a request added to the queue `key`.
     fn overtaking(
         &self,
@@ -129,8 +132,22 @@
             .sum()
     }
 
-    pub(super) fn retry_after(&self, key: &QueueKey, spare: Duration, now: Instant) -> Duration {
+    /// Returns the delay after which a refused caller finds a slot, if it would wait for one up to `spare`.
+    pub(super) fn retry_after(
+        &mut self,
+        key: &QueueKey,
+        spare: Duration,
+        now: Instant,
+    ) -> Duration {
         let wait = self.estimated_wait(key, now).min(DEMAND_DECAY_TIME);
-        wait.saturating_sub(spare).max(MIN_RETRY_AFTER)
+        let delay = wait.saturating_sub(spare).max(MIN_RETRY_AFTER);
+        if key.workspace.is_none() || self.slots == 0 {
+            return delay;
+        }
+        let order = self.order(key);
+        let run = self.kinds.get(&key.kind).map_or(wait, KindStats::run);
+        let taken = run.div_f64(f64::from(self.slots) * self.open_ratio(key, &order, now));
+        let place = (order.precedence, order.is_beyond);
+        (self.returns).add(place, delay, DEMAND_DECAY_TIME, taken, now)
     }
 }
--- a/crates/marigold-dispatch/src/lib.rs
+++ b/crates/marigold-dispatch/src/lib.rs
@@ -35,6 +35,7 @@
 mod request_pacer;
 mod request_quota;
 mod retry_budget;
+mod return_schedule;
 mod risk;
 mod route_policy;
 mod route_table;
--- a/crates/marigold-dispatch/tests/load/class_stats.rs
+++ b/crates/marigold-dispatch/tests/load/class_stats.rs
@@ -15,6 +15,8 @@
     pub refused: u32,
     /// Requests that failed.
     pub failed: u32,
+    /// Requests that came back after a refusal.
+    pub came_back: u32,
     /// Refused requests that had been retried after an earlier refusal.
     pub refused_again: u32,
     /// Attempts sent to another data centre.
--- a/crates/marigold-dispatch/tests/load/fluid_bound.rs
+++ b/crates/marigold-dispatch/tests/load/fluid_bound.rs
@@ -13,6 +13,7 @@
 /// with capacity.
 pub fn max_credit(scenario: &Scenario) -> f64 {
     let mut loads = vec![1.0; scenario.data_centres];
+    let mut surges = vec![1.0; scenario.classes.len()];
     let mut slowness: Vec<f64> = scenario
         .servers
         .iter()
@@ -27,6 +28,7 @@
             if *when >= at && *when < at + TIME_STEP {
                 match *change {
                     Change::Load(data_centre, factor) => loads[data_centre] = factor,
+                    Change::Surge(class, factor) => surges[class] = factor,
                     Change::Slow(server, factor) => slowness[server] = factor,
                     Change::Leave(server) => usable[server] = 0.0,
                     Change::Fail(server, ratio) => usable[server] = 1.0 - ratio,
@@ -34,7 +36,7 @@
                 }
             }
         }
-        let (step_earned, step_possible) = step(scenario, &loads, &slowness, &usable);
+        let (step_earned, step_possible) = step(scenario, &loads, &surges, &slowness, &usable);
         earned += step_earned;
         possible += step_possible;
         at += TIME_STEP;
@@ -42,7 +44,13 @@
     earned / possible
 }
 
-fn step(scenario: &Scenario, loads: &[f64], slowness: &[f64], usable: &[f64]) -> (f64, f64) {
+fn step(
+    scenario: &Scenario,
+    loads: &[f64],
+    surges: &[f64],
+    slowness: &[f64],
+    usable: &[f64],
+) -> (f64, f64) {
     #[expect(clippy::cast_precision_loss, reason = "a handful")]
     let load: f64 = loads.iter().sum::<f64>() / scenario.data_centres as f64;
     let mut earned = 0.0;
@@ -64,12 +72,13 @@
         let mut classes: Vec<_> = scenario
             .classes
             .iter()
-            .filter(|class| class.service == *service && class.rate > 0.0)
-            .map(|class| (slot_time(scenario, class), class))
+            .zip(surges)
+            .filter(|(class, _)| class.service == *service && class.rate > 0.0)
+            .map(|(class, surge)| (slot_time(scenario, class), class, class.rate * surge))
             .collect();
         classes.sort_by(|a, b| (b.1.value / b.0).total_cmp(&(a.1.value / a.0)));
-        for (slot_time, class) in classes {
-            let rate = class.rate * load;
+        for (slot_time, class, rate) in classes {
+            let rate = rate * load;
             let used = (rate * slot_time).min(capacity);
             capacity -= used;
             earned += class.value * used / slot_time;
--- a/crates/marigold-dispatch/tests/load/main.rs
+++ b/crates/marigold-dispatch/tests/load/main.rs
@@ -11,3 +11,4 @@
 mod scenario;
 mod scenarios;
 mod simulation;
+mod workspace_scenarios;
--- a/crates/marigold-dispatch/tests/load/request_class.rs
+++ b/crates/marigold-dispatch/tests/load/request_class.rs
@@ -2,14 +2,18 @@
 
 use std::time::Duration;
 
-use marigold_dispatch::{CallKind, Rank};
-use marigold_types::ServiceName;
+use marigold_dispatch::{CallKind, Precedence, Rank};
+use marigold_types::{ServiceName, WorkspaceName};
 
 /// A class of requests.
 #[derive(Debug, Clone)]
 pub struct RequestClass {
     /// The route of the requests.
     pub kind: CallKind,
+    /// The workspace of the callers, if there are workspaces.
+    pub workspace: Option<WorkspaceName>,
+    /// The precedence of the workspace.
+    pub precedence: Precedence,
     /// The service that executes them.
     pub service: ServiceName,
     /// Requests per second over all data centres; 0 for a class that is only called by other requests.
@@ -38,6 +42,8 @@
     pub fn new(name: &str, service: &str, rate: f64, run: u64, limits: (u64, u64)) -> Self {
         Self {
             kind: name.parse().expect("valid kind"),
+            workspace: None,
+            precedence: Precedence::default(),
             service: service.parse().expect("valid service name"),
             rate,
             run: Duration::from_millis(run),
@@ -73,6 +79,16 @@
         }
     }
 
+    /// Sets the workspace that sends the requests, a fraction `share` of all.
+    pub fn of(self, workspace: &str, precedence: u8, share: f64) -> Self {
+        Self {
+            workspace: Some(workspace.parse().expect("valid workspace name")),
+            precedence: Precedence(precedence),
+            rate: self.rate * share,
+            ..self
+        }
+    }
+
     /// Makes a fraction of its runs call the class at index `class`.
     pub fn calling(self, class: usize, ratio: f64) -> Self {
         Self {
--- a/crates/marigold-dispatch/tests/load/scenario.rs
+++ b/crates/marigold-dispatch/tests/load/scenario.rs
@@ -22,6 +22,8 @@
 pub enum Change {
     /// Multiplies the request rate in a data centre by a factor.
     Load(usize, f64),
+    /// Multiplies the request rate of a class by a factor.
+    Surge(usize, f64),
     /// Sets the slowness of a server.
     Slow(usize, f64),
     /// Makes a server reject a fraction of its requests.
--- a/crates/marigold-dispatch/tests/load/simulation.rs
+++ b/crates/marigold-dispatch/tests/load/simulation.rs
@@ -65,6 +65,7 @@
     requests: Vec<Request>,
     attempts: Vec<Attempt>,
     loads: Vec<f64>,
+    surges: Vec<f64>,
     results: Results,
     rng: ChaCha8Rng,
 }
@@ -90,6 +91,7 @@
             requests: Vec::new(),
             attempts: Vec::new(),
             loads: vec![1.0; scenario.data_centres],
+            surges: vec![1.0; scenario.classes.len()],
             results: Results {
                 stats: vec![ClassStats::default(); scenario.classes.len()],
                 ..Results::default()
@@ -163,7 +165,8 @@
     fn next_arrival(&mut self, class: usize, data_centre: usize) {
         #[expect(clippy::cast_precision_loss, reason = "a handful")]
         let data_centres = self.scenario.data_centres as f64;
-        let rate = self.scenario.classes[class].rate * self.loads[data_centre] / data_centres;
+        let load = self.loads[data_centre] * self.surges[class];
+        let rate = self.scenario.classes[class].rate * load / data_centres;
         let gap = Duration::from_secs_f64(self.exponential(1.0 / rate));
         if self.now + gap < self.base + self.scenario.duration {
             self.after(gap, Event::Arrival { class, data_centre });
@@ -253,6 +256,7 @@
         };
         if request.retries_left > 0 && left > Duration::from_millis(10) {
             request.retries_left -= 1;
+            self.results.stats[request.class].came_back += u32::from(request.refusals == 1);
             return self.after(wait, Event::Request(number));
         }
         let was_retried = request.refusals > 1;
@@ -287,6 +291,7 @@
     fn change(&mut self, change: &Change) {
         match *change {
             Change::Load(data_centre, factor) => self.loads[data_centre] = factor,
+            Change::Surge(class, factor) => self.surges[class] = factor,
             Change::Slow(server, factor) => self.executors[server].slowness = factor,
             Change::Reject(server, ratio) => self.executors[server].reject_ratio = ratio,
             Change::Fail(server, ratio) => self.executors[server].fail_ratio = ratio,
--- a/crates/marigold-dispatch/tests/load/simulation/serving.rs
+++ b/crates/marigold-dispatch/tests/load/simulation/serving.rs
@@ -2,7 +2,7 @@
 
 use std::time::Duration;
 
-use marigold_dispatch::{AdmissionDecision, Permit, SlotRequest};
+use marigold_dispatch::{AdmissionDecision, Permit, SlotRequest, Ticket};
 use rand::RngExt;
 
 use super::{
@@ -22,8 +22,8 @@
         }
         let elapsed = self.now.saturating_duration_since(request.arrived_at);
         let slot_request = SlotRequest {
-            workspace: None,
-            precedence: marigold_dispatch::Precedence::default(),
+            workspace: class.workspace.clone(),
+            precedence: class.precedence,
             kind: class.kind.clone(),
             rank: class.rank,
             objective: self.now + request.objective.saturating_sub(elapsed),
@@ -36,6 +36,8 @@
             }
             AdmissionDecision::Refuse(after) => self.answer(number, AttemptResult::Refused(after)),
         }
+        let displaced = self.executors[attempt.executor].admission.take_displaced();
+        self.refuse(attempt.executor, displaced);
     }
 
     /// Starts an attempt that has been given a slot on the backend server.
@@ -134,15 +136,21 @@
         self.after(delay, Event::Reply { attempt, result });
     }
 
+    /// Refuses attempts that waited at an executor.
+    fn refuse(&mut self, executor: usize, tickets: Vec<(Ticket, Duration)>) {
+        for (ticket, after) in tickets {
+            let attempt = self.executors[executor].waiting.remove(&ticket);
+            self.answer(
+                attempt.expect("an attempt waits"),
+                AttemptResult::Refused(after),
+            );
+        }
+    }
+
     pub(super) fn remove_all_expired(&mut self) {
         for number in 0..self.executors.len() {
-            for (ticket, after) in self.executors[number].admission.remove_expired(self.now) {
-                let attempt = self.executors[number].waiting.remove(&ticket);
-                self.answer(
-                    attempt.expect("an attempt waits"),
-                    AttemptResult::Refused(after),
-                );
-            }
+            let expired = self.executors[number].admission.remove_expired(self.now);
+            self.refuse(number, expired);
             self.advance(number);
         }
         // Stops after the last possible deadline, when no requests are left.
