--- a/crates/marigold-dispatch/src/admission_controller.rs
+++ b/crates/marigold-dispatch/src/admission_controller.rs
@@ -5,22 +5,29 @@
 //! served. Requests with the highest value per second of slot time go first, and a request that will miss
 //! its objective has a lower value.
 
+mod displacement;
+mod estimates;
+
 use std::collections::BTreeMap;
 use std::time::Duration;
 
-use marigold_types::{ServiceName, SlotCount, WorkspaceName};
+use marigold_types::{ServiceName, SlotCount};
 use slotmap::{SlotMap, new_key_type};
 use tokio::time::Instant;
 
-use crate::kind_stats::{DEMAND_DECAY_TIME, KindStats};
+use self::estimates::INITIAL_RUN_DIVISOR;
+use crate::kind_stats::KindStats;
+use crate::queue_key::QueueKey;
+use crate::queue_order::QueueOrder;
+use crate::return_schedule::ReturnSchedule;
 use crate::running_set::{Permit, RunningSet};
 use crate::wait_queue::WaitQueue;
-use crate::{CallKind, Precedence, Rank, RequestLimit, RequestPacer, RunTime, SiteReport};
+use crate::waiting_request::WaitingRequest;
+use crate::workspace_shares::WorkspaceShares;
+use crate::{
+    AdmissionDecision, CallKind, RequestLimit, RequestPacer, RunTime, SiteReport, SlotRequest,
+};
 
-/// The run time assumed before the first run is the objective divided by this number.
-const INITIAL_RUN_DIVISOR: u32 = 3;
-/// The maximum fraction of the slots that an estimate assigns to more urgent demand.
-const MAX_DEMAND_RATIO: f64 = 0.9;
 /// A late request is queued only if its estimated wait is at most its remaining time divided by this number,
 /// since many requests may overtake it.
 const LATE_WAIT_DIVISOR: u32 = 2;
@@ -29,8 +36,6 @@
 /// One in this number of grants goes to the least urgent queue of requests on time, to prevent starvation. Late
 /// queues are excluded, since their requests have already lost most of their value.
 const FAIR_GRANT_INTERVAL: u32 = 32;
-/// The minimum retry delay given to a refused caller.
-const MIN_RETRY_AFTER: Duration = Duration::from_millis(30);
 /// A request waits for at most this many intervals of a request limit, so that the most urgent ones are sent next.
 const MAX_PACED_WAIT_INTERVALS: u32 = 2;
 /// The run time assumed when a request is queued, as a multiple of the mean: three in four runs take no
@@ -39,54 +44,14 @@
 /// The maximum number of kinds that are tracked; further ones use the initial run time.
 const MAX_KINDS: usize = 512;
 
+/// A queue that may be served next.
+type Candidate<'a> = (QueueOrder, &'a QueueKey, &'a WaitQueue);
+
 new_key_type! {
     /// Identifies a request that waits for a slot.
     pub struct Ticket;
 }
 
-/// A request for a slot.
-#[derive(Debug, Clone, PartialEq, Eq)]
-pub struct SlotRequest {
-    /// The kind of the request.
-    pub kind: CallKind,
-    /// The workspace of the caller, or `None` if the route is open or the configuration has no workspaces.
-    pub workspace: Option<WorkspaceName>,
-    /// The precedence of the workspace, which goes before the rank.
-    pub precedence: Precedence,
-    /// The priority of the request.
-    pub rank: Rank,
-    /// The time after which a response no longer has its full value.
-    pub objective: Instant,
-    /// The time at which the caller stops waiting.
-    pub deadline: Instant,
-}
-
-/// The decision of the [`AdmissionController`] on a [`SlotRequest`].
-#[derive(Debug, Clone, Copy, PartialEq, Eq)]
-pub enum AdmissionDecision {
-    /// The request has a slot.
-    Run(Permit),
-    /// The request waits in a queue.
-    Wait(Ticket),
-    /// The request is refused and has not run; the delay after which to retry.
-    Refuse(Duration),
-}
-
-/// Each queue holds requests of one kind, either on time or late.
-#[derive(Debug, Clone, PartialEq, Eq, PartialOrd, Ord)]
-struct QueueKey {
-    late: bool,
-    kind: CallKind,
-}
-
-#[derive(Debug, Clone)]
-struct Waiting {
-    request: SlotRequest,
-    key: QueueKey,
-    /// The expected run time that was added to its queue.
-    expected_run: Duration,
-}
-
 /// Assigns the slots of the backend server beside the sidecar to requests, by value per second of slot time.
 ///
 /// The controller of marigoldd, which schedules by priority class, is in marigold-request.
@@ -94,10 +59,14 @@
 pub struct AdmissionController {
     slots: u32,
     running: RunningSet,
-    waiting: SlotMap<Ticket, Waiting>,
+    waiting: SlotMap<Ticket, WaitingRequest>,
     /// The queues of waiting requests; empty queues are removed.
     queues: BTreeMap<QueueKey, WaitQueue>,
     kinds: BTreeMap<CallKind, KindStats>,
+    shares: WorkspaceShares,
+    returns: ReturnSchedule,
+    /// The removed requests that [`Self::take_displaced`] has not returned yet.
+    displaced: Vec<(Ticket, Duration)>,
     /// The average run time of all kinds.
     run_time: RunTime,
     /// The number of grant attempts modulo `FAIR_GRANT_INTERVAL`.
@@ -118,6 +87,9 @@
             waiting: SlotMap::with_key(),
             queues: BTreeMap::new(),
             kinds: BTreeMap::new(),
+            shares: WorkspaceShares::default(),
+            returns: ReturnSchedule::default(),
+            displaced: Vec::new(),
             run_time: RunTime::default(),
             grant_count: 0,
             pacer: RequestPacer::new(),
@@ -226,18 +198,17 @@
         self.run_time.mean_or(Duration::ZERO)
     }
 
-    /// Runs, queues or refuses a request.
+    /// Runs, queues or refuses a request. Others may be refused instead, see [`Self::take_displaced`].
     pub fn admit(&mut self, request: SlotRequest, now: Instant) -> AdmissionDecision {
         self.record_demand(&request, now);
         let run = self.expected_run(&request, now);
         if self.may_start(now) && self.waiting.is_empty() {
-            return AdmissionDecision::Run(self.start(request.kind, now));
+            return AdmissionDecision::Run(self.start(request, run, now, now));
         }
-        let on_time_key = QueueKey {
-            late: false,
-            kind: request.kind.clone(),
-        };
-        if self.slots == 0 || self.waiting.len() >= self.max_waiting() {
+        self.shares.update();
+        let on_time_key = QueueKey::of(&request, false);
+        let is_full = self.waiting.len() >= self.max_waiting();
+        if self.slots == 0 || is_full && !self.displace_last(&self.order(&on_time_key), now) {
             return AdmissionDecision::Refuse(self.retry_after(&on_time_key, Duration::ZERO, now));
         }
         let wait = self.estimated_wait(&on_time_key, now);
@@ -250,19 +221,16 @@
         }
         let left = request.objective.saturating_duration_since(now);
         if wait + run.mul_f64(RUN_TIME_MARGIN) <= left {
-            return AdmissionDecision::Wait(self.enqueue(request, on_time_key, run));
+            return AdmissionDecision::Wait(self.enqueue(request, on_time_key, run, now));
         }
-        let late_key = QueueKey {
-            late: true,
-            ..on_time_key.clone()
-        };
+        let late_key = QueueKey::of(&request, true);
         let left = request.deadline.saturating_duration_since(now);
         let late_wait = self.estimated_wait(&late_key, now);
         if run < left
             && late_wait <= max_wait
             && late_wait <= left.saturating_sub(run) / LATE_WAIT_DIVISOR
         {
-            return AdmissionDecision::Wait(self.enqueue(request, late_key, run));
+            return AdmissionDecision::Wait(self.enqueue(request, late_key, run, now));
         }
         let spare = request
             .objective
@@ -288,9 +256,13 @@
 
     /// Removes a waiting request.
     pub fn cancel(&mut self, ticket: Ticket) {
-        if let Some(waiting) = self.waiting.remove(ticket) {
-            self.remove_from_queue(ticket, &waiting.key, waiting.expected_run);
-        }
+        self.take(ticket);
+    }
+
+    fn take(&mut self, ticket: Ticket) -> Option<WaitingRequest> {
+        let waiting = self.waiting.remove(ticket)?;
+        self.remove_from_queue(ticket, &waiting.key, waiting.expected_run);
+        Some(waiting)
     }
 
     /// Assigns a free slot to the next waiting request, or returns `None` if either is missing.
@@ -298,6 +270,7 @@
         if !self.may_start(now) {
             return None;
         }
+        self.shares.update();
         self.grant_count = (self.grant_count + 1) % FAIR_GRANT_INTERVAL;
         loop {
             let ticket = self.next_ticket()?;
@@ -308,16 +281,22 @@
                 self.move_to_late_queue(ticket);
                 continue;
             }
-            let kind = waiting.request.kind.clone();
-            self.cancel(ticket);
-            return Some((ticket, self.start(kind, now)));
+            let waiting = self.take(ticket)?;
+            let permit = self.start(
+                waiting.request,
+                waiting.expected_run,
+                waiting.arrived_at,
+                now,
+            );
+            return Some((ticket, permit));
         }
     }
 
     /// Removes the waiting requests that can no longer complete by their deadline, and returns the retry delay of
     /// each.
     pub fn remove_expired(&mut self, now: Instant) -> Vec<(Ticket, Duration)> {
-        let is_expired = |waiting: &Waiting, start: Instant| {
+        self.shares.update();
+        let is_expired = |waiting: &WaitingRequest, start: Instant| {
             let run = self.expected_run(&waiting.request, now);
             start + run / 2 > waiting.request.deadline
         };
@@ -333,24 +312,11 @@
             self.cancel(ticket);
             removed.push((ticket, self.retry_after(&key, Duration::ZERO, now)));
         }
+        self.displace_overtaken(now);
+        removed.append(&mut self.displaced);
         removed
     }
 
-    /// Returns when each waiting request can start at the earliest. Only a request limit delays it beyond `now`: how
-    /// soon slots become free is uncertain.
-    fn earliest_starts(&self, now: Instant) -> Vec<(Ticket, Instant)> {
-        if self.pacer.limit().is_none() {
-            return self.waiting.keys().map(|ticket| (ticket, now)).collect();
-        }
-        let mut queues: Vec<_> = self.queues.iter().collect();
-        queues.sort_by(|a, b| self.urgency(b.0).total_cmp(&self.urgency(a.0)));
-        let tickets = queues.into_iter().flat_map(|(_, queue)| queue.tickets());
-        tickets
-            .enumerate()
-            .map(|(ahead, ticket)| (ticket, now + self.pacer.wait(ahead, now)))
-            .collect()
-    }
-
     /// Returns whether a slot is free and the backend server takes another request now.
     fn may_start(&self, now: Instant) -> bool {
         let slots = if self.one_at_a_time {
@@ -366,10 +332,21 @@
         usize::try_from(self.slots).unwrap_or(usize::MAX) * MAX_QUEUE_PER_SLOT
     }
 
-    fn start(&mut self, kind: CallKind, now: Instant) -> Permit {
+    /// Starts a request whose demand for `asked` was recorded at `asked_at`.
+    fn start(
+        &mut self,
+        request: SlotRequest,
+        asked: Duration,
+        asked_at: Instant,
+        now: Instant,
+    ) -> Permit {
         self.pacer.record_sent(now);
-        let expected = self.kinds.get(&kind).map(KindStats::run);
-        self.running.start(kind, expected.unwrap_or_default(), now)
+        if let Some(name) = &request.workspace {
+            self.shares.record_used(name, asked, asked_at);
+        }
+        let expected = self.kinds.get(&request.kind).map(KindStats::run);
+        self.running
+            .start(request.kind, expected.unwrap_or_default(), now)
     }
 
     fn record_demand(&mut self, request: &SlotRequest, now: Instant) {
@@ -380,17 +357,28 @@
         let kind = self
             .kinds
             .entry(request.kind.clone())
-            .or_insert_with(|| KindStats::new(request.rank, initial_run, now));
+            .or_insert_with(|| KindStats::new(request.rank, initial_run));
         kind.rank = request.rank;
-        kind.add_demand(now);
+        kind.add_demand(request.precedence, now);
+        let run = kind.run();
+        if let Some(name) = &request.workspace {
+            self.shares.record_asked(name, request.precedence, run, now);
+        }
     }
 
-    fn enqueue(&mut self, request: SlotRequest, key: QueueKey, expected_run: Duration) -> Ticket {
+    fn enqueue(
+        &mut self,
+        request: SlotRequest,
+        key: QueueKey,
+        expected_run: Duration,
+        now: Instant,
+    ) -> Ticket {
         let queue = self.queues.entry(key.clone()).or_default();
-        let ticket = self.waiting.insert(Waiting {
+        let ticket = self.waiting.insert(WaitingRequest {
             request,
             key,
             expected_run,
+            arrived_at: now,
         });
         queue.push(ticket, expected_run);
         ticket
@@ -405,37 +393,28 @@
         }
     }
 
-    /// Returns how long a request is expected to run.
-    #[must_use]
-    pub fn expected_run(&self, request: &SlotRequest, now: Instant) -> Duration {
-        let initial_run = || request.objective.saturating_duration_since(now) / INITIAL_RUN_DIVISOR;
-        self.kinds
-            .get(&request.kind)
-            .map_or_else(initial_run, KindStats::run)
-    }
-
-    /// Returns the urgency of a queue, or 0 if its kind is not tracked.
-    fn urgency(&self, key: &QueueKey) -> f64 {
-        let known = self.kinds.get(&key.kind);
-        known.map_or(0.0, |kind| self.urgency_of(kind, key.late))
-    }
-
-    fn urgency_of(&self, kind: &KindStats, late: bool) -> f64 {
-        if self.pacer.limit().is_some() {
-            kind.value(late)
-        } else {
-            kind.urgency(late)
-        }
-    }
-
     fn next_ticket(&self) -> Option<Ticket> {
-        let order = |a: &&QueueKey, b: &&QueueKey| self.urgency(a).total_cmp(&self.urgency(b));
-        let least = self.queues.keys().filter(|key| !key.late).min_by(order);
-        let key = match least {
-            Some(key) if self.grant_count == 0 => Some(key),
-            _ => self.queues.keys().max_by(order),
+        let queues = || {
+            let queues = self.queues.iter();
+            queues.map(|(key, queue)| (self.order(key), key, queue))
+        };
+        // Workspaces whose requests have equal urgency take turns by arrival.
+        let turn = |(a, key, queue): &Candidate<'_>, (b, other, others): &Candidate<'_>| {
+            let kind = || (key.late, &key.kind).cmp(&(other.late, &other.kind));
+            let arrival = || self.first_arrival(others).cmp(&self.first_arrival(queue));
+            a.cmp(b).then_with(kind).then_with(arrival)
         };
-        self.queues.get(key?).and_then(WaitQueue::first)
+        let is_fair = |(order, key, _): &Candidate<'_>| !key.late && !order.is_beyond;
+        let next = match queues().filter(is_fair).min_by(turn) {
+            Some(least) if self.grant_count == 0 => Some(least),
+            _ => queues().max_by(turn),
+        };
+        next.and_then(|(_, _, queue)| queue.first())
+    }
+
+    fn first_arrival(&self, queue: &WaitQueue) -> Option<Instant> {
+        let first = queue.first().and_then(|ticket| self.waiting.get(ticket));
+        first.map(|waiting| waiting.arrived_at)
     }
 
     fn has_other_on_time(&self, ticket: Ticket) -> bool {
@@ -459,51 +438,4 @@
             .or_default()
             .push_front(ticket, expected_run);
     }
-
-    /// Estimates the wait of a request added to the queue `key` now.
-    fn estimated_wait(&self, key: &QueueKey, now: Instant) -> Duration {
-        if self.slots == 0 {
-            return Duration::MAX;
-        }
-        let own = self.urgency(key);
-        let ahead: Duration = self
-            .queues
-            .iter()
-            .filter(|(other, _)| self.urgency(other) >= own)
-            .map(|(_, queue)| queue.total_run_time())
-            .sum();
-        let overtaking_kinds = || {
-            let kinds = self.kinds.iter();
-            kinds.filter(|(kind, known)| {
-                (key.late || **kind != key.kind) && self.urgency_of(known, false) > own
-            })
-        };
-        let overtaking: f64 = overtaking_kinds()
-            .map(|(_, known)| known.demand_at(now))
-            .sum();
-        let slots = f64::from(self.slots);
-        let open = 1.0 - (overtaking / slots).min(MAX_DEMAND_RATIO);
-        // On average, a slot becomes free after the mean run time divided by the number of slots.
-        let first = self.mean_run().as_secs_f64();
-        let wait = Duration::from_secs_f64((ahead.as_secs_f64() + first) / slots / open);
-        let Some(limit) = self.pacer.limit() else {
-            return wait;
-        };
-        let ahead = self
-            .queues
-            .iter()
-            .filter(|(other, _)| self.urgency(other) >= own)
-            .map(|(_, queue)| queue.len())
-            .sum();
-        let overtaking: f64 = overtaking_kinds()
-            .map(|(_, known)| known.arrival_rate_at(now))
-            .sum();
-        let open = 1.0 - (overtaking / limit.rate()).min(MAX_DEMAND_RATIO);
-        wait.max(self.pacer.wait(ahead, now).div_f64(open))
-    }
-
-    fn retry_after(&self, key: &QueueKey, spare: Duration, now: Instant) -> Duration {
-        let wait = self.estimated_wait(key, now).min(DEMAND_DECAY_TIME);
-        wait.saturating_sub(spare).max(MIN_RETRY_AFTER)
-    }
 }
