Sidecar: a daemon that starts again knows that its server had left

Cause: that a backend server leaves was known to the daemon beside it only. One that started again asked the server's health check, and used it again if that, or a late announcement, said that it serves. Change: the daemon's record in the store names the instance that leaves; a daemon that starts restores it.

--- a/crates/marigold-dispatch/src/backend_state.rs
+++ b/crates/marigold-dispatch/src/backend_state.rs
@@ -7,7 +7,7 @@
 use marigold_types::{ServiceName, SlotCount};
 use tokio::time::Instant;
 
-use crate::{Announcement, RequestLimit, ServerVersion, ServingState};
+use crate::{Announcement, Departure, RequestLimit, ServerVersion, ServingState};
 
 /// The number of departed instances to remember, so that a delayed announcement does not revive one.
 const MAX_DEPARTED: usize = 64;
@@ -134,6 +134,30 @@
         (previous != limit).then_some(previous)
     }
 
+    /// Returns the current instance if it has said that it leaves.
+    #[must_use]
+    pub fn leaving(&self) -> Option<Departure> {
+        let instance = self.current.as_ref()?;
+        instance.draining_since?;
+        Some(Departure {
+            identity: instance.identity.clone(),
+            started_ms: instance.started_ms,
+        })
+    }
+
+    /// Restores a departure that a previous run of the daemon has recorded.
+    pub fn restore_departure(&mut self, departure: &Departure, now: Instant) {
+        let is_current = (self.current.as_ref()).is_some_and(|instance| {
+            instance.identity == departure.identity
+                && (instance.started_ms.is_none() || instance.started_ms == departure.started_ms)
+        });
+        if is_current {
+            self.mark_departed(&departure.identity, now);
+        } else if !self.has_departed(&departure.identity, departure.started_ms) {
+            self.remember_departed(departure.identity.clone(), departure.started_ms);
+        }
+    }
+
     /// Records that an instance has departed, or will shortly without another announcement.
     pub fn mark_departed(&mut self, identity: &str, now: Instant) -> AnnouncementOutcome {
         let Some(instance) = &mut self.current else {
--- a/crates/marigold-dispatch/src/directory.rs
+++ b/crates/marigold-dispatch/src/directory.rs
@@ -6,7 +6,7 @@
 use marigold_types::{DataCentre, ServiceName, SlotCount};
 use serde::{Deserialize, Serialize};
 
-use crate::{LinkRate, ServerVersion};
+use crate::{Departure, LinkRate, ServerVersion};
 
 /// The record of a daemon and the backend server beside it.
 #[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
@@ -24,6 +24,9 @@
     pub slots: SlotCount,
     /// The bandwidth of the daemon's network link.
     pub link: LinkRate,
+    /// The instance of the backend server that leaves, or `None` while it serves.
+    #[serde(default)]
+    pub leaving: Option<Departure>,
 }
 
 /// All daemons that have joined and not left.
--- a/crates/marigold-dispatch/src/lib.rs
+++ b/crates/marigold-dispatch/src/lib.rs
@@ -16,6 +16,7 @@
 mod caller_limits;
 mod caller_timeouts;
 mod demand;
+mod departure;
 mod directory;
 mod executor_state;
 mod first_contact;
@@ -65,6 +66,7 @@
 pub use call_kind::CallKind;
 pub use caller_limits::CallerLimits;
 pub use caller_timeouts::CallerTimeouts;
+pub use departure::Departure;
 pub use directory::{Directory, Site};
 pub use executor_state::{ExecutorState, Reached};
 pub use first_contact::FirstContact;
--- a/crates/marigold-dispatch/tests/common/mod.rs
+++ b/crates/marigold-dispatch/tests/common/mod.rs
@@ -63,6 +63,7 @@
         version: None,
         slots: SlotCount(4),
         link: LinkRate(100),
+        leaving: None,
     }
 }
 
--- a/crates/marigold-dispatch/tests/load/simulation.rs
+++ b/crates/marigold-dispatch/tests/load/simulation.rs
@@ -107,6 +107,7 @@
                 version: None,
                 slots: SlotCount(server.slots),
                 link: LinkRate(100),
+                leaving: None,
             });
             let ingress = Ingress::new(server.data_centre, simulation.scenario.byte_cost, slack);
             simulation.ingresses.push(ingress);
--- a/crates/marigold-dispatch/tests/relay_selector.rs
+++ b/crates/marigold-dispatch/tests/relay_selector.rs
@@ -20,6 +20,7 @@
     ] {
         directory.put(Site {
             link: LinkRate(link),
+            leaving: None,
             ..site(number, data_centre_name)
         });
     }
--- a/crates/marigold-dispatch/tests/trial.rs
+++ b/crates/marigold-dispatch/tests/trial.rs
@@ -25,6 +25,7 @@
             version: None,
             slots: SlotCount(2),
             link: LinkRate(100),
+            leaving: None,
         });
     }
     directory
--- a/crates/marigold-sidecar/src/control/backend_discovery.rs
+++ b/crates/marigold-sidecar/src/control/backend_discovery.rs
@@ -24,8 +24,8 @@
 /// Probes the backend server for its identity, so that requests need not wait for its next announcement.
 ///
 /// The probe is sent only if the directory already has a record of this daemon, which means that it has
-/// served the backend server before. A backend server that is draining says so in its response,
-/// regardless of what it told a previous process of the daemon.
+/// served the backend server before. The record also names an instance that had said that it leaves, whatever it
+/// answers now.
 pub struct BackendDiscovery {
     /// Address at which the backend server accepts requests.
     pub backend_address: SocketAddr,
@@ -47,6 +47,7 @@
     /// Probes until the backend server is known or the probes are used up.
     pub async fn run(self) {
         let mut probes = 0;
+        self.restore_departure().await;
         while !self.executor.knows_backend() && probes < MAX_PROBES {
             sleep(POLL_INTERVAL).await;
             let Some((path, announcement)) = self.probe_parameters() else {
@@ -80,6 +81,25 @@
         }
     }
 
+    /// Waits for the record of this daemon or the first announcement, and restores the departure in the record.
+    async fn restore_departure(&self) {
+        loop {
+            let record = (self.ingress.mesh)
+                .with_directory(|directory| directory.get(self.own_address).cloned());
+            if let Some(departure) = record.as_ref().and_then(|site| site.leaving.as_ref()) {
+                let identity = departure.identity.to_string().into();
+                let fields = [("identity", identity)];
+                self.events
+                    .emit("departure_restored", Severity::Info, &fields);
+                self.executor.restore_departure(departure);
+            }
+            if record.is_some() || self.executor.knows_backend() {
+                return;
+            }
+            sleep(POLL_INTERVAL).await;
+        }
+    }
+
     /// Returns the health check path and the announcement to make with the identity that the probe returns,
     /// or `None` while the configuration or this daemon's record is missing.
     fn probe_parameters(&self) -> Option<(Arc<str>, Announcement)> {
--- a/crates/marigold-sidecar/src/control/site_publisher.rs
+++ b/crates/marigold-sidecar/src/control/site_publisher.rs
@@ -68,17 +68,9 @@
     pub async fn run(self: Rc<Self>) {
         loop {
             sleep(CHECK_INTERVAL).await;
-            let Some((service, slots)) = self.executor.serving() else {
+            let Some(site) = self.record() else {
                 continue;
             };
-            let site = Site {
-                address: self.location.address,
-                data_centre: self.location.data_centre.clone(),
-                service,
-                version: self.executor.version(),
-                slots,
-                link: self.location.link,
-            };
             let is_published =
                 |directory: &Directory| directory.get(self.location.address) == Some(&site);
             if self.mesh.with_directory(is_published) {
@@ -102,6 +94,28 @@
         }
     }
 
+    /// Returns the record that the store should have, or `None` while there is nothing to say.
+    fn record(&self) -> Option<Site> {
+        if let Some(leaving) = self.executor.leaving() {
+            let known = (self.mesh)
+                .with_directory(|directory| directory.get(self.location.address).cloned())?;
+            return Some(Site {
+                leaving: Some(leaving),
+                ..known
+            });
+        }
+        let (service, slots) = self.executor.serving()?;
+        Some(Site {
+            address: self.location.address,
+            data_centre: self.location.data_centre.clone(),
+            service,
+            version: self.executor.version(),
+            slots,
+            link: self.location.link,
+            leaving: None,
+        })
+    }
+
     /// Deletes the record; for a backend server that has left for good.
     pub async fn withdraw(&self) {
         if let Err(error) = self.put(None).await {
--- a/crates/marigold-sidecar/src/executor/backend_monitor.rs
+++ b/crates/marigold-sidecar/src/executor/backend_monitor.rs
@@ -5,7 +5,7 @@
 use std::time::Duration;
 
 use marigold_dispatch::{
-    Announcement, AnnouncementOutcome, BackendInstance, BackendState, NamedLimit,
+    Announcement, AnnouncementOutcome, BackendInstance, BackendState, Departure, NamedLimit,
 };
 use marigold_request::RefusalReason;
 use marigold_types::{ServiceName, SlotCount};
@@ -53,6 +53,17 @@
         state.mark_departed(identity, Instant::now())
     }
 
+    /// Returns the current instance if it has said that it leaves.
+    pub fn leaving(&self) -> Option<Departure> {
+        self.state.borrow().leaving()
+    }
+
+    /// Restores a departure that a previous run of the daemon has recorded.
+    pub fn restore_departure(&self, departure: &Departure) {
+        let mut state = self.state.borrow_mut();
+        state.restore_departure(departure, Instant::now());
+    }
+
     /// Records the limit after a response; returns what was known before if it differs.
     pub fn record_limit(&self, limit: NamedLimit) -> Option<NamedLimit> {
         self.state.borrow_mut().record_limit(limit)
--- a/crates/marigold-sidecar/src/executor/local_executor.rs
+++ b/crates/marigold-sidecar/src/executor/local_executor.rs
@@ -6,8 +6,8 @@
 use std::time::Duration;
 
 use marigold_dispatch::{
-    AdmissionController, Announcement, AnnouncementOutcome, NamedLimit, ServerVersion, SiteReport,
-    SlotRequest,
+    AdmissionController, Announcement, AnnouncementOutcome, Departure, NamedLimit, ServerVersion,
+    SiteReport, SlotRequest,
 };
 use marigold_request::RefusalReason;
 use marigold_request::quarantine::{CrashRecord, Fingerprint, QuarantineStatus};
@@ -240,6 +240,18 @@
         }
     }
 
+    /// Returns the instance of the backend server that has said that it leaves.
+    #[must_use]
+    pub fn leaving(&self) -> Option<Departure> {
+        self.backend.leaving()
+    }
+
+    /// Restores a departure that a previous run of this daemon has recorded.
+    pub fn restore_departure(&self, departure: &Departure) {
+        self.backend.restore_departure(departure);
+        self.apply_backend_state();
+    }
+
     /// Refuses new calls from now on, because the daemon is shutting down.
     pub fn close(&self) {
         if self.backend.close() {
--- a/crates/marigold-sidecar/tests/common/test_mesh.rs
+++ b/crates/marigold-sidecar/tests/common/test_mesh.rs
@@ -187,6 +187,7 @@
                 version: None,
                 slots: SlotCount(2),
                 link: LinkRate(100),
+                leaving: None,
             });
         });
         self.addresses.push(address);
--- a/crates/marigold-sidecar/tests/crashing_requests.rs
+++ b/crates/marigold-sidecar/tests/crashing_requests.rs
@@ -364,6 +364,7 @@
                 version: None,
                 slots: SlotCount(2),
                 link: LinkRate(100),
+                leaving: None,
             });
         });
         until(|| {
