Sidecar: a daemon that may be outdated refuses requests that need a key, if it is told to

With `strict_revocation`, a request that needs a key is answered 503 once the configuration has not been confirmed for `revocation` seconds. A key that is not known is answered 503, not 401, while other daemons route by a newer configuration, since callers do not repeat after 401. The checks of callers have their own file.

--- a/crates/marigold-sidecar/src/control/relay.rs
+++ b/crates/marigold-sidecar/src/control/relay.rs
@@ -87,8 +87,6 @@
     parts: RelayParts,
     selector: RefCell<RelaySelector>,
     configs: RefCell<ConfigHistory>,
-    /// When the current configuration was last confirmed to be the newest.
-    config_confirmed_at: Cell<Option<Instant>>,
     site_table: SiteTable,
     /// When the directory was last known to be complete.
     sites_confirmed_at: Cell<Option<Instant>>,
@@ -109,7 +107,6 @@
             parts,
             selector: RefCell::new(selector),
             configs: RefCell::default(),
-            config_confirmed_at: Cell::new(None),
             site_table,
             sites_confirmed_at: Cell::new(None),
             first_contact: Cell::default(),
@@ -132,6 +129,11 @@
         self.sites_confirmed_at.get().is_some()
     }
 
+    /// Returns when the current configuration was last confirmed to be the newest.
+    fn config_confirmed_at(&self) -> Option<Instant> {
+        self.parts.ingress.freshness.confirmed_at()
+    }
+
     /// Returns whether this daemon has just started and others are about to tell more than the store.
     fn awaits_contact(&self) -> bool {
         let mesh = &self.parts.mesh;
@@ -203,8 +205,7 @@
             behind_since = is_behind.then(|| behind_since.unwrap_or(now));
             let elapsed = |since: Instant| now.saturating_duration_since(since);
             let is_stale = self
-                .config_confirmed_at
-                .get()
+                .config_confirmed_at()
                 .is_none_or(|at| elapsed(at) >= MAX_CONFIG_AGE);
             let is_overdue = behind_since.is_some_and(|since| elapsed(since) >= CATCH_UP_TIMEOUT);
             if (is_stale || is_overdue) && elapsed(last_read) >= FALLBACK_READ_INTERVAL {
@@ -288,7 +289,7 @@
 
     /// Applies a batch read from the store; returns whether the configuration has changed.
     fn apply_batch(&self, batch: &KeyedBatch) -> bool {
-        self.config_confirmed_at.set(Some(Instant::now()));
+        self.parts.ingress.freshness.confirm(Some(Instant::now()));
         self.configs.borrow_mut().set_next_offset(batch.next);
         let is_config = |record: &&KeyedRecord| *record.key == *self.parts.config_source.key();
         let newest = batch.records.iter().rev().find(is_config);
@@ -348,7 +349,7 @@
         let mut last_follow: Option<(Instant, UpdateSource)> = None;
         loop {
             self.notify_followers(|| self.heartbeat());
-            if let Some(at) = self.config_confirmed_at.get() {
+            if let Some(at) = self.config_confirmed_at() {
                 let age = at.elapsed().as_secs_f64();
                 metrics::gauge!("marigold_config_age_seconds").set(age);
             }
--- a/crates/marigold-sidecar/src/control/relay/store_updates.rs
+++ b/crates/marigold-sidecar/src/control/relay/store_updates.rs
@@ -22,7 +22,7 @@
     /// Returns an update with the current version and its age, but without any changes.
     pub(super) fn heartbeat(&self) -> StoreUpdate {
         StoreUpdate {
-            config_age: self.config_confirmed_at.get().map(|at| at.elapsed()),
+            config_age: self.config_confirmed_at().map(|at| at.elapsed()),
             config: self.configs.borrow().version(),
             ..StoreUpdate::default()
         }
@@ -70,8 +70,7 @@
             && version >= update.config
         {
             let at = now.checked_sub(age);
-            self.config_confirmed_at
-                .set(self.config_confirmed_at.get().max(at));
+            self.parts.ingress.freshness.confirm(at);
         } else if let Some(reader) = reader
             && version < update.config
             && update.change.is_none()
--- a/crates/marigold-sidecar/src/executor/exchange.rs
+++ b/crates/marigold-sidecar/src/executor/exchange.rs
@@ -57,7 +57,9 @@
             call.origin,
         );
         if let Some(workspace) = &call.workspace {
-            extra.push_str(&format!("{}: {workspace}\r\n", names.workspace));
+            for part in [&names.workspace, ": ", workspace.as_str(), "\r\n"] {
+                extra.push_str(part);
+            }
         }
         let bytes = encode_request(&call.method, &call.target, &call.fields, &extra, &call.body);
         Self {
--- a/crates/marigold-sidecar/src/ingress.rs
+++ b/crates/marigold-sidecar/src/ingress.rs
@@ -2,12 +2,14 @@
 
 mod attempt;
 mod caller_check;
+mod config_freshness;
 mod connection;
 mod mesh;
 mod request_handler;
 mod request_outcome;
 mod request_trace;
 
+pub use config_freshness::ConfigFreshness;
 pub use connection::listen;
 pub use mesh::{Mesh, MeshOptions, StoreUpdateListener, Tuning};
 pub use request_handler::{Ingress, IngressOptions};
--- a/crates/marigold-sidecar/src/ingress/caller_check.rs
+++ b/crates/marigold-sidecar/src/ingress/caller_check.rs
@@ -9,18 +9,28 @@
 /// Why a request may not run for its caller.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub enum CallerRefusal {
-    /// It has no key, or one that no workspace holds.
+    /// It has no key, or not exactly one.
+    InvalidKey {
+        /// Reason in logs and in the response body.
+        reason: &'static str,
+    },
+    /// No workspace holds its key.
     UnknownKey {
         /// Reason in logs and in the response body.
         reason: &'static str,
     },
-    /// The configuration changed while it was on its way; another attempt is decided by the new one.
-    Changed {
+    /// It cannot be decided yet, since the configuration has just changed or may be outdated.
+    Undecided {
         /// Reason in logs and in the response body.
         reason: &'static str,
     },
 }
 
+/// Returns whether requests to `route` need a key.
+pub fn needs_key(table: &RouteTable, route: &RoutePolicy) -> bool {
+    table.workspaces().is_some() && !route.is_open
+}
+
 /// Returns the workspace of the caller with `key`, or `None` if the route is open or there are no workspaces.
 ///
 /// # Errors
@@ -36,19 +46,21 @@
     };
     if *key == CallerKey::Forwarded {
         let reason = "the request came before the workspaces did";
-        return Err(CallerRefusal::Changed { reason });
+        return Err(CallerRefusal::Undecided { reason });
     }
     if route.is_open {
         return Ok(None);
     }
-    let unknown = |reason| Err(CallerRefusal::UnknownKey { reason });
+    let invalid = |reason| Err(CallerRefusal::InvalidKey { reason });
     match key {
         CallerKey::Digest(digest) => match workspaces.of_key(digest) {
             Some(workspace) => Ok(Some(workspace)),
-            None => unknown("no workspace holds the key"),
+            None => Err(CallerRefusal::UnknownKey {
+                reason: "no workspace holds the key",
+            }),
         },
-        CallerKey::Ambiguous => unknown("the request has several keys"),
-        CallerKey::Absent | CallerKey::Forwarded => unknown("the request has no key"),
+        CallerKey::Ambiguous => invalid("the request has several keys"),
+        CallerKey::Absent | CallerKey::Forwarded => invalid("the request has no key"),
     }
 }
 
@@ -73,5 +85,5 @@
         return Ok(());
     }
     let reason = "the workspace of the caller has changed";
-    Err(CallerRefusal::Changed { reason })
+    Err(CallerRefusal::Undecided { reason })
 }
--- a/crates/marigold-sidecar/src/ingress/request_handler.rs
+++ b/crates/marigold-sidecar/src/ingress/request_handler.rs
@@ -1,5 +1,6 @@
 //! Processes a request from routing to its final outcome.
 
+mod caller;
 mod conclusion;
 mod hedge;
 mod in_flight_request;
@@ -23,12 +24,10 @@
 use tokio::time::{Instant, sleep_until, timeout_at};
 use tokio_util::sync::CancellationToken;
 
-use self::conclusion::{
-    conclude, conclude_quarantined, conclude_refused, invalid, not_run, refuse_caller, unknown,
-};
+use self::conclusion::{conclude, conclude_quarantined, invalid, not_run, refuse_caller, unknown};
 use self::in_flight_request::InFlightRequest;
 use self::request_context::RequestContext;
-use super::caller_check::{CallerRefusal, check_again, check_caller};
+use super::config_freshness::ConfigFreshness;
 use super::mesh::Mesh;
 use super::request_outcome::RequestOutcome;
 use super::request_trace::RequestTrace;
@@ -80,6 +79,8 @@
     in_flight: Cell<usize>,
     last_request_at: Cell<Instant>,
     buffered_body_bytes: Cell<usize>,
+    /// When the configuration was last known to be the newest.
+    pub freshness: ConfigFreshness,
     /// The newest configuration version that other daemons have routed calls by.
     pub newest_seen_version: watch::Sender<Version>,
 }
@@ -101,6 +102,7 @@
             in_flight: Cell::new(0),
             last_request_at: Cell::new(Instant::now()),
             buffered_body_bytes: Cell::new(0),
+            freshness: ConfigFreshness::default(),
             newest_seen_version: watch::Sender::new(Version::default()),
         })
     }
@@ -133,15 +135,6 @@
             .unwrap_or_default()
     }
 
-    /// Returns whether keys of callers have a meaning, as they may before the first configuration.
-    #[must_use]
-    pub fn is_keyed(&self) -> bool {
-        let table = self.table.borrow();
-        table
-            .as_ref()
-            .is_none_or(|table| table.workspaces().is_some())
-    }
-
     /// Sets the grace period of a shutdown.
     pub fn set_grace(&self, grace: Duration) {
         self.grace.set(grace);
@@ -206,7 +199,7 @@
             return invalid(404, "no route takes this host and path");
         };
         trace.route = route.kind.to_string();
-        let workspace = match check_caller(&table, &route, &request.key) {
+        let workspace = match self.identify_caller(request, &table, &route) {
             Ok(workspace) => workspace.cloned(),
             Err(refusal) => return refuse_caller(refusal),
         };
@@ -302,11 +295,8 @@
                 }
                 return conclude(&progress, failure.take());
             };
-            if progress.arrivals() > 0 && !self.may_retry(context, progress.arrivals()) {
-                return conclude(&progress, failure.take());
-            }
-            if let Err(refusal) = self.check_caller_again(request, context) {
-                return conclude_refused(refusal, &progress, failure.take());
+            if let Some(outcome) = self.end_early(request, context, &progress, failure) {
+                return outcome;
             }
             let (address, ending) = self
                 .attempt_with_hedge(request, context, choice, &mut tried, trace, &mut progress)
@@ -379,22 +369,6 @@
         }
     }
 
-    /// Checks the caller by the newest configuration, if it is newer than the one the request is routed by.
-    fn check_caller_again(
-        &self,
-        request: &Request,
-        context: &RequestContext<'_>,
-    ) -> Result<(), CallerRefusal> {
-        let newest = self.table.borrow();
-        match &*newest {
-            Some(newest) if newest.version() != context.table.version() => {
-                let address = (&*request.host, &*request.target);
-                check_again(newest, address, &request.key, context.workspace)
-            }
-            _ => Ok(()),
-        }
-    }
-
     fn choose_executor(
         &self,
         context: &RequestContext<'_>,
--- a/crates/marigold-sidecar/src/ingress/request_handler/conclusion.rs
+++ b/crates/marigold-sidecar/src/ingress/request_handler/conclusion.rs
@@ -54,8 +54,10 @@
 /// Returns the outcome of a request that was not sent since it may not run for its caller.
 pub(super) fn refuse_caller(refusal: CallerRefusal) -> RequestOutcome {
     match refusal {
-        CallerRefusal::UnknownKey { reason } => invalid(401, reason),
-        CallerRefusal::Changed { reason } => not_run(reason, UNAVAILABLE_RETRY_DELAY),
+        CallerRefusal::InvalidKey { reason } | CallerRefusal::UnknownKey { reason } => {
+            invalid(401, reason)
+        }
+        CallerRefusal::Undecided { reason } => not_run(reason, UNAVAILABLE_RETRY_DELAY),
     }
 }
 
--- a/crates/marigold-sidecar/src/settings.rs
+++ b/crates/marigold-sidecar/src/settings.rs
@@ -76,6 +76,8 @@
     pub retry_slack: f64,
     /// Sliding window over which requests and retries are counted.
     pub retry_window: Duration,
+    /// Age of the configuration beyond which requests that need a key are refused, or `None` if they run by any.
+    pub revocation: Option<Duration>,
 }
 
 /// The settings of a sidecar.
@@ -139,6 +141,7 @@
     let retry_ratio = required_number(bounds, "retry_ratio", faults);
     let retry_slack = required_number(bounds, "retry_slack", faults);
     let retry_window = required_number(bounds, "retry_window", faults);
+    let revocation = read_revocation(bounds, faults);
     Some(Settings {
         instance: InstanceSettings {
             name: Arc::from(name?),
@@ -164,10 +167,20 @@
             retry_ratio: retry_ratio?,
             retry_slack: retry_slack?,
             retry_window: Duration::from_secs_f64(retry_window?),
+            revocation,
         },
     })
 }
 
+/// Reads how old a configuration may be that requests with keys run by, if the platform bounds that.
+fn read_revocation(bounds: &Section, faults: &mut Faults) -> Option<Duration> {
+    let is_strict: bool = bounds.optional("strict_revocation", faults)?;
+    if !is_strict {
+        return None;
+    }
+    required_number(bounds, "revocation", faults).map(Duration::from_secs_f64)
+}
+
 fn required_section<'a>(
     document: &'a Document,
     kind: &str,
--- a/crates/marigold-sidecar/src/sidecar.rs
+++ b/crates/marigold-sidecar/src/sidecar.rs
@@ -293,7 +293,9 @@
         grace: settings.bounds.grace,
         body_budget_bytes: usize::try_from(body_budget_bytes).unwrap_or(usize::MAX),
     };
-    Ingress::new(options, mesh.clone(), events.clone())
+    let ingress = Ingress::new(options, mesh.clone(), events.clone());
+    ingress.freshness.set_max_age(settings.bounds.revocation);
+    ingress
 }
 
 fn build_executor(
@@ -348,6 +350,8 @@
         Ok(settings) => {
             components.ingress.mesh.tune(mesh_tuning(&settings));
             components.ingress.set_grace(settings.bounds.grace);
+            let freshness = &components.ingress.freshness;
+            freshness.set_max_age(settings.bounds.revocation);
             let is_fully_applied = (&settings.instance, &settings.listen, settings.store)
                 == (&current.instance, &current.listen, current.store);
             let in_force = if is_fully_applied {
--- a/crates/marigold-sidecar/tests/common/test_mesh.rs
+++ b/crates/marigold-sidecar/tests/common/test_mesh.rs
@@ -35,6 +35,9 @@
 /// Marks the paths at which it disconnects.
 pub const CUT_MARK: &str = "/cut";
 
+type TimesLeft = Rc<RefCell<Vec<u64>>>;
+type Received = Rc<RefCell<Vec<String>>>;
+
 /// How a simulated backend server handles each request.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub enum BackendBehaviour {
@@ -162,8 +165,7 @@
                     behaviour,
                     backend,
                     arrivals.clone(),
-                    times_left.clone(),
-                    received.clone(),
+                    (times_left.clone(), received.clone()),
                     extra_fields.clone(),
                     disconnects.clone(),
                 ));
@@ -251,8 +253,7 @@
     behaviour: BackendBehaviour,
     address: SocketAddr,
     arrivals: Rc<RefCell<HashMap<SocketAddr, u32>>>,
-    times_left: Rc<RefCell<Vec<u64>>>,
-    received: Rc<RefCell<Vec<String>>>,
+    (times_left, received): (TimesLeft, Received),
     extra_fields: Rc<RefCell<&'static str>>,
     disconnects: Rc<Cell<u32>>,
 ) {
--- a/crates/marigold-sidecar/tests/workspaces.rs
+++ b/crates/marigold-sidecar/tests/workspaces.rs
@@ -5,6 +5,7 @@
 use std::collections::HashMap;
 use std::rc::Rc;
 use std::sync::Arc;
+use std::time::Duration;
 
 use common::log_buffer::LogBuffer;
 use common::test_mesh::{BackendBehaviour, TestMesh, get, route, until};
@@ -15,6 +16,7 @@
 use tokio::io::{AsyncReadExt, AsyncWriteExt};
 use tokio::net::TcpStream;
 use tokio::task::LocalSet;
+use tokio::time::Instant;
 
 const KEY: &str = "26tta828m82thhkm";
 const CLOSE: &str = "Connection: close\r\n";
@@ -205,3 +207,61 @@
         })
         .await;
 }
+
+/// Each case has a path, how long ago the configuration of a daemon with a maximum age of 5 s was confirmed, if ever, and
+/// the status of the response.
+macro_rules! freshness_tests {
+    ($($name:ident: $path:literal, $age:expr => $status:literal;)*) => {$(
+        #[tokio::test]
+        async fn $name() {
+            LocalSet::new().run_until(check_freshness($path, $age, $status)).await;
+        }
+    )*};
+}
+
+async fn check_freshness(path: &str, age: Option<u64>, status: u16) {
+    let mesh = TestMesh::new(&[BackendBehaviour::Succeed]).await;
+    mesh.ingress.install(table(2, &[KEY]));
+    let fields = format!("X-Key: {KEY}\r\n{CLOSE}");
+    let freshness = &mesh.ingress.freshness;
+    freshness.confirm(age.and_then(|age| Instant::now().checked_sub(Duration::from_secs(age))));
+    let answer = mesh.send(&get(path, &fields)).await;
+    assert!(
+        answer.starts_with("HTTP/1.1 200 "),
+        "without a maximum: {answer}"
+    );
+    freshness.set_max_age(Some(Duration::from_secs(5)));
+    let answer = mesh.send(&get(path, &fields)).await;
+    assert!(
+        answer.starts_with(&format!("HTTP/1.1 {status} ")),
+        "{answer}"
+    );
+    assert_eq!(mesh.arrivals(), 1 + u32::from(status == 200));
+}
+
+freshness_tests! {
+    recently_confirmed: "/safe/a", Some(1) => 200;
+    confirmed_too_long_ago: "/safe/a", Some(60) => 503;
+    never_confirmed: "/once/a", None => 503;
+    open_route_needs_no_confirmation: "/open/a", None => 200;
+}
+
+/// A key that has just been added must not be refused for good by a daemon that lags behind.
+#[tokio::test]
+async fn unknown_key_may_be_in_newer_configuration() {
+    LocalSet::new()
+        .run_until(async {
+            let mesh = TestMesh::new(&[BackendBehaviour::Succeed]).await;
+            mesh.ingress.install(table(2, &["old-key"]));
+            mesh.ingress.newest_seen_version.send_replace(Version(3));
+            let request = get("/safe/a", &format!("X-Key: {KEY}\r\n{CLOSE}"));
+            let answer = mesh.send(&request).await;
+            assert!(answer.starts_with("HTTP/1.1 503 "), "{answer}");
+            let answer = mesh.send(&get("/safe/a", CLOSE)).await;
+            assert!(answer.starts_with("HTTP/1.1 401 "), "{answer}");
+            mesh.ingress.install(table(3, &[KEY]));
+            let answer = mesh.send(&request).await;
+            assert!(answer.starts_with("HTTP/1.1 200 "), "{answer}");
+        })
+        .await;
+}
