Sidecar: bodies of calls are bounded at the executor, and small calls pass large bodies on a link

Bodies that arrive from other daemons had no bound of their own, and a body of 1 MiB was sent whole before the next call. Now the sum of the bodies that arrive, wait or run has a limit of an eighth of the memory; a call beyond it is refused as not run. Packets without parts go ahead of the parts of large bodies. small_call_passes_large_body was seen to fail before.

--- a/crates/marigold-sidecar/src/link.rs
+++ b/crates/marigold-sidecar/src/link.rs
@@ -4,10 +4,12 @@
 //! connections. After a reconnect both ends agree on the state of each open call: it is still running, it
 //! has ended and its outcome is sent again, or it was never received and will never run. See docs/design/platform.md.
 
+mod body_budget;
 mod call_id;
 mod client;
 mod frame;
 mod frame_codec;
+mod incoming_body;
 mod keepalive;
 mod open_calls;
 mod outcome;
@@ -15,6 +17,7 @@
 mod session;
 mod socket;
 
+pub use body_budget::{BodyBudget, BodyReservation};
 pub use call_id::{CallId, SessionId};
 pub use client::{LinkClient, LinkEvent, LinkListener, OpenCall, SendQueueFull};
 pub use frame::{
--- a/crates/marigold-sidecar/src/link/client.rs
+++ b/crates/marigold-sidecar/src/link/client.rs
@@ -65,6 +65,9 @@
 struct State {
     open_calls: OpenCalls,
     queue: VecDeque<Packet>,
+    /// Large bodies in parts, each followed by its call. Everything in `queue` goes first, so that they delay it by one part
+    /// at most.
+    bulk: VecDeque<Packet>,
     queued_bytes: usize,
     epoch: u32,
     /// Run of the executor's daemon, as of the last handshake.
@@ -97,6 +100,7 @@
             state: RefCell::new(State {
                 open_calls: OpenCalls::default(),
                 queue: VecDeque::new(),
+                bulk: VecDeque::new(),
                 queued_bytes: 0,
                 epoch: 0,
                 run_id: None,
@@ -123,11 +127,7 @@
         call.id = id;
         call.floor = state.open_calls.floor();
         let body = std::mem::take(&mut call.body);
-        let last = state.push_parts(id, body);
-        state.push(Packet {
-            frame: Frame::Call(call),
-            body: last,
-        });
+        state.push_call(call, body);
         drop(state);
         self.shared.wake.notify_one();
         Ok(OpenCall {
@@ -168,33 +168,60 @@
         self.queue.push_back(packet);
     }
 
-    /// Queues all parts of a body except the last, which is returned.
-    fn push_parts(&mut self, id: CallId, mut body: Bytes) -> Bytes {
+    fn push_call(&mut self, call: Call, mut body: Bytes) {
+        if body.len() <= MAX_BODY_PART_BYTES {
+            let frame = Frame::Call(call);
+            return self.push(Packet { frame, body });
+        }
+        self.queued_bytes += body.len();
         while body.len() > MAX_BODY_PART_BYTES {
             let part = body.split_to(MAX_BODY_PART_BYTES);
-            self.push(Packet {
-                frame: Frame::BodyPart(id),
+            self.bulk.push_back(Packet {
+                frame: Frame::BodyPart(call.id),
                 body: part,
             });
         }
-        body
+        let frame = Frame::Call(call);
+        self.bulk.push_back(Packet { frame, body });
+    }
+
+    fn clear_queues(&mut self) {
+        self.queue.clear();
+        self.bulk.clear();
+        self.queued_bytes = 0;
     }
 
-    /// Encodes the queued packets and discards those of calls that are no longer open.
+    /// Encodes the queued packets and one part of a large body, and discards those of calls that are no longer open.
     fn encode(&mut self, codec: &mut FrameCodec, out: &mut BytesMut) -> io::Result<()> {
         while let Some(packet) = self.queue.pop_front() {
-            self.queued_bytes -= packet.body.len();
-            let is_needed = match &packet.frame {
-                Frame::Call(call) => self.open_calls.mark_sent(call.id),
-                Frame::BodyPart(id) => self.open_calls.mark_sent(*id),
-                _ => true,
-            };
-            if is_needed {
-                codec.encode(packet, out)?;
+            self.encode_needed(packet, codec, out)?;
+        }
+        while let Some(packet) = self.bulk.pop_front() {
+            if self.encode_needed(packet, codec, out)? {
+                break;
             }
         }
         Ok(())
     }
+
+    /// Encodes a packet unless its call is no longer open; returns whether it was encoded.
+    fn encode_needed(
+        &mut self,
+        packet: Packet,
+        codec: &mut FrameCodec,
+        out: &mut BytesMut,
+    ) -> io::Result<bool> {
+        self.queued_bytes -= packet.body.len();
+        let is_needed = match &packet.frame {
+            Frame::Call(call) => self.open_calls.mark_sent(call.id),
+            Frame::BodyPart(id) => self.open_calls.mark_sent(*id),
+            _ => true,
+        };
+        if is_needed {
+            codec.encode(packet, out)?;
+        }
+        Ok(is_needed)
+    }
 }
 
 /// A call without a result yet. Dropping it cancels the call.
@@ -239,8 +266,7 @@
     let mut is_down = true;
     while !shared.closed.get() {
         if shared.state.borrow().open_calls.is_empty() {
-            shared.state.borrow_mut().queue.clear();
-            shared.state.borrow_mut().queued_bytes = 0;
+            shared.state.borrow_mut().clear_queues();
             if !is_down {
                 shared.wake.notified().await;
                 continue;
@@ -371,6 +397,9 @@
                 writer.write_all(&out).await?;
                 out.clear();
             }
+            if !shared.state.borrow().bulk.is_empty() {
+                continue;
+            }
             match keepalive.wait(is_waiting) {
                 Some(wait) => _ = timeout(wait, shared.wake.notified()).await,
                 None => shared.wake.notified().await,
--- a/crates/marigold-sidecar/src/link/server.rs
+++ b/crates/marigold-sidecar/src/link/server.rs
@@ -6,8 +6,9 @@
 use std::rc::Rc;
 use std::time::Duration;
 
-use bytes::BytesMut;
+use bytes::{Bytes, BytesMut};
 use marigold_dispatch::SiteReport;
+use marigold_request::RefusalReason;
 use marigold_request::quarantine::CrashRecord;
 use tokio::io::{AsyncReadExt, AsyncWriteExt};
 use tokio::net::tcp::{OwnedReadHalf, OwnedWriteHalf};
@@ -16,13 +17,14 @@
 use tokio_util::codec::{Decoder, Encoder};
 use tokio_util::sync::CancellationToken;
 
-use super::client::join_parts;
+use super::body_budget::BodyBudget;
 use super::frame::CRASH_RECORDS_FEATURE;
 use super::frame_codec::Packet;
+use super::incoming_body::IncomingBody;
 use super::session::Session;
 use super::{
-    Call, CallId, Follow, Frame, FrameCodec, Hello, ReplyHandle, SessionId, StoreUpdate, Welcome,
-    set_socket_options,
+    BodyReservation, Call, CallId, CallOutcome, Follow, Frame, FrameCodec, Hello, Reply,
+    ReplyHandle, SessionId, StoreUpdate, Welcome, set_socket_options,
 };
 
 /// Timeout for the first frame of a connection.
@@ -41,6 +43,8 @@
 const ACCEPT_RETRY_DELAY: Duration = Duration::from_millis(20);
 /// Limit on the records in one frame, so that they do not delay other messages for long.
 const MAX_CRASH_RECORDS: usize = 128;
+/// Retry delay of a call whose body does not fit among the others.
+const BODY_RETRY_DELAY: Duration = Duration::from_millis(100);
 const READ_BUFFER_BYTES: usize = 16 << 10;
 
 /// Runs calls.
@@ -76,6 +80,7 @@
     handler: Rc<dyn CallHandler>,
     store_sync: RefCell<Option<Rc<dyn StoreSync>>>,
     sessions: RefCell<HashMap<SessionId, Rc<Session>>>,
+    bodies: Rc<BodyBudget>,
 }
 
 impl LinkServer {
@@ -87,6 +92,7 @@
             handler,
             store_sync: RefCell::default(),
             sessions: RefCell::new(HashMap::new()),
+            bodies: BodyBudget::new(usize::MAX),
         })
     }
 
@@ -106,6 +112,12 @@
         }
     }
 
+    /// Returns the limit on the bodies of calls, which has to be set.
+    #[must_use]
+    pub fn bodies(&self) -> &Rc<BodyBudget> {
+        &self.bodies
+    }
+
     /// Sets the handler of store updates.
     pub fn set_store_sync(&self, sync: Rc<dyn StoreSync>) {
         *self.store_sync.borrow_mut() = Some(sync);
@@ -191,7 +203,7 @@
             site: self.handler.report(),
         });
         let mut out = BytesMut::new();
-        let body = bytes::Bytes::new();
+        let body = Bytes::new();
         let frame = welcome;
         codec.encode(Packet { frame, body }, &mut out)?;
         // While the store is unavailable, a restarted daemon can obtain the configuration from daemons that
@@ -222,7 +234,7 @@
         mut codec: FrameCodec,
         mut input: BytesMut,
     ) -> io::Result<()> {
-        let mut parts = HashMap::<CallId, BytesMut>::new();
+        let mut parts = HashMap::<CallId, IncomingBody>::new();
         loop {
             while let Some(Packet { frame, body }) = codec.decode(&mut input)? {
                 // Calls that had not been received when a newer connection was opened have been reported as
@@ -231,15 +243,17 @@
                     return Ok(());
                 }
                 match frame {
-                    Frame::Call(mut call) => {
-                        call.body = join_parts(parts.remove(&call.id), body);
-                        if let Some((reply, token)) =
-                            session.open(call.id, call.floor, Instant::now())
-                        {
-                            self.handler.start(call, reply, token);
-                        }
+                    Frame::Call(call) => {
+                        let incoming = parts.remove(&call.id);
+                        let incoming = incoming.unwrap_or_else(|| self.new_body());
+                        self.start_call(session, call, incoming.finish(body));
+                    }
+                    Frame::BodyPart(id) => {
+                        parts
+                            .entry(id)
+                            .or_insert_with(|| self.new_body())
+                            .push(&body);
                     }
-                    Frame::BodyPart(id) => parts.entry(id).or_default().extend_from_slice(&body),
                     Frame::Cancel(id) => {
                         parts.remove(&id);
                         session.cancel(id);
@@ -268,6 +282,42 @@
     }
 }
 
+impl LinkServer {
+    fn new_body(&self) -> IncomingBody {
+        IncomingBody::new(self.bodies.reserve())
+    }
+
+    /// Starts a call with its body, or refuses it if the body did not fit in the budget.
+    fn start_call(
+        &self,
+        session: &Rc<Session>,
+        mut call: Call,
+        body: Option<(Bytes, BodyReservation)>,
+    ) {
+        let Some((mut reply, token)) = session.open(call.id, call.floor, Instant::now()) else {
+            return;
+        };
+        if let Some((body, reservation)) = body {
+            call.body = body;
+            reply.hold(reservation);
+            self.handler.start(call, reply, token);
+            return;
+        }
+        metrics::counter!("marigold_executor_bodies_refused_total").increment(1);
+        reply.send(Reply {
+            id: call.id,
+            outcome: CallOutcome::Refused {
+                reason: RefusalReason::Overloaded,
+                retry_after: BODY_RETRY_DELAY,
+            },
+            waited: Duration::ZERO,
+            ran: Duration::ZERO,
+            site: self.handler.report(),
+            body: Bytes::new(),
+        });
+    }
+}
+
 fn push_crash_records(session: &Session, records: &[CrashRecord]) {
     if !session.takes_crash_records() {
         return;
--- a/crates/marigold-sidecar/src/link/session.rs
+++ b/crates/marigold-sidecar/src/link/session.rs
@@ -12,7 +12,7 @@
 use tokio_util::sync::CancellationToken;
 
 use super::frame_codec::{MAX_BODY_PART_BYTES, Packet};
-use super::{CallId, Frame, Hello, Reply, StoreUpdate};
+use super::{BodyReservation, CallId, Frame, Hello, Reply, StoreUpdate};
 
 /// Outcomes are kept for this long, since the ingress may not have received them.
 const OUTCOME_TTL: Duration = Duration::from_secs(3);
@@ -129,6 +129,7 @@
         state.running.insert(id, token.clone());
         let handle = ReplyHandle {
             id,
+            body: None,
             session: Rc::downgrade(self),
         };
         Some((handle, token))
@@ -254,6 +255,8 @@
 /// Sends the outcome of one call on the current connection of its session.
 pub struct ReplyHandle {
     id: CallId,
+    /// The share of the call's body in the budget, until the outcome is sent.
+    body: Option<BodyReservation>,
     session: Weak<Session>,
 }
 
@@ -264,6 +267,11 @@
         self.id
     }
 
+    /// Keeps the share of the call's body in the budget until the outcome is sent.
+    pub(super) fn hold(&mut self, body: BodyReservation) {
+        self.body = Some(body);
+    }
+
     /// Ends the call with `reply`, whose id is set here.
     pub fn send(self, mut reply: Reply) {
         reply.id = self.id;
--- a/crates/marigold-sidecar/src/sidecar.rs
+++ b/crates/marigold-sidecar/src/sidecar.rs
@@ -37,6 +37,8 @@
 const WITHDRAW_TIMEOUT: Duration = Duration::from_secs(1);
 /// The memory limit divided by this bounds the buffered request bodies.
 const BODY_MEMORY_DIVISOR: u64 = 4;
+/// The memory limit divided by this bounds the bodies of calls at the executor. A call that runs holds its body twice.
+const CALL_BODY_MEMORY_DIVISOR: u64 = 8;
 
 /// Platform-specific dependencies of a sidecar.
 pub struct Adapter {
@@ -185,6 +187,10 @@
     let server = LinkServer::new(run_id, executor.clone());
     executor.set_link_server(&server);
     crashes.set_link_server(&server);
+    let call_bodies = settings.instance.memory.0 / CALL_BODY_MEMORY_DIVISOR;
+    server
+        .bodies()
+        .set_limit(usize::try_from(call_bodies).unwrap_or(usize::MAX));
     let relay = Relay::new(
         RelayParts {
             store: store.clone(),
--- a/crates/marigold-sidecar/tests/links.rs
+++ b/crates/marigold-sidecar/tests/links.rs
@@ -143,7 +143,76 @@
         .expect("a result in time")
 }
 
+/// Returns a call with a body of `size` bytes.
+fn call_with_body(request: &str, size: usize) -> Call {
+    Call {
+        body: Bytes::from(vec![b'x'; size]),
+        ..call(request, false)
+    }
+}
+
 local_tests! {
+    small_call_passes_large_body {
+        let handler = Rc::new(HoldingHandler::default());
+        let (address, _task) = serve(1, handler.clone()).await;
+        let client = client(address);
+        let _large = client.call(call_with_body("large", 1 << 20)).expect("room in the send queue");
+        let _small = client.call(call_with_body("small", 10)).expect("room in the send queue");
+        wait_until(|| handler.started.get() == 2).await;
+        let calls = handler.calls.borrow();
+        let order: Vec<_> = calls.iter().map(|(call, _, _)| (&*call.request_id, call.body.len())).collect();
+        assert_eq!(order, [("small", 10), ("large", 1 << 20)]);
+    }
+
+    bodies_beyond_budget_are_refused {
+        const SIZE: usize = 100 << 10;
+        let handler = Rc::new(HoldingHandler::default());
+        let (listener, address) = listener().await;
+        let server = LinkServer::new(1, handler.clone());
+        let bodies = server.bodies().clone();
+        bodies.set_limit(SIZE + SIZE / 2);
+        spawn_local(server.listen(listener));
+        let client = client(address);
+        let first = client.call(call_with_body("r1", SIZE)).expect("room in the send queue");
+        wait_until(|| handler.started.get() == 1).await;
+        let second = client.call(call_with_body("r2", SIZE)).expect("room in the send queue");
+        let CallResult::Replied(reply) = result(second).await else {
+            panic!("no reply");
+        };
+        assert!(matches!(reply.outcome, CallOutcome::Refused { .. }), "{reply:?}");
+        assert_eq!((handler.started.get(), bodies.held()), (1, SIZE));
+        // A cancelled call whose parts have arrived returns its share as well.
+        drop(client.call(call_with_body("r3", SIZE)).expect("room in the send queue"));
+        handler.answer_next();
+        result(first).await;
+        wait_until(|| bodies.held() == 0).await;
+        // One body alone may exceed the limit.
+        let _large = client.call(call_with_body("r4", 4 * SIZE)).expect("room in the send queue");
+        wait_until(|| handler.started.get() == 2).await;
+        assert_eq!(handler.calls.borrow()[0].0.body.len(), 4 * SIZE);
+    }
+
+    body_that_ends_early_starts_no_call {
+        let handler = Rc::new(HoldingHandler::default());
+        let (listener, address) = listener().await;
+        let server = LinkServer::new(1, handler.clone());
+        let bodies = server.bodies().clone();
+        spawn_local(server.listen(listener));
+        let mut stream = TcpStream::connect(address).await.expect("the executor");
+        let mut codec = FrameCodec::default();
+        let mut out = BytesMut::new();
+        let hello = Hello { session: SessionId(1), epoch: 1, open: Vec::new() };
+        for (frame, size) in [(Frame::Hello(hello), 0), (Frame::BodyPart(CallId(1)), 1 << 10)] {
+            let body = Bytes::from(vec![0; size]);
+            codec.encode(Packet { frame, body }, &mut out).expect("encoded");
+        }
+        stream.write_all(&out).await.expect("sent");
+        wait_until(|| bodies.held() == 1 << 10).await;
+        drop(stream);
+        wait_until(|| bodies.held() == 0).await;
+        assert_eq!(handler.started.get(), 0);
+    }
+
     answered_call_gets_its_reply {
         let handler = Rc::new(HoldingHandler::default());
         let (address, _task) = serve(1, handler.clone()).await;
