Dispatch: which version may run a request, and the verdict on a roll-out

A roll-out ordered by the operator had no effect on the choice of executors: a version at fault got a full share. The gate picks a share of first attempts for a version that is not trusted yet and leaves it out otherwise; the judge compares failures and run times of its servers with those of other versions. Neither is connected to the sidecar yet.

--- a/crates/marigold-dispatch/src/lib.rs
+++ b/crates/marigold-dispatch/src/lib.rs
@@ -32,6 +32,7 @@
 mod request_quota;
 mod retry_budget;
 mod risk;
+mod rollout;
 mod route_policy;
 mod route_table;
 mod run_time;
@@ -71,6 +72,10 @@
 pub use request_pacer::RequestPacer;
 pub use request_quota::RequestQuota;
 pub use retry_budget::RetryBudget;
+pub use rollout::{
+    CanaryWindow, KindCounts, RolloutEvidence, RolloutJudge, RolloutOrder, RolloutState,
+    RolloutStatus, RolloutStep, StepCause, VersionCounts, VersionFilter, VersionGate, VersionRule,
+};
 pub use route_policy::RoutePolicy;
 pub use route_table::{RouteTable, ServicePolicy};
 pub use run_time::RunTime;
--- a/crates/marigold-dispatch/src/placement.rs
+++ b/crates/marigold-dispatch/src/placement.rs
@@ -125,6 +125,23 @@
         })
     }
 
+    /// Returns whether the executor at `address` accepts calls for `service` and has more than `spare` free slots, as
+    /// far as known here.
+    #[must_use]
+    pub fn has_room(
+        &self,
+        address: SocketAddr,
+        service: &ServiceName,
+        spare: u32,
+        now: Instant,
+    ) -> bool {
+        self.accepts(address, service, now)
+            && self.executors.get(&address).is_some_and(|executor| {
+                let slots = executor.report().map_or(0, |report| report.slots.0);
+                executor.requests(0.0, now) < f64::from(slots.saturating_sub(spare).max(1))
+            })
+    }
+
     /// Returns whether the link to the executor at `address` has failed.
     #[must_use]
     pub fn is_unreachable(&self, address: SocketAddr) -> bool {
@@ -233,7 +250,9 @@
         self.record_value(request);
         let occupancies = self.mean_occupancies(directory, request.service, now);
         for site in directory.of(request.service) {
-            if request.tried.contains(&site.address) {
+            if request.tried.contains(&site.address)
+                || !request.versions.admits(site.version.as_ref())
+            {
                 continue;
             }
             let mean_occupancy = occupancies
--- a/crates/marigold-dispatch/src/placement_request.rs
+++ b/crates/marigold-dispatch/src/placement_request.rs
@@ -5,7 +5,7 @@
 
 use marigold_types::ServiceName;
 
-use crate::{CallKind, Rank};
+use crate::{CallKind, Rank, VersionFilter};
 
 /// A request for which an executor is selected.
 #[derive(Debug, Clone, Copy)]
@@ -26,4 +26,6 @@
     pub bytes: u64,
     /// The executors that were already tried.
     pub tried: &'a [SocketAddr],
+    /// The versions that may run it.
+    pub versions: VersionFilter<'a>,
 }
--- a/crates/marigold-dispatch/tests/load/simulation/routing.rs
+++ b/crates/marigold-dispatch/tests/load/simulation/routing.rs
@@ -27,6 +27,7 @@
             time_left: timeout,
             bytes: BODY_BYTES as u64,
             tried: &tried,
+            versions: marigold_dispatch::VersionFilter::ANY,
         };
         let choice = if tried.len() < MAX_EXECUTORS {
             ingress
--- a/crates/marigold-dispatch/tests/placement.rs
+++ b/crates/marigold-dispatch/tests/placement.rs
@@ -63,6 +63,7 @@
             time_left: ms(1_000),
             bytes,
             tried,
+            versions: marigold_dispatch::VersionFilter::ANY,
         };
         self.placement
             .choose(&self.directory, &request, &mut self.rng, self.now)
--- a/crates/marigold-sidecar/src/ingress/request_handler.rs
+++ b/crates/marigold-sidecar/src/ingress/request_handler.rs
@@ -14,7 +14,7 @@
 
 use marigold_dispatch::{
     CallKind, CallerLimits, CallerTimeouts, ExecutorChoice, PlacementRequest, Progress,
-    RoutePolicy, RouteTable, Shutdown, ShutdownStage, WeightedRoundRobin,
+    RoutePolicy, RouteTable, Shutdown, ShutdownStage, VersionFilter, WeightedRoundRobin,
 };
 use marigold_request::RefusalReason;
 use marigold_request::quarantine::QuarantineStatus;
@@ -377,6 +377,8 @@
             time_left: context.deadline.saturating_duration_since(now),
             bytes: bytes as u64,
             tried,
+            // The mesh knows of roll-outs.
+            versions: VersionFilter::ANY,
         })
     }
 
