Sidecar: roll-outs are ordered, judged and recorded

Orders come with the configuration; three daemons a service collect counts of its executors and write states under a condition. Reading the latest change of the configuration's table hid a configuration behind an order and the reverse; it now returns the latest record of each key.

--- a/crates/marigold-dispatch/src/rollout/rollout_judge.rs
+++ b/crates/marigold-dispatch/src/rollout/rollout_judge.rs
@@ -52,6 +52,11 @@
         &self.order
     }
 
+    /// Corrects the time of the order, of which this decider may have heard late.
+    pub fn set_ordered_at(&mut self, ordered_at: Instant) {
+        self.ordered_at = ordered_at;
+    }
+
     /// Returns the evidence.
     #[must_use]
     pub fn evidence(&self) -> &RolloutEvidence {
--- a/crates/marigold-log/src/keyed_store.rs
+++ b/crates/marigold-log/src/keyed_store.rs
@@ -23,6 +23,8 @@
 /// A record of a key.
 #[derive(Debug, Clone, PartialEq, Eq)]
 pub struct KeyedRecord {
+    /// Its position among the changes of the table.
+    pub offset: LogOffset,
     /// The key.
     pub key: Arc<str>,
     /// The value, or `None` if the key was deleted.
@@ -61,11 +63,11 @@
         wait: Duration,
     ) -> Result<KeyedBatch, LogError>;
 
-    /// Reads only the latest change, or nothing if there is no change at or after `from`.
+    /// Reads the latest record of each key that has changed at or after `from`, without the changes in between.
     ///
     /// # Errors
     ///
-    /// If the store does not respond or the latest change is no longer stored.
+    /// If the store does not respond.
     async fn latest_change(
         &self,
         table: &TableName,
@@ -79,4 +81,17 @@
     /// If the store does not respond, in which case the record may have been written.
     async fn put(&self, table: &TableName, key: &str, value: Option<Bytes>)
     -> Result<(), LogError>;
+
+    /// Writes a record if the table has no changes at or after `end`; returns whether it was written.
+    ///
+    /// # Errors
+    ///
+    /// If the store does not respond, in which case the record may have been written, or may be later.
+    async fn put_if(
+        &self,
+        table: &TableName,
+        key: &str,
+        value: Bytes,
+        end: LogOffset,
+    ) -> Result<bool, LogError>;
 }
--- a/crates/marigold-sidecar/src/control/relay.rs
+++ b/crates/marigold-sidecar/src/control/relay.rs
@@ -18,6 +18,7 @@
 
 use super::config_history::ConfigHistory;
 use super::protocol::ConfigSource;
+use super::rollouts::Rollouts;
 use super::site_table::SiteTable;
 use super::store_health::StoreHealth;
 use crate::events::{EventLog, Severity};
@@ -66,6 +67,8 @@
     pub store: Rc<dyn KeyedStore>,
     /// Location and format of the configuration.
     pub config_source: Rc<dyn ConfigSource>,
+    /// Receives the orders of roll-outs, which are in the table of the configuration.
+    pub rollouts: Rc<Rollouts>,
     /// Table with the records of daemons.
     pub site_table: TableName,
     /// Applies configurations to requests.
@@ -157,6 +160,8 @@
             let mut selector = self.selector.borrow_mut();
             selector.choose(directory, is_up, Instant::now())
         });
+        let is_reader = source == UpdateSource::Store;
+        self.parts.rollouts.set_reader(is_reader);
         if self.last_source.replace(Some(source)) != Some(source) {
             let from = match source {
                 UpdateSource::Store => "store".to_owned(),
@@ -286,7 +291,9 @@
     /// Applies a batch read from the store; returns whether the configuration has changed.
     fn apply_batch(&self, batch: &KeyedBatch) -> bool {
         self.config_confirmed_at.set(Some(Instant::now()));
+        let is_first = self.configs.borrow().next_offset().is_none();
         self.configs.borrow_mut().set_next_offset(batch.next);
+        self.parts.rollouts.apply_orders(&batch.records, is_first);
         let is_config = |record: &&KeyedRecord| *record.key == *self.parts.config_source.key();
         let newest = batch.records.iter().rev().find(is_config);
         // If the record was deleted, the current configuration stays in force.
@@ -329,6 +336,7 @@
         let mut last_follow: Option<(Instant, UpdateSource)> = None;
         loop {
             self.notify_followers(|| self.heartbeat());
+            self.parts.rollouts.notify_followers(false);
             if let Some(at) = self.config_confirmed_at.get() {
                 let age = at.elapsed().as_secs_f64();
                 metrics::gauge!("marigold_config_age_seconds").set(age);
--- a/crates/marigold-sidecar/src/control/relay/store_updates.rs
+++ b/crates/marigold-sidecar/src/control/relay/store_updates.rs
@@ -9,7 +9,7 @@
 use super::{PEER_REQUEST_INTERVAL, Relay};
 use crate::events::Severity;
 use crate::ingress::StoreUpdateListener;
-use crate::link::{Follow, SiteRecord, StoreSync, StoreUpdate};
+use crate::link::{Follow, RolloutUpdate, SiteRecord, StoreSync, StoreUpdate};
 
 impl Relay {
     /// Sends an update to all followers; it is built only if there are any.
@@ -121,6 +121,10 @@
         update
     }
 
+    fn rollouts(&self, all: bool) -> Option<RolloutUpdate> {
+        self.parts.rollouts.update(all)
+    }
+
     fn request_on_connect(&self) -> Option<Follow> {
         let now = Instant::now();
         let last_request = self.peer_requested_at.get();
--- a/crates/marigold-sidecar/src/control/site_publisher.rs
+++ b/crates/marigold-sidecar/src/control/site_publisher.rs
@@ -5,9 +5,9 @@
 use std::time::Duration;
 
 use bytes::Bytes;
-use marigold_dispatch::{Directory, LinkRate, Site};
+use marigold_dispatch::{Directory, LinkRate, ServerVersion, Site};
 use marigold_log::{KeyedStore, TableName};
-use marigold_types::DataCentre;
+use marigold_types::{DataCentre, ServiceName};
 use tokio::time::sleep;
 
 use crate::events::{EventLog, Severity};
@@ -74,8 +74,8 @@
             let site = Site {
                 address: self.location.address,
                 data_centre: self.location.data_centre.clone(),
+                version: self.version(&service),
                 service,
-                version: self.executor.version(),
                 slots,
                 link: self.location.link,
             };
@@ -102,6 +102,17 @@
         }
     }
 
+    /// Returns the version of the backend server. That of the record stands until a restarted daemon hears it, so that a
+    /// version that is kept out of the traffic does not appear as an unknown one.
+    fn version(&self, service: &ServiceName) -> Option<ServerVersion> {
+        let recorded = |directory: &Directory| {
+            let site = directory.get(self.location.address)?;
+            site.version.clone().filter(|_| site.service == *service)
+        };
+        let known = self.executor.version();
+        known.or_else(|| self.mesh.with_directory(recorded))
+    }
+
     /// Deletes the record; for a backend server that has left for good.
     pub async fn withdraw(&self) {
         if let Err(error) = self.put(None).await {
--- a/crates/marigold-sidecar/src/executor.rs
+++ b/crates/marigold-sidecar/src/executor.rs
@@ -13,6 +13,7 @@
 mod limit_watch;
 mod local_executor;
 mod probe;
+mod run_evidence;
 mod silence_watch;
 mod slot_queue;
 
--- a/crates/marigold-sidecar/src/executor/local_executor.rs
+++ b/crates/marigold-sidecar/src/executor/local_executor.rs
@@ -7,7 +7,7 @@
 
 use marigold_dispatch::{
     AdmissionController, Announcement, AnnouncementOutcome, NamedLimit, ServerVersion, SiteReport,
-    SlotRequest,
+    SlotRequest, VersionCounts,
 };
 use marigold_request::RefusalReason;
 use marigold_request::quarantine::{CrashRecord, Fingerprint, QuarantineStatus};
@@ -24,6 +24,7 @@
 use super::health_probes::{probe_quiet_backend, probe_until_heard, probe_until_limit_is_known};
 use super::limit_watch::LimitWatch;
 use super::probe::{ProbeResponse, probe};
+use super::run_evidence::RunEvidence;
 use super::silence_watch::SilenceChange;
 use super::slot_queue::SlotQueue;
 use crate::crash_tracker::TRIAL_RETRY_DELAY;
@@ -36,7 +37,7 @@
 /// Retry delay while the backend server is draining or absent.
 const UNAVAILABLE_RETRY_DELAY: Duration = Duration::from_millis(300);
 /// Status of a backend server's response to a request whose deadline has passed.
-const STATUS_DEADLINE_PASSED: u16 = 504;
+pub(super) const STATUS_DEADLINE_PASSED: u16 = 504;
 /// Time reserved before the deadline for the response to reach the caller.
 const RESPONSE_TRANSIT_TIME: Duration = Duration::from_millis(5);
 
@@ -49,6 +50,7 @@
     queue: Rc<SlotQueue>,
     backend: BackendMonitor,
     in_flight: Cell<usize>,
+    evidence: RunEvidence,
     link_server: RefCell<Weak<LinkServer>>,
     /// Called for each call.
     version_listener: RefCell<Option<VersionListener>>,
@@ -71,6 +73,7 @@
             queue: SlotQueue::new(),
             backend: BackendMonitor::default(),
             in_flight: Cell::new(0),
+            evidence: RunEvidence::default(),
             link_server: RefCell::default(),
             version_listener: RefCell::default(),
             health_path: RefCell::default(),
@@ -162,6 +165,7 @@
     pub fn apply_announcement(&self, announcement: &Announcement) -> AnnouncementOutcome {
         let was_serving = self.backend.serving().is_some();
         let outcome = self.backend.apply_announcement(announcement);
+        self.evidence.announced(outcome, announcement.warmup);
         match outcome {
             AnnouncementOutcome::NewInstance => {
                 let crash_check = &self.backend.crash_check;
@@ -394,6 +398,7 @@
             }
         };
         progress.started_at = Some(now);
+        let watched = self.evidence.start(&call.kind, now);
         let result = timeout_at(
             deadline,
             self.watched_exchange(&pool, conn, &request, expected_run),
@@ -401,6 +406,7 @@
         match result.await {
             Ok(ExchangeOutcome::Answered(response)) => {
                 slot.mark_completed();
+                watched.answered(response.status);
                 // Responses with this status end runs that may go on.
                 if response.status == STATUS_DEADLINE_PASSED {
                     drop(run);
@@ -418,6 +424,7 @@
                 CallOutcome::Rejected { status }
             }
             Ok(ExchangeOutcome::Broken(error)) => {
+                watched.failed();
                 self.events.emit(
                     "backend_exchange_broken",
                     Severity::Warn,
@@ -431,7 +438,10 @@
                 self.check_for_crash(&pool, run);
                 CallOutcome::Lost { broken: true }
             }
-            Err(_) => CallOutcome::Lost { broken: false },
+            Err(_) => {
+                watched.timed_out(expected_run);
+                CallOutcome::Lost { broken: false }
+            }
         }
     }
 
@@ -536,6 +546,15 @@
             .read(|controller| controller.report(service, Instant::now()))
     }
 
+    fn version_counts(&self, service: &ServiceName) -> Option<VersionCounts> {
+        let instance = self.backend.serving()?;
+        if instance.service != *service {
+            return None;
+        }
+        let version = instance.version.clone()?;
+        Some(self.evidence.counts(service.clone(), version))
+    }
+
     fn crash_records(&self) -> Vec<CrashRecord> {
         self.crashes.records()
     }
--- a/crates/marigold-sidecar/src/ingress.rs
+++ b/crates/marigold-sidecar/src/ingress.rs
@@ -6,8 +6,10 @@
 mod request_handler;
 mod request_outcome;
 mod request_trace;
+mod rollout_routing;
 
 pub use connection::listen;
 pub use mesh::{Mesh, MeshOptions, StoreUpdateListener, Tuning};
 pub use request_handler::{Ingress, IngressOptions};
 pub use request_outcome::RequestOutcome;
+pub use rollout_routing::RolloutListener;
--- a/crates/marigold-sidecar/src/ingress/mesh.rs
+++ b/crates/marigold-sidecar/src/ingress/mesh.rs
@@ -8,13 +8,14 @@
 
 use marigold_dispatch::{
     AttemptOutcome, CallKind, Directory, ExecutorChoice, LinkSelector, Placement, PlacementRequest,
-    Reached, RetryBudget, SiteReport, SlackShare, select_trial_executor,
+    Reached, RetryBudget, SiteReport, SlackShare, VersionGate, select_trial_executor,
 };
 use marigold_request::quarantine::Fingerprint;
 use marigold_types::{DataCentre, ServiceName};
 use rand::rngs::SmallRng;
 use tokio::time::{Instant, sleep};
 
+use super::rollout_routing::RolloutListener;
 use crate::CrashTracker;
 use crate::events::{EventLog, Severity};
 use crate::link::{
@@ -63,19 +64,21 @@
 pub struct Mesh {
     /// Requests that crash backend servers.
     pub crashes: Rc<CrashTracker>,
-    data_centre: DataCentre,
+    pub(super) data_centre: DataCentre,
     tuning: Cell<Tuning>,
     events: Rc<EventLog>,
     link_selector: LinkSelector,
     /// Whether a replacement of unreachable executors is scheduled.
     is_relink_scheduled: Cell<bool>,
-    directory: RefCell<Directory>,
-    placement: RefCell<Placement>,
+    pub(super) directory: RefCell<Directory>,
+    pub(super) placement: RefCell<Placement>,
     links: RefCell<HashMap<SocketAddr, LinkClient>>,
     retry_budgets: RefCell<HashMap<ServiceName, RetryBudget>>,
     slack_share: RefCell<SlackShare>,
-    rng: RefCell<SmallRng>,
+    pub(super) rng: RefCell<SmallRng>,
     update_listener: RefCell<Option<Rc<dyn StoreUpdateListener>>>,
+    pub(super) rollout_listener: RefCell<Option<Rc<dyn RolloutListener>>>,
+    pub(super) version_gate: RefCell<VersionGate>,
     myself: Weak<Self>,
 }
 
@@ -104,6 +107,8 @@
             slack_share: RefCell::new(SlackShare::new(options.tuning.retry_window)),
             rng: RefCell::new(rng),
             update_listener: RefCell::default(),
+            rollout_listener: RefCell::default(),
+            version_gate: RefCell::default(),
             myself: myself.clone(),
         })
     }
@@ -133,6 +138,9 @@
             return;
         }
         let count = directory.len();
+        self.version_gate
+            .borrow_mut()
+            .observe(&directory, Instant::now());
         self.slack_share
             .borrow_mut()
             .record_daemons(count, Instant::now());
@@ -197,14 +205,24 @@
         self.link(address).follow(follow);
     }
 
-    /// Selects an executor, or `None` if no eligible one is left.
+    /// Selects an executor of a version that may run the request, or `None` if no eligible one is left.
     #[must_use]
     pub fn choose(&self, wanted: &PlacementRequest<'_>) -> Option<ExecutorChoice> {
+        let now = Instant::now();
+        let is_first = wanted.tried.is_empty();
+        let rule = self.version_rule(wanted.service, is_first, wanted.idempotent, now);
+        if let Some(choice) = self.choose_canary(wanted.service, &rule, now) {
+            return Some(choice);
+        }
+        let versions = rule.filter();
         self.placement.borrow_mut().choose(
             &self.directory.borrow(),
-            wanted,
+            &PlacementRequest {
+                versions,
+                ..*wanted
+            },
             &mut *self.rng.borrow_mut(),
-            Instant::now(),
+            now,
         )
     }
 
@@ -218,10 +236,18 @@
         tried: &[SocketAddr],
     ) -> Option<ExecutorChoice> {
         let now = Instant::now();
+        let rule = self.version_rule(service, false, true, now);
         let placement = self.placement.borrow();
-        let is_eligible =
-            |address| placement.accepts(address, service, now) && !tried.contains(&address);
         let directory = self.directory.borrow();
+        let is_admitted = |address| {
+            let site = directory.get(address);
+            site.is_some_and(|site| rule.filter().admits(site.version.as_ref()))
+        };
+        let is_eligible = |address| {
+            placement.accepts(address, service, now)
+                && !tried.contains(&address)
+                && is_admitted(address)
+        };
         let address = select_trial_executor(&directory, service, fingerprint, is_eligible)?;
         Some(ExecutorChoice {
             address,
@@ -315,7 +341,7 @@
         change(budget, Instant::now())
     }
 
-    fn link(&self, address: SocketAddr) -> LinkClient {
+    pub(super) fn link(&self, address: SocketAddr) -> LinkClient {
         let start = || {
             let mesh = self.myself.clone();
             let listener = Rc::new(move |from, event| {
@@ -386,6 +412,8 @@
                     listener.on_update(from, *update);
                 }
             }
+            LinkEvent::Rollouts(update) => self.handle_rollouts(&update),
+            LinkEvent::VersionCounts(counts) => self.handle_counts(from, counts),
             LinkEvent::FollowRequest(follow) => {
                 let listener = self.update_listener.borrow().clone();
                 if let Some(listener) = listener {
--- a/crates/marigold-sidecar/src/link.rs
+++ b/crates/marigold-sidecar/src/link.rs
@@ -18,7 +18,8 @@
 pub use call_id::{CallId, SessionId};
 pub use client::{LinkClient, LinkEvent, LinkListener, OpenCall, SendQueueFull};
 pub use frame::{
-    Call, ConfigChange, Follow, Frame, Hello, Reply, SiteRecord, StoreUpdate, Welcome,
+    Call, ConfigChange, Follow, Frame, Hello, Reply, RolloutEntry, RolloutUpdate, SiteRecord,
+    StoreUpdate, Welcome,
 };
 pub use frame_codec::{FrameCodec, Packet};
 pub use outcome::{CallOutcome, CallResult};
--- a/crates/marigold-sidecar/src/link/client.rs
+++ b/crates/marigold-sidecar/src/link/client.rs
@@ -8,8 +8,9 @@
 use std::time::Duration;
 
 use bytes::{Bytes, BytesMut};
-use marigold_dispatch::SiteReport;
+use marigold_dispatch::{SiteReport, VersionCounts};
 use marigold_request::quarantine::CrashRecord;
+use marigold_types::ServiceName;
 use tokio::io::{AsyncReadExt, AsyncWriteExt};
 use tokio::net::TcpStream;
 use tokio::net::tcp::OwnedReadHalf;
@@ -22,8 +23,8 @@
 use super::keepalive::{Keepalive, KeepaliveAction};
 use super::open_calls::OpenCalls;
 use super::{
-    Call, CallId, CallResult, Follow, Frame, FrameCodec, Hello, Reply, SessionId, StoreUpdate,
-    Welcome, set_socket_options,
+    Call, CallId, CallResult, Follow, Frame, FrameCodec, Hello, Reply, RolloutUpdate, SessionId,
+    StoreUpdate, Welcome, set_socket_options,
 };
 
 /// Timeout for opening a connection, including the handshake.
@@ -56,6 +57,10 @@
     FollowRequest(Follow),
     /// It has sent records of crashes.
     CrashRecords(Vec<CrashRecord>),
+    /// It has sent the roll-outs that it knows.
+    Rollouts(RolloutUpdate),
+    /// It has sent the counts of its backend server.
+    VersionCounts(VersionCounts),
 }
 
 /// The send queue is full, so the call was not sent.
@@ -155,6 +160,16 @@
         self.shared.wake.notify_one();
     }
 
+    /// Requests the counts of the executor's backend server, if that implements `service`. The request is lost without a
+    /// connection, so it must be repeated.
+    pub fn request_counts(&self, service: ServiceName) {
+        self.shared.state.borrow_mut().push(Packet {
+            frame: Frame::CountsRequest(service),
+            body: Bytes::new(),
+        });
+        self.shared.wake.notify_one();
+    }
+
     /// Ends the session. Open calls that were sent end as [`CallResult::Unreachable`].
     pub fn close(&self) {
         self.shared.closed.set(true);
@@ -411,6 +426,12 @@
                     update.delta = body;
                     (shared.listener)(shared.address, LinkEvent::StoreUpdate(update));
                 }
+                Frame::Rollouts(update) => {
+                    (shared.listener)(shared.address, LinkEvent::Rollouts(update));
+                }
+                Frame::VersionCounts(counts) => {
+                    (shared.listener)(shared.address, LinkEvent::VersionCounts(counts));
+                }
                 Frame::Follow(follow) => {
                     (shared.listener)(shared.address, LinkEvent::FollowRequest(follow));
                 }
--- a/crates/marigold-sidecar/src/link/frame.rs
+++ b/crates/marigold-sidecar/src/link/frame.rs
@@ -5,7 +5,9 @@
 use std::time::Duration;
 
 use bytes::Bytes;
-use marigold_dispatch::{CallKind, Precedence, Rank, Site, SiteReport};
+use marigold_dispatch::{
+    CallKind, Precedence, Rank, RolloutOrder, RolloutStatus, Site, SiteReport, VersionCounts,
+};
 use marigold_request::quarantine::{CrashRecord, Fingerprint};
 use marigold_types::{Digest, LogOffset, ServiceName, Version, WorkspaceName};
 use serde::{Deserialize, Serialize};
@@ -46,6 +48,12 @@
     StoreUpdate(Box<StoreUpdate>),
     /// Requests that were in flight when backend servers crashed.
     CrashRecords(Vec<CrashRecord>),
+    /// Orders and states of roll-outs. This and the following are only sent once a roll-out has been ordered.
+    Rollouts(RolloutUpdate),
+    /// Requests the counts of the backend server, if it implements this service.
+    CountsRequest(ServiceName),
+    /// The counts of the backend server as evidence on its version.
+    VersionCounts(VersionCounts),
 }
 
 /// Opens a connection of a session.
@@ -119,6 +127,26 @@
     pub site: Option<Site>,
 }
 
+/// Roll-outs known to the sender.
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+pub struct RolloutUpdate {
+    /// The latest roll-out of each service.
+    pub rollouts: Vec<RolloutEntry>,
+    /// Time since the states were last confirmed to be the newest, or `None` if they never were.
+    pub status_age: Option<Duration>,
+}
+
+/// A roll-out and its state.
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+pub struct RolloutEntry {
+    /// The order.
+    pub order: RolloutOrder,
+    /// Time since it was given.
+    pub age: Duration,
+    /// Its status, or `None` if none is known.
+    pub status: Option<RolloutStatus>,
+}
+
 /// A request sent to the executor of a backend server.
 #[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
 pub struct Call {
--- a/crates/marigold-sidecar/src/link/server.rs
+++ b/crates/marigold-sidecar/src/link/server.rs
@@ -7,8 +7,9 @@
 use std::time::Duration;
 
 use bytes::BytesMut;
-use marigold_dispatch::SiteReport;
+use marigold_dispatch::{SiteReport, VersionCounts};
 use marigold_request::quarantine::CrashRecord;
+use marigold_types::ServiceName;
 use tokio::io::{AsyncReadExt, AsyncWriteExt};
 use tokio::net::tcp::{OwnedReadHalf, OwnedWriteHalf};
 use tokio::net::{TcpListener, TcpStream};
@@ -21,8 +22,8 @@
 use super::frame_codec::Packet;
 use super::session::Session;
 use super::{
-    Call, CallId, Follow, Frame, FrameCodec, Hello, ReplyHandle, SessionId, StoreUpdate, Welcome,
-    set_socket_options,
+    Call, CallId, Follow, Frame, FrameCodec, Hello, ReplyHandle, RolloutUpdate, SessionId,
+    StoreUpdate, Welcome, set_socket_options,
 };
 
 /// Timeout for the first frame of a connection.
@@ -52,6 +53,11 @@
     /// Returns the state of the executor.
     fn report(&self) -> SiteReport;
 
+    /// Returns the counts of the backend server, if it implements `service` and its version is known.
+    fn version_counts(&self, _service: &ServiceName) -> Option<VersionCounts> {
+        None
+    }
+
     /// Returns the records of crashes to send to a daemon that connects.
     fn crash_records(&self) -> Vec<CrashRecord> {
         Vec::new()
@@ -66,6 +72,9 @@
     /// Returns the request to send to a daemon that connects, if this one has no configuration yet.
     fn request_on_connect(&self) -> Option<Follow>;
 
+    /// Returns the roll-outs to send to a follower: all of them, or none if all are decided.
+    fn rollouts(&self, all: bool) -> Option<RolloutUpdate>;
+
     /// Handles an update from a daemon that connected to this one.
     fn on_peer_update(&self, update: StoreUpdate);
 }
@@ -128,6 +137,16 @@
         first.push_update(update);
     }
 
+    /// Sends roll-outs to all followers.
+    pub fn notify_rollouts(&self, update: &RolloutUpdate) {
+        let now = Instant::now();
+        for session in self.sessions.borrow().values() {
+            if session.is_following(now) {
+                session.push(Frame::Rollouts(update.clone()));
+            }
+        }
+    }
+
     /// Sends the state of the executor to all connected ingresses.
     pub fn broadcast_report(&self) {
         let report = self.handler.report();
@@ -248,6 +267,9 @@
                         session.follow(Instant::now() + FOLLOW_TTL);
                         if let Some(sync) = &*self.store_sync.borrow() {
                             session.push_update(sync.updates_for(follow));
+                            if let Some(update) = sync.rollouts(follow.all_sites) {
+                                session.push(Frame::Rollouts(update));
+                            }
                         }
                     }
                     Frame::StoreUpdate(mut update) => {
@@ -256,6 +278,11 @@
                             sync.on_peer_update(*update);
                         }
                     }
+                    Frame::CountsRequest(service) => {
+                        if let Some(counts) = self.handler.version_counts(&service) {
+                            session.push(Frame::VersionCounts(counts));
+                        }
+                    }
                     Frame::Ping => session.push(Frame::Report(self.handler.report())),
                     _ => {}
                 }
--- a/crates/marigold-sidecar/src/sidecar.rs
+++ b/crates/marigold-sidecar/src/sidecar.rs
@@ -18,7 +18,7 @@
 
 use crate::control::{
     BackendDiscovery, ConfigSource, ControlProtocol, ControlServer, DaemonLocation, Relay,
-    RelayParts, SitePublisher,
+    RelayParts, RolloutFormat, RolloutParts, Rollouts, SitePublisher,
 };
 use crate::events::{EventLog, Severity};
 use crate::executor::{ExecutorOptions, LocalExecutor};
@@ -46,6 +46,8 @@
     pub protocol: Rc<dyn ControlProtocol>,
     /// Location and format of the configuration.
     pub config_source: Rc<dyn ConfigSource>,
+    /// Format of roll-outs.
+    pub rollout_format: Rc<dyn RolloutFormat>,
     /// Table with the records of daemons.
     pub site_table: TableName,
     /// Creates a client of the store at an address.
@@ -185,8 +187,17 @@
     let server = LinkServer::new(run_id, executor.clone());
     executor.set_link_server(&server);
     crashes.set_link_server(&server);
+    let rollouts = Rollouts::new(RolloutParts {
+        store: store.clone(),
+        format: adapter.rollout_format.clone(),
+        own: settings.listen.daemons,
+        mesh: mesh.clone(),
+        server: Rc::downgrade(&server),
+        events: events.clone(),
+    });
     let relay = Relay::new(
         RelayParts {
+            rollouts: rollouts.clone(),
             store: store.clone(),
             config_source: adapter.config_source.clone(),
             site_table: adapter.site_table.clone(),
@@ -239,6 +250,7 @@
     };
 
     relay.start();
+    rollouts.start();
     tokio::task::spawn_local(discovery.run());
     tokio::task::spawn_local(publisher.clone().run());
     tokio::task::spawn_local(executor.clone().run_maintenance());
