--- a/crates/marigold-dispatch/src/rollout/service_gate.rs
+++ b/crates/marigold-dispatch/src/rollout/service_gate.rs
@@ -142,14 +142,12 @@
                 }
             }
             Some(RolloutState::Completed) => {
-                if is_known && since(self.status_since) < COMPLETED_TIME {
-                    VersionRule::Only(target.clone())
-                } else if self.distrusted.is_empty() {
-                    VersionRule::Any
-                } else {
-                    VersionRule::Except(self.distrusted.as_slice().into())
+                if is_known && self.age(now) < order.duration + COMPLETED_TIME {
+                    return VersionRule::Only(target.clone());
                 }
+                self.rule_after(&self.distrusted, now)
             }
+            Some(RolloutState::RolledBack) => self.rule_after(&self.untrusted(), now),
             _ => VersionRule::Except(self.untrusted()),
         }
     }
@@ -169,14 +167,33 @@
         }
     }
 
-    fn rule_without_order<R: Rng>(&self, is_first: bool, rng: &mut R, now: Instant) -> VersionRule {
+    /// Returns the rule after a roll-out, besides `except`: versions that have just appeared wait for their order, if
+    /// there are others.
+    fn rule_after(&self, except: &[ServerVersion], now: Instant) -> VersionRule {
+        let provisional = self.provisional(now);
+        let is_left_out =
+            |version: &ServerVersion| except.contains(version) || provisional.contains(version);
+        let has_others = self.versions.keys().any(|version| !is_left_out(version));
+        let provisional = provisional.iter().filter(|_| has_others);
+        let except: Rc<[_]> = except.iter().chain(provisional).cloned().collect();
+        if except.is_empty() {
+            VersionRule::Any
+        } else {
+            VersionRule::Except(except)
+        }
+    }
+
+    fn provisional(&self, now: Instant) -> Rc<[ServerVersion]> {
         let is_provisional = |until: &Option<Instant>| until.is_some_and(|until| now < until);
-        let provisional: Rc<[_]> = self
-            .versions
+        self.versions
             .iter()
             .filter(|(_, until)| is_provisional(until))
             .map(|(version, _)| version.clone())
-            .collect();
+            .collect()
+    }
+
+    fn rule_without_order<R: Rng>(&self, is_first: bool, rng: &mut R, now: Instant) -> VersionRule {
+        let provisional = self.provisional(now);
         let has_others = provisional.len() < self.versions.len();
         if provisional.is_empty() || !has_others {
             return VersionRule::Any;
--- a/crates/marigold-dispatch/tests/rollout/gate.rs
+++ b/crates/marigold-dispatch/tests/rollout/gate.rs
@@ -139,6 +139,19 @@
         assert_eq!(gate.admitted("v3", true), 1_000);
     }
 
+    version_that_appears_after_a_roll_out_waits_for_its_order |gate| {
+        for (id, state) in [(1, RolloutState::Completed), (2, RolloutState::RolledBack)] {
+            gate.add(2, "v2");
+            gate.order(id, "v2", Some(state));
+            gate.now += Duration::from_secs(40);
+            let text = format!("v{}", id + 2);
+            gate.add(3, &text);
+            assert_eq!((gate.admitted(&text, true), gate.admitted("v1", true)), (0, 1_000));
+            gate.now += Duration::from_secs(4);
+            assert_eq!(gate.admitted(&text, true), 1_000);
+        }
+    }
+
     rolled_back_gets_nothing_even_alone |gate| {
         gate.add(2, "v2");
         gate.order(1, "v2", Some(RolloutState::RolledBack));
--- a/crates/marigold-sidecar/src/control/rollouts/known_rollout.rs
+++ b/crates/marigold-sidecar/src/control/rollouts/known_rollout.rs
@@ -47,8 +47,10 @@
             && let Some(began_ms) = status.began_ms
         {
             let age = Duration::from_millis(unix_ms.saturating_sub(began_ms));
-            let age = age.min(self.order.duration);
-            self.ordered_at = now.checked_sub(age).unwrap_or(now);
+            // The instance may have started after the roll-out.
+            let ordered_at = now.checked_sub(age);
+            let ordered_at = ordered_at.or_else(|| now.checked_sub(self.order.duration));
+            self.ordered_at = ordered_at.unwrap_or(now);
             self.is_exact = true;
         }
         if self.state().map(progress) >= Some(progress(status.state)) {
