--- a/crates/marigold-sidecar/src/control.rs
+++ b/crates/marigold-sidecar/src/control.rs
@@ -6,6 +6,8 @@
 mod control_server;
 mod protocol;
 mod relay;
+mod rollout_format;
+mod rollouts;
 mod site_publisher;
 mod site_table;
 mod store_health;
@@ -17,4 +19,6 @@
     ConfigSource, ControlCall, ControlProtocol, DecodeError, DecodedConfig, UnknownPart,
 };
 pub use relay::{Relay, RelayParts};
+pub use rollout_format::{OrderTerms, RolloutFormat};
+pub use rollouts::{RolloutParts, Rollouts};
 pub use site_publisher::{DaemonLocation, SitePublisher};
--- a/crates/marigold-sidecar/src/link/server.rs
+++ b/crates/marigold-sidecar/src/link/server.rs
@@ -7,9 +7,10 @@
 use std::time::Duration;
 
 use bytes::{Bytes, BytesMut};
-use marigold_dispatch::SiteReport;
+use marigold_dispatch::{SiteReport, VersionCounts};
 use marigold_request::RefusalReason;
 use marigold_request::quarantine::CrashRecord;
+use marigold_types::ServiceName;
 use tokio::io::{AsyncReadExt, AsyncWriteExt};
 use tokio::net::tcp::{OwnedReadHalf, OwnedWriteHalf};
 use tokio::net::{TcpListener, TcpStream};
@@ -24,7 +25,7 @@
 use super::session::Session;
 use super::{
     BodyReservation, Call, CallId, CallOutcome, Follow, Frame, FrameCodec, Hello, Reply,
-    ReplyHandle, SessionId, StoreUpdate, Welcome, set_socket_options,
+    ReplyHandle, RolloutUpdate, SessionId, StoreUpdate, Welcome, set_socket_options,
 };
 
 /// Timeout for the first frame of a connection.
@@ -56,6 +57,11 @@
     /// Returns the state of the executor.
     fn report(&self) -> SiteReport;
 
+    /// Returns the counts of the backend server, if it implements `service` and its version is known.
+    fn version_counts(&self, _service: &ServiceName) -> Option<VersionCounts> {
+        None
+    }
+
     /// Returns the records of crashes to send to a daemon that connects.
     fn crash_records(&self) -> Vec<CrashRecord> {
         Vec::new()
@@ -70,6 +76,9 @@
     /// Returns the request to send to a daemon that connects, if this one has no configuration yet.
     fn request_on_connect(&self) -> Option<Follow>;
 
+    /// Returns the roll-outs to send to a follower: all of them, or none if all are decided.
+    fn rollouts(&self, all: bool) -> Option<RolloutUpdate>;
+
     /// Handles an update from a daemon that connected to this one.
     fn on_peer_update(&self, update: StoreUpdate);
 }
@@ -140,6 +149,16 @@
         first.push_update(update);
     }
 
+    /// Sends roll-outs to all followers.
+    pub fn notify_rollouts(&self, update: &RolloutUpdate) {
+        let now = Instant::now();
+        for session in self.sessions.borrow().values() {
+            if session.is_following(now) {
+                session.push(Frame::Rollouts(update.clone()));
+            }
+        }
+    }
+
     /// Sends the state of the executor to all connected ingresses.
     pub fn broadcast_report(&self) {
         let report = self.handler.report();
@@ -262,6 +281,9 @@
                         session.follow(Instant::now() + FOLLOW_TTL);
                         if let Some(sync) = &*self.store_sync.borrow() {
                             session.push_update(sync.updates_for(follow));
+                            if let Some(update) = sync.rollouts(follow.all_sites) {
+                                session.push(Frame::Rollouts(update));
+                            }
                         }
                     }
                     Frame::StoreUpdate(mut update) => {
@@ -270,6 +292,11 @@
                             sync.on_peer_update(*update);
                         }
                     }
+                    Frame::CountsRequest(service) => {
+                        if let Some(counts) = self.handler.version_counts(&service) {
+                            session.push(Frame::VersionCounts(counts));
+                        }
+                    }
                     Frame::Ping => session.push(Frame::Report(self.handler.report())),
                     _ => {}
                 }
--- a/crates/marigold-sidecar/src/sidecar.rs
+++ b/crates/marigold-sidecar/src/sidecar.rs
@@ -18,7 +18,7 @@
 
 use crate::control::{
     BackendDiscovery, ConfigSource, ControlProtocol, ControlServer, DaemonLocation, Relay,
-    RelayParts, SitePublisher,
+    RelayParts, RolloutFormat, RolloutParts, Rollouts, SitePublisher,
 };
 use crate::events::{EventLog, Severity};
 use crate::executor::{ExecutorOptions, LocalExecutor};
@@ -48,6 +48,8 @@
     pub protocol: Rc<dyn ControlProtocol>,
     /// Location and format of the configuration.
     pub config_source: Rc<dyn ConfigSource>,
+    /// Format of roll-outs.
+    pub rollout_format: Rc<dyn RolloutFormat>,
     /// Table with the records of daemons.
     pub site_table: TableName,
     /// Creates a client of the store at an address.
@@ -191,8 +193,17 @@
     server
         .bodies()
         .set_limit(usize::try_from(call_bodies).unwrap_or(usize::MAX));
+    let rollouts = Rollouts::new(RolloutParts {
+        store: store.clone(),
+        format: adapter.rollout_format.clone(),
+        own: settings.listen.daemons,
+        mesh: mesh.clone(),
+        server: Rc::downgrade(&server),
+        events: events.clone(),
+    });
     let relay = Relay::new(
         RelayParts {
+            rollouts: rollouts.clone(),
             store: store.clone(),
             config_source: adapter.config_source.clone(),
             site_table: adapter.site_table.clone(),
@@ -245,6 +256,7 @@
     };
 
     relay.start();
+    rollouts.start();
     tokio::task::spawn_local(discovery.run());
     tokio::task::spawn_local(publisher.clone().run());
     tokio::task::spawn_local(executor.clone().run_maintenance());
