--- a/crates/marigold-dispatch/tests/load/main.rs
+++ b/crates/marigold-dispatch/tests/load/main.rs
@@ -1,6 +1,7 @@
 //! Load scenarios: a discrete-event simulation of many ingresses and executors that uses the real routing
 //! decisions. See docs/TESTING.md.
 
+mod admission_scenarios;
 mod class_stats;
 mod event_queue;
 mod executor;
