--- a/crates/marigold-sidecar/src/control/relay.rs
+++ b/crates/marigold-sidecar/src/control/relay.rs
@@ -14,10 +14,11 @@
 use bytes::Bytes;
 use marigold_dispatch::{FirstContact, PollTimer, RelaySelector, UpdateSource};
 use marigold_log::{KeyedBatch, KeyedRecord, KeyedStore, LogError, LogFailure, TableName};
+use marigold_types::Version;
 use tokio::time::{Instant, sleep};
 
 use super::config_history::ConfigHistory;
-use super::protocol::ConfigSource;
+use super::protocol::{ConfigSource, DecodedConfig, UnknownPart};
 use super::site_table::SiteTable;
 use super::store_health::StoreHealth;
 use crate::events::{EventLog, Severity};
@@ -56,6 +57,8 @@
 const FALLBACK_READ_INTERVAL: Duration = Duration::from_secs(1);
 /// A follower reads the records of daemons itself once it has had no reader for this long.
 const MAX_SITES_AGE: Duration = Duration::from_secs(3);
+/// Limit on the parts of one configuration that are reported as not understood, which bounds the labels of the metric.
+const MAX_UNKNOWN_PARTS: usize = 16;
 /// Names of the tables in log events.
 const CONFIG: &str = "config";
 const SITES: &str = "sites";
@@ -84,8 +87,6 @@
     parts: RelayParts,
     selector: RefCell<RelaySelector>,
     configs: RefCell<ConfigHistory>,
-    /// When the current configuration was last confirmed to be the newest.
-    config_confirmed_at: Cell<Option<Instant>>,
     site_table: SiteTable,
     /// When the directory was last known to be complete.
     sites_confirmed_at: Cell<Option<Instant>>,
@@ -106,7 +107,6 @@
             parts,
             selector: RefCell::new(selector),
             configs: RefCell::default(),
-            config_confirmed_at: Cell::new(None),
             site_table,
             sites_confirmed_at: Cell::new(None),
             first_contact: Cell::default(),
@@ -129,6 +129,11 @@
         self.sites_confirmed_at.get().is_some()
     }
 
+    /// Returns when the current configuration was last confirmed to be the newest.
+    fn config_confirmed_at(&self) -> Option<Instant> {
+        self.parts.ingress.freshness.confirmed_at()
+    }
+
     /// Returns whether this daemon has just started and others are about to tell more than the store.
     fn awaits_contact(&self) -> bool {
         let mesh = &self.parts.mesh;
@@ -200,8 +205,7 @@
             behind_since = is_behind.then(|| behind_since.unwrap_or(now));
             let elapsed = |since: Instant| now.saturating_duration_since(since);
             let is_stale = self
-                .config_confirmed_at
-                .get()
+                .config_confirmed_at()
                 .is_none_or(|at| elapsed(at) >= MAX_CONFIG_AGE);
             let is_overdue = behind_since.is_some_and(|since| elapsed(since) >= CATCH_UP_TIMEOUT);
             if (is_stale || is_overdue) && elapsed(last_read) >= FALLBACK_READ_INTERVAL {
@@ -285,7 +289,7 @@
 
     /// Applies a batch read from the store; returns whether the configuration has changed.
     fn apply_batch(&self, batch: &KeyedBatch) -> bool {
-        self.config_confirmed_at.set(Some(Instant::now()));
+        self.parts.ingress.freshness.confirm(Some(Instant::now()));
         self.configs.borrow_mut().set_next_offset(batch.next);
         let is_config = |record: &&KeyedRecord| *record.key == *self.parts.config_source.key();
         let newest = batch.records.iter().rev().find(is_config);
@@ -297,8 +301,8 @@
     /// Applies a configuration if it is newer than the current one, and sends it to followers.
     fn install(&self, value: Bytes) -> bool {
         let events = &self.parts.events;
-        let table = match self.parts.config_source.decode(&value) {
-            Ok(table) => table,
+        let DecodedConfig { table, unknown } = match self.parts.config_source.decode(&value) {
+            Ok(config) => config,
             Err(error) => {
                 let cause = error.to_string().into();
                 events.emit("config_refused", Severity::Warn, &[("cause", cause)]);
@@ -316,6 +320,7 @@
             Severity::Info,
             &[("version", version.0.into()), ("bytes", value.len().into())],
         );
+        self.report_unknown(version, &unknown);
         let previous = self.configs.borrow().version();
         self.configs.borrow_mut().push(version, value);
         if let Some(previous) = previous {
@@ -324,12 +329,27 @@
         true
     }
 
+    /// Reports the parts of a configuration that were not understood, once for each version.
+    fn report_unknown(&self, version: Version, unknown: &[UnknownPart]) {
+        for part in unknown.iter().take(MAX_UNKNOWN_PARTS) {
+            let fields = [
+                ("version", version.0.into()),
+                ("part", part.path.as_str().into()),
+                ("reading", part.reading.into()),
+            ];
+            let event = "config_part_unknown";
+            self.parts.events.emit(event, Severity::Warn, &fields);
+            metrics::counter!("marigold_config_unknown_parts_total", "part" => part.path.clone(), "reading" => part.reading)
+                .increment(1);
+        }
+    }
+
     /// Sends heartbeats to followers, and renews this daemon's own subscription to the reader.
     async fn send_heartbeats(self: Rc<Self>) {
         let mut last_follow: Option<(Instant, UpdateSource)> = None;
         loop {
             self.notify_followers(|| self.heartbeat());
-            if let Some(at) = self.config_confirmed_at.get() {
+            if let Some(at) = self.config_confirmed_at() {
                 let age = at.elapsed().as_secs_f64();
                 metrics::gauge!("marigold_config_age_seconds").set(age);
             }
--- a/crates/marigold-sidecar/src/executor/exchange.rs
+++ b/crates/marigold-sidecar/src/executor/exchange.rs
@@ -48,7 +48,7 @@
         options: &ExecutorOptions,
     ) -> Self {
         let names = &options.names;
-        let extra = format!(
+        let mut extra = format!(
             "{}: {}\r\n{}: {identity}\r\n{}: {}\r\n",
             names.deadline,
             time_left.as_millis().max(1),
@@ -56,6 +56,11 @@
             names.origin,
             call.origin,
         );
+        if let Some(workspace) = &call.workspace {
+            for part in [&names.workspace, ": ", workspace.as_str(), "\r\n"] {
+                extra.push_str(part);
+            }
+        }
         let bytes = encode_request(&call.method, &call.target, &call.fields, &extra, &call.body);
         Self {
             id: call.request_id.clone(),
--- a/crates/marigold-sidecar/src/ingress.rs
+++ b/crates/marigold-sidecar/src/ingress.rs
@@ -1,12 +1,15 @@
 //! Accepts callers' requests and forwards them to executors.
 
 mod attempt;
+mod caller_check;
+mod config_freshness;
 mod connection;
 mod mesh;
 mod request_handler;
 mod request_outcome;
 mod request_trace;
 
+pub use config_freshness::ConfigFreshness;
 pub use connection::listen;
 pub use mesh::{Mesh, MeshOptions, StoreUpdateListener, Tuning};
 pub use request_handler::{Ingress, IngressOptions};
--- a/crates/marigold-sidecar/src/ingress/request_handler.rs
+++ b/crates/marigold-sidecar/src/ingress/request_handler.rs
@@ -1,5 +1,6 @@
 //! Processes a request from routing to its final outcome.
 
+mod caller;
 mod conclusion;
 mod hedge;
 mod in_flight_request;
@@ -23,9 +24,10 @@
 use tokio::time::{Instant, sleep_until, timeout_at};
 use tokio_util::sync::CancellationToken;
 
-use self::conclusion::{conclude, conclude_quarantined, invalid, not_run, unknown};
+use self::conclusion::{conclude, conclude_quarantined, invalid, not_run, refuse_caller, unknown};
 use self::in_flight_request::InFlightRequest;
 use self::request_context::RequestContext;
+use super::config_freshness::ConfigFreshness;
 use super::mesh::Mesh;
 use super::request_outcome::RequestOutcome;
 use super::request_trace::RequestTrace;
@@ -77,6 +79,8 @@
     in_flight: Cell<usize>,
     last_request_at: Cell<Instant>,
     buffered_body_bytes: Cell<usize>,
+    /// When the configuration was last known to be the newest.
+    pub freshness: ConfigFreshness,
     /// The newest configuration version that other daemons have routed calls by.
     pub newest_seen_version: watch::Sender<Version>,
 }
@@ -98,6 +102,7 @@
             in_flight: Cell::new(0),
             last_request_at: Cell::new(Instant::now()),
             buffered_body_bytes: Cell::new(0),
+            freshness: ConfigFreshness::default(),
             newest_seen_version: watch::Sender::new(Version::default()),
         })
     }
@@ -194,6 +199,10 @@
             return invalid(404, "no route takes this host and path");
         };
         trace.route = route.kind.to_string();
+        let workspace = match self.identify_caller(request, &table, &route) {
+            Ok(workspace) => workspace.cloned(),
+            Err(refusal) => return refuse_caller(refusal),
+        };
         if !matches!(
             self.stage(0),
             ShutdownStage::Serving | ShutdownStage::Draining
@@ -222,7 +231,7 @@
             table: &table,
             route: &route,
             service: &service,
-            workspace: None,
+            workspace: workspace.as_deref(),
             origin: &self.options.origin,
             id,
             began,
@@ -286,8 +295,8 @@
                 }
                 return conclude(&progress, failure.take());
             };
-            if progress.arrivals() > 0 && !self.may_retry(context, progress.arrivals()) {
-                return conclude(&progress, failure.take());
+            if let Some(outcome) = self.end_early(request, context, &progress, failure) {
+                return outcome;
             }
             let (address, ending) = self
                 .attempt_with_hedge(request, context, choice, &mut tried, trace, &mut progress)
