--- a/crates/marigold-sidecar/tests/restarted_daemon.rs
+++ b/crates/marigold-sidecar/tests/restarted_daemon.rs
@@ -50,11 +50,11 @@
     executor
 }
 
-fn left(started_ms: u64) -> Option<Departure> {
-    Some(Departure {
+fn departure(started_ms: u64) -> Departure {
+    Departure {
         identity: Arc::from("life-1"),
         started_ms: Some(started_ms),
-    })
+    }
 }
 
 local_tests! {
@@ -66,7 +66,7 @@
 
     server_that_had_left_is_used_again_after_a_restart {
         let mesh = TestMesh::new(&[BackendBehaviour::Succeed]).await;
-        let executor = restart(&mesh, left(1)).await;
+        let executor = restart(&mesh, Some(departure(1))).await;
         assert!(executor.serving().is_none());
         let late = announcement(mesh.backends[0], 9, ServingState::Ready);
         let late = Announcement { started_ms: Some(1), ..late };
@@ -76,7 +76,7 @@
 
     next_start_under_the_same_identity_is_not_used {
         let mesh = TestMesh::new(&[BackendBehaviour::Succeed]).await;
-        let executor = restart(&mesh, left(1)).await;
+        let executor = restart(&mesh, Some(departure(1))).await;
         let next = announcement(mesh.backends[0], 1, ServingState::Ready);
         let next = Announcement { started_ms: Some(2), ..next };
         assert_eq!(executor.apply_announcement(&next), AnnouncementOutcome::NewInstance);
