--- a/crates/marigold-sidecar/tests/rollouts/fixture.rs
+++ b/crates/marigold-sidecar/tests/rollouts/fixture.rs
@@ -23,7 +23,6 @@
 
 use crate::common::service;
 
-const ORDERS: &str = "orders";
 const STATES: &str = "states";
 const KEY: &str = "desk";
 const ROUND: Duration = Duration::from_millis(200);
@@ -68,7 +67,7 @@
 
     /// Rewrites the latest status as if the roll-out had begun this long ago.
     pub fn set_began(&self, age: Duration) {
-        let began = unix_now() - age;
+        let began = unix_now().saturating_sub(age);
         let text = self.last_status();
         let mut words: Vec<_> = text.split(' ').collect();
         let began = began.as_millis().to_string();
@@ -200,13 +199,13 @@
         let [state, target, order, rest @ ..] = &words[..] else {
             return Err(unreadable());
         };
-        let states = [
+        let all = [
             RolloutState::Canary,
             RolloutState::Shifting,
             RolloutState::Completed,
             RolloutState::RolledBack,
         ];
-        let state = states.into_iter().find(|other| other.to_string() == *state);
+        let state = all.into_iter().find(|other| other.to_string() == *state);
         let status = RolloutStatus {
             state: state.ok_or_else(unreadable)?,
             target: target.parse().map_err(|_| unreadable())?,
@@ -322,7 +321,7 @@
             "{}",
             self.store.last_status()
         );
-        let states = self.store.states.borrow();
+        let written = self.store.states.borrow();
         let last = self.orders.len() + 6;
         let is_final = |bytes: &&Bytes| {
             let status = TextFormat.decode_status(KEY, bytes).ok().flatten();
@@ -331,7 +330,7 @@
                 status.state.is_final() && is_of_last
             })
         };
-        assert!(states.iter().filter(is_final).count() <= 1, "{states:?}");
+        assert!(written.iter().filter(is_final).count() <= 1, "{written:?}");
     }
 }
 
