--- a/crates/marigold-sidecar/tests/rollouts.rs
+++ b/crates/marigold-sidecar/tests/rollouts.rs
@@ -75,6 +75,18 @@
         fixture.expect_final(RolledBack);
     }
 
+    two_deciders_write_one_final_state |fixture| {
+        fixture.add_decider();
+        fixture.add_decider();
+        fixture.order("v2", "12");
+        fixture.play(12 * SECOND, 0.0).await;
+        fixture.expect_final(Completed);
+        fixture.renew_servers();
+        fixture.order("v2", "12");
+        fixture.play(12 * SECOND, 0.5).await;
+        fixture.expect_final(RolledBack);
+    }
+
     successor_knows_the_deadline |fixture| {
         fixture.order("v2", "12");
         fixture.play(2 * SECOND, 0.0).await;
--- a/crates/marigold-sidecar/tests/rollouts/fixture.rs
+++ b/crates/marigold-sidecar/tests/rollouts/fixture.rs
@@ -233,7 +233,7 @@
 /// A daemon that decides, its store, and the counts of ten servers, half of them of version `v2`.
 pub struct Fixture {
     pub store: Rc<MemoryStore>,
-    rollouts: Rc<Rollouts>,
+    daemons: Vec<Rc<Rollouts>>,
     counts: Vec<(SocketAddr, VersionCounts)>,
     orders: Vec<KeyedRecord>,
     rounds: u32,
@@ -256,7 +256,7 @@
         let tasks = tokio::task::LocalSet::new();
         let rollouts = start(&store, &tasks);
         Self {
-            rollouts,
+            daemons: vec![rollouts],
             store,
             counts: counts.collect(),
             orders: Vec::new(),
@@ -272,8 +272,9 @@
             key: Arc::from(KEY),
             value: Some(Bytes::from(format!("{target} {seconds}"))),
         };
-        self.rollouts
-            .apply_orders(std::slice::from_ref(&record), false);
+        for daemon in &self.daemons {
+            daemon.apply_orders(std::slice::from_ref(&record), false);
+        }
         self.orders.push(record);
     }
 
@@ -288,9 +289,15 @@
     /// Replaces the daemon by one that knows only the orders.
     pub fn restart(&mut self) {
         self.tasks = tokio::task::LocalSet::new();
-        self.rollouts = start(&self.store, &self.tasks);
+        let daemon = start(&self.store, &self.tasks);
         let last = self.orders.len() - 1;
-        self.rollouts.apply_orders(&self.orders[last..], true);
+        daemon.apply_orders(&self.orders[last..], true);
+        self.daemons = vec![daemon];
+    }
+
+    /// Adds a daemon that takes itself for the first decider, too.
+    pub fn add_decider(&mut self) {
+        self.daemons.push(start(&self.store, &self.tasks));
     }
 
     /// Runs the daemon for `time`, while this share of the responses of `v2` fail.
@@ -307,7 +314,9 @@
                 if is_target && f64::from(kind.failed) < f64::from(kind.ended) * failing {
                     kind.failed += RUNS - 1;
                 }
-                self.rollouts.on_counts(*address, counts.clone());
+                for daemon in &self.daemons {
+                    daemon.on_counts(*address, counts.clone());
+                }
             }
             self.tasks.run_until(sleep(ROUND)).await;
         }
