--- a/crates/marigold-sidecar/src/control/rollouts/decider.rs
+++ b/crates/marigold-sidecar/src/control/rollouts/decider.rs
@@ -4,9 +4,7 @@
 use std::rc::Rc;
 use std::time::Duration;
 
-use marigold_dispatch::{
-    Directory, RolloutJudge, RolloutOrder, RolloutState, RolloutStatus, RolloutStep, Site,
-};
+use marigold_dispatch::{Directory, RolloutJudge, RolloutState, RolloutStatus, RolloutStep, Site};
 use marigold_log::{LogError, LogFailure};
 use marigold_types::{Digest, ServiceName};
 use tokio::time::{Instant, sleep};
@@ -23,7 +21,7 @@
 const HEAD_START: Duration = Duration::from_millis(500);
 /// After an interruption of this length, a decider first hears from the store and the executors again.
 const MAX_PAUSE: Duration = Duration::from_millis(1_500);
-/// Servers of other versions that are asked, enough to compare with.
+/// Servers of other versions that are asked, enough to compare with. All are asked once they are to become idle.
 const MAX_OTHERS: usize = 24;
 /// Servers of the version that are asked.
 const MAX_TARGETS: usize = 64;
@@ -123,7 +121,7 @@
         let addresses = self
             .parts
             .mesh
-            .with_directory(|directory| servers(directory, order));
+            .with_directory(|directory| servers(directory, rollout));
         for address in addresses {
             self.parts.mesh.request_counts(address, &order.service);
         }
@@ -233,12 +231,17 @@
 }
 
 /// Returns the executors to ask for counts.
-fn servers(directory: &Directory, order: &RolloutOrder) -> Vec<SocketAddr> {
+fn servers(directory: &Directory, rollout: &KnownRollout) -> Vec<SocketAddr> {
+    let order = &rollout.order;
+    let max_others = match rollout.state() {
+        Some(RolloutState::Shifting) => usize::MAX,
+        _ => MAX_OTHERS,
+    };
     let is_target = |site: &&Site| site.version.as_ref() == Some(&order.target);
     let (targets, mut others): (Vec<_>, Vec<_>) = directory.of(&order.service).partition(is_target);
     others.sort_by_cached_key(|site| order_key(&order.service, site.address));
     let targets = targets.into_iter().take(MAX_TARGETS);
-    let chosen = targets.chain(others.into_iter().take(MAX_OTHERS));
+    let chosen = targets.chain(others.into_iter().take(max_others));
     chosen.map(|site| site.address).collect()
 }
 
