--- a/crates/marigold-sidecar/tests/rollouts/fixture.rs
+++ b/crates/marigold-sidecar/tests/rollouts/fixture.rs
@@ -23,7 +23,6 @@
 
 use crate::common::service;
 
-const ORDERS: &str = "orders";
 const STATES: &str = "states";
 const KEY: &str = "desk";
 const ROUND: Duration = Duration::from_millis(200);
@@ -68,7 +67,7 @@
 
     /// Rewrites the latest status as if the roll-out had begun this long ago.
     pub fn set_began(&self, age: Duration) {
-        let began = unix_now() - age;
+        let began = unix_now().saturating_sub(age);
         let text = self.last_status();
         let mut words: Vec<_> = text.split(' ').collect();
         let began = began.as_millis().to_string();
@@ -200,13 +199,13 @@
         let [state, target, order, rest @ ..] = &words[..] else {
             return Err(unreadable());
         };
-        let states = [
+        let all = [
             RolloutState::Canary,
             RolloutState::Shifting,
             RolloutState::Completed,
             RolloutState::RolledBack,
         ];
-        let state = states.into_iter().find(|other| other.to_string() == *state);
+        let state = all.into_iter().find(|other| other.to_string() == *state);
         let status = RolloutStatus {
             state: state.ok_or_else(unreadable)?,
             target: target.parse().map_err(|_| unreadable())?,
@@ -234,7 +233,7 @@
 /// A daemon that decides, its store, and the counts of ten servers, half of them of version `v2`.
 pub struct Fixture {
     pub store: Rc<MemoryStore>,
-    rollouts: Rc<Rollouts>,
+    daemons: Vec<Rc<Rollouts>>,
     counts: Vec<(SocketAddr, VersionCounts)>,
     orders: Vec<KeyedRecord>,
     rounds: u32,
@@ -257,7 +256,7 @@
         let tasks = tokio::task::LocalSet::new();
         let rollouts = start(&store, &tasks);
         Self {
-            rollouts,
+            daemons: vec![rollouts],
             store,
             counts: counts.collect(),
             orders: Vec::new(),
@@ -273,8 +272,9 @@
             key: Arc::from(KEY),
             value: Some(Bytes::from(format!("{target} {seconds}"))),
         };
-        self.rollouts
-            .apply_orders(std::slice::from_ref(&record), false);
+        for daemon in &self.daemons {
+            daemon.apply_orders(std::slice::from_ref(&record), false);
+        }
         self.orders.push(record);
     }
 
@@ -289,9 +289,15 @@
     /// Replaces the daemon by one that knows only the orders.
     pub fn restart(&mut self) {
         self.tasks = tokio::task::LocalSet::new();
-        self.rollouts = start(&self.store, &self.tasks);
+        let daemon = start(&self.store, &self.tasks);
         let last = self.orders.len() - 1;
-        self.rollouts.apply_orders(&self.orders[last..], true);
+        daemon.apply_orders(&self.orders[last..], true);
+        self.daemons = vec![daemon];
+    }
+
+    /// Adds a daemon that takes itself for the first decider, too.
+    pub fn add_decider(&mut self) {
+        self.daemons.push(start(&self.store, &self.tasks));
     }
 
     /// Runs the daemon for `time`, while this share of the responses of `v2` fail.
@@ -308,7 +314,9 @@
                 if is_target && f64::from(kind.failed) < f64::from(kind.ended) * failing {
                     kind.failed += RUNS - 1;
                 }
-                self.rollouts.on_counts(*address, counts.clone());
+                for daemon in &self.daemons {
+                    daemon.on_counts(*address, counts.clone());
+                }
             }
             self.tasks.run_until(sleep(ROUND)).await;
         }
@@ -322,7 +330,7 @@
             "{}",
             self.store.last_status()
         );
-        let states = self.store.states.borrow();
+        let written = self.store.states.borrow();
         let last = self.orders.len() + 6;
         let is_final = |bytes: &&Bytes| {
             let status = TextFormat.decode_status(KEY, bytes).ok().flatten();
@@ -331,7 +339,7 @@
                 status.state.is_final() && is_of_last
             })
         };
-        assert!(states.iter().filter(is_final).count() <= 1, "{states:?}");
+        assert!(written.iter().filter(is_final).count() <= 1, "{written:?}");
     }
 }
 
