--- a/crates/marigold-dispatch/src/locality/locality_plan.rs
+++ b/crates/marigold-dispatch/src/locality/locality_plan.rs
@@ -17,8 +17,8 @@
     LacksRoom,
     /// No backend server at home accepts requests.
     NoServers,
-    /// Home lacks room and so do all others that can be reached.
-    NoRoomElsewhere,
+    /// Home lacks room, but no other that can be reached has any, or the way costs more than it saves.
+    NothingCanLeave,
 }
 
 impl fmt::Display for ShareReason {
@@ -27,7 +27,7 @@
             Self::RoomAtHome => "room at home",
             Self::LacksRoom => "lacks room",
             Self::NoServers => "no servers",
-            Self::NoRoomElsewhere => "no room elsewhere",
+            Self::NothingCanLeave => "nothing can leave",
         })
     }
 }
--- a/crates/marigold-dispatch/src/locality/locality_planner.rs
+++ b/crates/marigold-dispatch/src/locality/locality_planner.rs
@@ -126,7 +126,7 @@
 
 fn reason(room: f64, leaving: f64) -> ShareReason {
     if leaving <= 0.0 {
-        ShareReason::NoRoomElsewhere
+        ShareReason::NothingCanLeave
     } else if room <= 0.0 {
         ShareReason::NoServers
     } else {
--- a/crates/marigold-dispatch/tests/locality.rs
+++ b/crates/marigold-dispatch/tests/locality.rs
@@ -227,4 +227,7 @@
     let to = plan.destination(&kind("small"), (0.5, 0.5));
     assert_eq!(to, Some(&data_centre("dc-1")));
     assert_eq!(plan.destination(&kind("short"), (0.5, 0.5)), None);
+    let plan = planner.plan(&data_centre("dc-0"), &kinds[4..], 0.01, Instant::now());
+    assert_eq!(plan.reason, ShareReason::NothingCanLeave);
+    assert!(plan.share_of(&kind("huge")) < 0.01, "{plan:?}");
 }
