--- a/crates/marigold-dispatch/tests/load/simulation.rs
+++ b/crates/marigold-dispatch/tests/load/simulation.rs
@@ -2,6 +2,7 @@
 
 mod routing;
 mod serving;
+mod shares;
 
 use std::net::SocketAddr;
 use std::time::Duration;
@@ -18,6 +19,7 @@
 use super::ingress::{Ingress, data_centre_name};
 use super::request::{Attempt, Request};
 use super::scenario::{Change, Scenario};
+use shares::Shares;
 
 /// The network delay between daemons in one data centre.
 const LOCAL_DELAY: Duration = Duration::from_micros(300);
@@ -68,6 +70,8 @@
     surges: Vec<f64>,
     results: Results,
     rng: ChaCha8Rng,
+    /// The shares that ingresses send to other data centres, or `None` if each weighs every request by itself.
+    shares: Option<Shares>,
 }
 
 impl Simulation {
@@ -78,6 +82,14 @@
         simulation.results
     }
 
+    /// Runs a scenario in which a share of each data centre's demand goes elsewhere, see docs/design/locality.md.
+    pub fn simulate_shares(scenario: &Scenario, seed: u64) -> Results {
+        let mut simulation = Self::new(scenario.clone(), seed);
+        simulation.shares = Some(Shares::default());
+        simulation.run();
+        simulation.results
+    }
+
     fn new(scenario: Scenario, seed: u64) -> Self {
         let base = Instant::now();
         let slack = RETRY_SLACK / f64::from(u32::try_from(scenario.servers.len()).expect("few"));
@@ -97,6 +109,7 @@
                 ..Results::default()
             },
             rng: ChaCha8Rng::seed_from_u64(seed),
+            shares: None,
             scenario,
         };
         for (number, server) in simulation.scenario.servers.iter().enumerate() {
@@ -141,7 +154,10 @@
                 Event::Attempt(attempt) => self.attempt(attempt),
                 Event::RunEnd { attempt, ok } => self.run_end(attempt, ok),
                 Event::Reply { attempt, result } => self.reply(attempt, result),
-                Event::RemoveExpired => self.remove_all_expired(),
+                Event::RemoveExpired => {
+                    self.publish();
+                    self.remove_all_expired();
+                }
                 Event::Change(change) => self.change(&change),
             }
         }
@@ -203,6 +219,7 @@
             deadline,
             retries_left: max_retries,
             refusals: 0,
+            returns: 0,
             parent,
             tried: Vec::new(),
             progress: Progress::default(),
@@ -223,8 +240,11 @@
         request.arrived_at = self.now;
         request.tried.clear();
         request.progress = Progress::default();
-        ingress.budget(&class.service).record_request(self.now);
+        request.returns =
+            ingress.record_request(class, !spent.is_zero(), request.deadline, self.now);
         self.results.requests += 1;
+        let (class, ingress) = (request.class, request.ingress);
+        self.record_arising(class, ingress);
         self.send_to_next(number);
     }
 
@@ -246,6 +266,11 @@
             self.rng.random::<f64>() < self.scenario.callers.immediate_retry_ratio;
         let request = &mut self.requests[number];
         request.refusals += 1;
+        let kind = &self.scenario.classes[request.class].kind;
+        let ingress = &mut self.ingresses[request.ingress];
+        ingress
+            .caller_returns
+            .record_refusal(kind, request.deadline, request.returns);
         if let Some(parent) = request.parent {
             return self.call_ended(parent, false);
         }
--- a/crates/marigold-dispatch/tests/load/simulation/routing.rs
+++ b/crates/marigold-dispatch/tests/load/simulation/routing.rs
@@ -2,7 +2,7 @@
 
 use std::net::SocketAddr;
 
-use marigold_dispatch::{AttemptOutcome, PlacementRequest};
+use marigold_dispatch::{AttemptOutcome, PlacementRequest, RetryRequest};
 
 use super::{
     Attempt, AttemptResult, BODY_BYTES, Event, LOCAL_DELAY, MAX_ATTEMPTS, MAX_EXECUTORS,
@@ -12,11 +12,16 @@
 impl Simulation {
     /// Sends a request to the next executor, or concludes it.
     pub(super) fn send_to_next(&mut self, number: usize) {
+        let excluded = self.excluded(number);
         let request = &self.requests[number];
         let class = &self.scenario.classes[request.class];
         let ingress = &mut self.ingresses[request.ingress];
         let elapsed = self.now.saturating_duration_since(request.arrived_at);
-        let tried: Vec<SocketAddr> = request.tried.iter().map(|at| address(*at)).collect();
+        let mut tried: Vec<SocketAddr> = request.tried.iter().map(|at| address(*at)).collect();
+        let may_try = tried.len() < MAX_EXECUTORS;
+        if tried.is_empty() {
+            tried = excluded;
+        }
         let timeout = request.deadline.saturating_duration_since(self.now);
         let placement_request = PlacementRequest {
             service: &class.service,
@@ -29,7 +34,7 @@
             tried: &tried,
             versions: marigold_dispatch::VersionFilter::ANY,
         };
-        let choice = if tried.len() < MAX_EXECUTORS {
+        let choice = if may_try {
             ingress
                 .placement
                 .choose(&self.directory, &placement_request, &mut self.rng, self.now)
@@ -38,11 +43,15 @@
         };
         let arrivals = request.progress.arrivals();
         let expected_run = ingress.placement.expected_run(&class.kind);
+        let retry_request = RetryRequest {
+            rank: class.rank,
+            returns: request.returns,
+        };
         let may_send = arrivals == 0
             || (arrivals < MAX_ATTEMPTS
                 && timeout >= expected_run.mul_f64(MIN_TIME_LEFT_RATIO)
                 && choice.is_some()
-                && ingress.try_spend_retry(&class.service, self.now));
+                && ingress.try_spend_retry(&class.service, retry_request, self.now));
         let Some(choice) = choice.filter(|_| may_send) else {
             let conclusion = request.progress.conclusion();
             return self.conclude(number, conclusion);
