Review of roll-outs, admission and keys: first findings mended

- A daemon that got its configuration from another one continued to read the store behind the orders of roll-outs, and never learned of them.
The first read is of the whole table.
- The second attempt of a hedge checks the caller again.
- A body in one part is not refused because of the large bodies that are held.
- The parts of workspaces are not computed while nothing waits.
Found by review; no tests of their own yet.

--- a/crates/marigold-dispatch/src/admission_controller.rs
+++ b/crates/marigold-dispatch/src/admission_controller.rs
@@ -270,7 +270,9 @@
         if !self.may_start(now) {
             return None;
         }
-        self.shares.update();
+        if !self.waiting.is_empty() {
+            self.shares.update();
+        }
         self.grant_count = (self.grant_count + 1) % FAIR_GRANT_INTERVAL;
         loop {
             let ticket = self.next_ticket()?;
--- a/crates/marigold-sidecar/src/control/relay.rs
+++ b/crates/marigold-sidecar/src/control/relay.rs
@@ -14,7 +14,7 @@
 use bytes::Bytes;
 use marigold_dispatch::{FirstContact, PollTimer, RelaySelector, UpdateSource};
 use marigold_log::{KeyedBatch, KeyedRecord, KeyedStore, LogError, LogFailure, TableName};
-use marigold_types::Version;
+use marigold_types::{LogOffset, Version};
 use tokio::time::{Instant, sleep};
 
 use super::config_history::ConfigHistory;
@@ -90,6 +90,8 @@
     parts: RelayParts,
     selector: RefCell<RelaySelector>,
     configs: RefCell<ConfigHistory>,
+    /// Whether the orders of roll-outs have been read since the start.
+    orders_read: Cell<bool>,
     site_table: SiteTable,
     /// When the directory was last known to be complete.
     sites_confirmed_at: Cell<Option<Instant>>,
@@ -110,6 +112,7 @@
             parts,
             selector: RefCell::new(selector),
             configs: RefCell::default(),
+            orders_read: Cell::new(false),
             site_table,
             sites_confirmed_at: Cell::new(None),
             first_contact: Cell::default(),
@@ -273,31 +276,38 @@
     /// Waits up to `wait` for a change of the configuration and applies it; returns whether there was one.
     async fn read_config(&self, wait: Duration) -> Result<bool, LogError> {
         let table = self.parts.config_source.table();
-        let next = self.configs.borrow().next_offset();
+        let next = self.next_read();
         let batch = match next {
             None => self.parts.store.snapshot(&table).await?,
             Some(from) => self.parts.store.changes(&table, from, wait).await?,
         };
-        Ok(self.apply_batch(&batch))
+        Ok(self.apply_batch(&batch, next.is_none()))
     }
 
     /// Reads the latest configuration without waiting; returns whether it is newer than the current one.
     async fn read_latest_config(&self) -> Result<bool, LogError> {
         let table = self.parts.config_source.table();
-        let next = self.configs.borrow().next_offset();
+        let next = self.next_read();
         let batch = match next {
             None => self.parts.store.snapshot(&table).await?,
             Some(from) => self.parts.store.latest_change(&table, from).await?,
         };
-        Ok(self.apply_batch(&batch))
+        Ok(self.apply_batch(&batch, next.is_none()))
+    }
+
+    /// Returns where to continue reading, or `None` to read the whole table: a configuration that other daemons sent says
+    /// nothing of the orders of roll-outs before it.
+    fn next_read(&self) -> Option<LogOffset> {
+        let next = self.configs.borrow().next_offset();
+        next.filter(|_| self.orders_read.get())
     }
 
     /// Applies a batch read from the store; returns whether the configuration has changed.
-    fn apply_batch(&self, batch: &KeyedBatch) -> bool {
+    fn apply_batch(&self, batch: &KeyedBatch, is_whole: bool) -> bool {
         self.parts.ingress.freshness.confirm(Some(Instant::now()));
-        let is_first = self.configs.borrow().next_offset().is_none();
         self.configs.borrow_mut().set_next_offset(batch.next);
-        self.parts.rollouts.apply_orders(&batch.records, is_first);
+        self.orders_read.set(self.orders_read.get() || is_whole);
+        self.parts.rollouts.apply_orders(&batch.records, is_whole);
         let is_config = |record: &&KeyedRecord| *record.key == *self.parts.config_source.key();
         let newest = batch.records.iter().rev().find(is_config);
         // If the record was deleted, the current configuration stays in force.
--- a/crates/marigold-sidecar/src/ingress/request_handler/caller.rs
+++ b/crates/marigold-sidecar/src/ingress/request_handler/caller.rs
@@ -63,7 +63,7 @@
     }
 
     /// Checks the caller by the newest configuration, if it is newer than the one the request is routed by.
-    fn check_caller_again(
+    pub(super) fn check_caller_again(
         &self,
         request: &Request,
         context: &RequestContext<'_>,
--- a/crates/marigold-sidecar/src/ingress/request_handler/hedge.rs
+++ b/crates/marigold-sidecar/src/ingress/request_handler/hedge.rs
@@ -75,7 +75,9 @@
         trace: &mut RequestTrace,
         progress: &Progress,
     ) -> Option<SocketAddr> {
-        if self.quarantine_status(request, context, trace) != QuarantineStatus::Clear {
+        if self.quarantine_status(request, context, trace) != QuarantineStatus::Clear
+            || self.check_caller_again(request, context).is_err()
+        {
             return None;
         }
         let second = self.choose_executor(context, request.body.len(), tried)?;
--- a/crates/marigold-sidecar/src/link/incoming_body.rs
+++ b/crates/marigold-sidecar/src/link/incoming_body.rs
@@ -30,7 +30,11 @@
 
     /// Adds the last part. Returns the whole body, or `None` if it did not fit.
     pub fn finish(mut self, last: Bytes) -> Option<(Bytes, BodyReservation)> {
-        self.reserve(last.len());
+        // A body in one part is small, and is not refused because of large ones.
+        let is_only_part = self.bytes.is_empty() && self.reservation.is_some();
+        if !is_only_part {
+            self.reserve(last.len());
+        }
         let reservation = self.reservation?;
         if self.bytes.is_empty() {
             return Some((last, reservation));
