--- a/crates/marigold-dispatch/src/rollout/rollout_judge.rs
+++ b/crates/marigold-dispatch/src/rollout/rollout_judge.rs
@@ -18,6 +18,9 @@
 const MIN_TAKEOVER_TIME: Duration = Duration::from_secs(5);
 /// The version is given up without a takeover if less time than this fraction of the kept time is left.
 const LATEST_TAKEOVER_RATIO: f64 = 0.6;
+/// How long a decider compares the versions before it trusts one, if time allows: one that has just taken over does not
+/// know yet which kinds other versions serve.
+const MIN_WATCH_TIME: Duration = Duration::from_secs(3);
 /// How long the version is watched with all requests before the other versions' servers may stop.
 const MIN_SHIFT_TIME: Duration = Duration::from_millis(2_200);
 /// The time before the deadline at which a takeover ends although servers of other versions still run requests.
@@ -30,6 +33,8 @@
     /// When the order was given.
     ordered_at: Instant,
     evidence: RolloutEvidence,
+    /// When this decider first compared the versions.
+    watched_since: Option<Instant>,
     /// When the version began to take over, as far as this decider knows.
     shifting_since: Option<Instant>,
 }
@@ -42,6 +47,7 @@
             evidence: RolloutEvidence::new(order.target.clone()),
             order,
             ordered_at,
+            watched_since: None,
             shifting_since: None,
         }
     }
@@ -92,7 +98,9 @@
             return step(RolloutState::RolledBack, StepCause::Slow(evidence));
         }
         if state == RolloutState::Canary {
-            return self.decide_takeover(left);
+            let watched_since = *self.watched_since.get_or_insert(now);
+            let has_watched = now.saturating_duration_since(watched_since) >= MIN_WATCH_TIME;
+            return self.decide_takeover(left, has_watched);
         }
         let since = *self.shifting_since.get_or_insert(now);
         let has_ramped = now.saturating_duration_since(since) >= MIN_SHIFT_TIME;
@@ -105,14 +113,15 @@
         None
     }
 
-    fn decide_takeover(&self, left: Duration) -> Option<RolloutStep> {
+    fn decide_takeover(&self, left: Duration, has_watched: bool) -> Option<RolloutStep> {
         let kept = self.takeover_time();
         if left > kept {
             return None;
         }
-        let (state, cause) = if self.evidence.is_enough() {
+        let is_latest = left <= kept.mul_f64(LATEST_TAKEOVER_RATIO);
+        let (state, cause) = if self.evidence.is_enough() && (has_watched || is_latest) {
             (RolloutState::Shifting, StepCause::Sound)
-        } else if left <= kept.mul_f64(LATEST_TAKEOVER_RATIO) {
+        } else if is_latest {
             (RolloutState::RolledBack, StepCause::TooFewResponses)
         } else {
             return None;
