--- a/crates/marigold-dispatch/src/lib.rs
+++ b/crates/marigold-dispatch/src/lib.rs
@@ -25,6 +25,7 @@
 mod poll_timer;
 mod precedence;
 mod progress;
+pub mod quota;
 mod rank;
 mod relay_selector;
 mod request_limit;
--- a/crates/marigold-request/src/limits/bucket.rs
+++ b/crates/marigold-request/src/limits/bucket.rs
@@ -10,13 +10,17 @@
 /// The tokens that one call takes. A token is a millionth of a call, so that a [`MilliRate`] times
 /// milliseconds gives tokens.
 const TOKENS_PER_CALL: u64 = 1_000_000;
-/// The time for which unused tokens accumulate.
+/// The tokens in a thousandth of a call.
+const TOKENS_PER_MILLI_CALL: u64 = 1_000;
+/// The time for which unused tokens accumulate, unless a burst is set.
 const BURST_WINDOW: Duration = Duration::from_millis(100);
 
 /// Passes calls at a rate that can change at any time.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub struct TokenBucket {
     rate: MilliRate,
+    /// The tokens that accumulate at most, if a burst is set.
+    burst: Option<u64>,
     tokens: u64,
     /// The time up to which tokens were added, a whole number of milliseconds after creation.
     refilled_at: Instant,
@@ -28,6 +32,7 @@
     pub fn new(rate: MilliRate, now: Instant) -> Self {
         Self {
             rate,
+            burst: None,
             tokens: TOKENS_PER_CALL,
             refilled_at: now,
         }
@@ -40,6 +45,21 @@
         self.tokens = self.tokens.min(self.capacity());
     }
 
+    /// Changes the rate and the burst, in thousandths of a call, from `now` on.
+    pub fn set_limits(&mut self, rate: MilliRate, burst: u64, now: Instant) {
+        self.refill(now);
+        self.rate = rate;
+        self.burst = Some(burst.saturating_mul(TOKENS_PER_MILLI_CALL));
+        self.tokens = self.tokens.min(self.capacity());
+    }
+
+    /// Adds the tokens of `time`.
+    pub fn fill(&mut self, time: Duration) {
+        let millis = u64::try_from(time.as_millis()).unwrap_or(u64::MAX);
+        let gain = self.rate.0.saturating_mul(millis);
+        self.tokens = self.tokens.saturating_add(gain).min(self.capacity());
+    }
+
     /// Takes the tokens for one call.
     ///
     /// # Errors
@@ -57,8 +77,9 @@
     }
 
     fn capacity(&self) -> u64 {
-        let burst = u64::try_from(BURST_WINDOW.as_millis()).unwrap_or(u64::MAX);
-        self.rate.0.saturating_mul(burst).max(TOKENS_PER_CALL)
+        let window = u64::try_from(BURST_WINDOW.as_millis()).unwrap_or(u64::MAX);
+        let default = || self.rate.0.saturating_mul(window);
+        self.burst.unwrap_or_else(default).max(TOKENS_PER_CALL)
     }
 
     fn refill(&mut self, now: Instant) {
@@ -69,7 +90,6 @@
         }
         // The remaining fraction of a millisecond is counted by the next refill.
         self.refilled_at += Duration::from_millis(millis);
-        let gain = self.rate.0.saturating_mul(millis);
-        self.tokens = self.tokens.saturating_add(gain).min(self.capacity());
+        self.fill(Duration::from_millis(millis));
     }
 }
