--- a/crates/marigold-dispatch/src/quota/desk_slot.rs
+++ b/crates/marigold-dispatch/src/quota/desk_slot.rs
@@ -13,6 +13,8 @@
 
 /// The vote is renewed this long after the last answer of the home, if no request was asked for.
 const RENEWAL_INTERVAL: Duration = Duration::from_millis(500);
+/// As [`RENEWAL_INTERVAL`], for a home that does not have the vote yet.
+const CONTACT_INTERVAL: Duration = Duration::from_millis(200);
 /// Delay after an answer of a home that has too few votes, while other daemons move theirs.
 const UNTRUSTED_DELAY: Duration = Duration::from_millis(30);
 /// A home that has not answered within this time may be paused or cut off.
@@ -258,6 +260,9 @@
     ) -> Option<Vec<(QuotaTicket, QuotaVerdict)>> {
         let is_open = |open: &mut OpenAsk| open.home == home && open.number == grant.number;
         let open = self.open.take_if(is_open)?;
+        let is_first_stamp = self
+            .stamp
+            .is_none_or(|former| (former.home, former.stamp.run) != (home, grant.stamp.run));
         let stamp = ReceivedStamp {
             home,
             stamp: grant.stamp,
@@ -267,20 +272,17 @@
         if open.withdraws {
             self.vote = None;
         }
-        // A home that has no vote of this daemon gets it at once.
         let has_vote = self.vote.is_some_and(|vote| vote.home == home);
-        self.renew_at = if has_vote {
-            now + RENEWAL_INTERVAL
-        } else {
-            now + UNTRUSTED_DELAY
+        // With the first stamp, and once the former home has let it go, the vote can be cast.
+        let delay = match (open.withdraws || is_first_stamp, has_vote) {
+            (true, false) => Duration::ZERO,
+            (false, false) => CONTACT_INTERVAL,
+            (_, true) => RENEWAL_INTERVAL,
         };
+        self.renew_at = now + delay;
         let is_late = now.saturating_duration_since(open.sent_at) > GRANT_TTL;
         if is_late || !grant.is_trusted {
-            self.held_until = now + UNTRUSTED_DELAY;
-            if open.withdraws || !has_vote {
-                self.held_until = now;
-                self.renew_at = now;
-            }
+            self.held_until = now + delay.min(UNTRUSTED_DELAY);
             self.requeue(open.requests);
             return Some(Vec::new());
         }
--- a/crates/marigold-dispatch/src/workspace_table.rs
+++ b/crates/marigold-dispatch/src/workspace_table.rs
@@ -13,11 +13,13 @@
 pub struct WorkspaceTable {
     by_key: HashMap<Digest, Arc<Workspace>>,
     by_name: HashMap<WorkspaceName, Arc<Workspace>>,
+    has_quotas: bool,
 }
 
 impl WorkspaceTable {
     /// Adds a workspace with its `keys`.
     pub fn insert<'a>(&mut self, workspace: Workspace, keys: impl IntoIterator<Item = &'a str>) {
+        self.has_quotas |= workspace.quota.is_some();
         let workspace = Arc::new(workspace);
         for key in keys {
             let digest = Digest::of(key.as_bytes());
@@ -38,6 +40,12 @@
         self.by_name.get(name)
     }
 
+    /// Returns whether any workspace has a quota.
+    #[must_use]
+    pub fn has_quotas(&self) -> bool {
+        self.has_quotas
+    }
+
     /// Returns the number of workspaces.
     #[must_use]
     pub fn len(&self) -> usize {
--- a/crates/marigold-sidecar/src/ingress.rs
+++ b/crates/marigold-sidecar/src/ingress.rs
@@ -4,11 +4,13 @@
 mod caller_check;
 mod connection;
 mod mesh;
+mod quotas;
 mod request_handler;
 mod request_outcome;
 mod request_trace;
 
 pub use connection::listen;
 pub use mesh::{Mesh, MeshOptions, StoreUpdateListener, Tuning};
+pub use quotas::{OverQuota, Quotas};
 pub use request_handler::{Ingress, IngressOptions};
 pub use request_outcome::RequestOutcome;
--- a/crates/marigold-sidecar/src/ingress/mesh.rs
+++ b/crates/marigold-sidecar/src/ingress/mesh.rs
@@ -15,6 +15,7 @@
 use rand::rngs::SmallRng;
 use tokio::time::{Instant, sleep};
 
+use super::quotas::Quotas;
 use crate::CrashTracker;
 use crate::events::{EventLog, Severity};
 use crate::link::{
@@ -63,6 +64,8 @@
 pub struct Mesh {
     /// Requests that crash backend servers.
     pub crashes: Rc<CrashTracker>,
+    /// The quotas of workspaces.
+    pub quotas: Rc<Quotas>,
     data_centre: DataCentre,
     tuning: Cell<Tuning>,
     events: Rc<EventLog>,
@@ -90,8 +93,15 @@
     ) -> Rc<Self> {
         let placement = Placement::new(options.data_centre.clone(), options.tuning.byte_cost);
         let link_selector = LinkSelector::new(options.address, options.data_centre.clone());
-        Rc::new_cyclic(|myself| Self {
+        Rc::new_cyclic(|myself: &Weak<Self>| Self {
             crashes,
+            quotas: Quotas::new(options.address, events.clone(), {
+                let mesh = myself.clone();
+                Box::new(move |home, ask| {
+                    let mesh = mesh.upgrade();
+                    mesh.is_some_and(|mesh| mesh.link(home).ask_quota(ask))
+                })
+            }),
             data_centre: options.data_centre.clone(),
             tuning: Cell::new(options.tuning),
             events,
@@ -132,6 +142,8 @@
         if directory.generation() == before {
             return;
         }
+        let addresses: Vec<_> = directory.all().map(|site| site.address).collect();
+        self.quotas.set_daemons(&addresses);
         let count = directory.len();
         self.slack_share
             .borrow_mut()
@@ -372,6 +384,10 @@
                 }
                 self.relink_soon();
             }
+            LinkEvent::Connected => self.quotas.on_connected(from),
+            LinkEvent::Disconnected => self.quotas.on_unreachable(from, false),
+            LinkEvent::Terminated => self.quotas.on_unreachable(from, true),
+            LinkEvent::QuotaGrant(grant) => self.quotas.on_grant(from, &grant),
             LinkEvent::CrashRecords(records) => {
                 // Within a data centre every daemon hears of a crash from the executor itself.
                 let is_local = self.with_directory(|directory| {
--- a/crates/marigold-sidecar/src/ingress/request_handler.rs
+++ b/crates/marigold-sidecar/src/ingress/request_handler.rs
@@ -30,6 +30,7 @@
 use self::request_context::RequestContext;
 use super::caller_check::{CallerRefusal, check_again, check_caller};
 use super::mesh::Mesh;
+use super::quotas::OverQuota;
 use super::request_outcome::RequestOutcome;
 use super::request_trace::RequestTrace;
 use crate::HeaderNames;
@@ -112,6 +113,7 @@
             .as_ref()
             .is_none_or(|old| old.version() < table.version());
         if is_newer {
+            self.mesh.quotas.install(table.workspaces().cloned());
             *current = Some(table);
         }
         is_newer
@@ -233,6 +235,17 @@
             .already_waited(&route.kind, timeout);
         let objective = route.objective.saturating_sub(already_waited);
         let deadline = began + timeout.min(route.timeout);
+        if let Some(workspace) = &workspace {
+            match self.mesh.quotas.admit(workspace).await {
+                Ok(()) => {}
+                Err(OverQuota::Refused { retry_after }) => {
+                    return RequestOutcome::OverQuota { retry_after };
+                }
+                Err(OverQuota::Unsettled) => {
+                    return not_run("the quota can't be checked", UNAVAILABLE_RETRY_DELAY);
+                }
+            }
+        }
         self.mesh.count_request(&service);
         let context = RequestContext {
             table: &table,
@@ -469,8 +482,9 @@
         let service_label = service.to_owned();
         metrics::counter!("marigold_requests_total", "service" => service_label, "outcome" => outcome_label)
             .increment(1);
-        if let RequestOutcome::NotRun { reason, .. } = outcome {
-            metrics::counter!("marigold_refusals_total", "reason" => *reason).increment(1);
+        if outcome_label == "not_run" {
+            let reason = outcome.reason();
+            metrics::counter!("marigold_refusals_total", "reason" => reason).increment(1);
         }
         metrics::histogram!("marigold_request_seconds", "outcome" => outcome_label)
             .record(took.as_secs_f64());
@@ -478,6 +492,7 @@
             RequestOutcome::Answered(response) if response.status < 500 => Severity::Routine,
             RequestOutcome::Answered(_)
             | RequestOutcome::NotRun { .. }
+            | RequestOutcome::OverQuota { .. }
             | RequestOutcome::Invalid { .. } => Severity::Info,
             RequestOutcome::Unknown { .. } => Severity::Warn,
         };
--- a/crates/marigold-sidecar/src/ingress/request_outcome.rs
+++ b/crates/marigold-sidecar/src/ingress/request_outcome.rs
@@ -19,6 +19,11 @@
         /// Delay after which the caller should retry.
         retry_after: Duration,
     },
+    /// The workspace of the caller is over its quota. The request has not run and never will.
+    OverQuota {
+        /// Delay after which the caller should retry.
+        retry_after: Duration,
+    },
     /// The request may have run, but there is no response.
     Unknown {
         /// Reason in logs and in the response body.
@@ -41,7 +46,7 @@
     pub fn label(&self) -> &'static str {
         match self {
             Self::Answered(_) => "answered",
-            Self::NotRun { .. } => "not_run",
+            Self::NotRun { .. } | Self::OverQuota { .. } => "not_run",
             Self::Unknown { .. } => "unknown",
             Self::Invalid { .. } => "invalid",
         }
@@ -52,6 +57,7 @@
     pub fn reason(&self) -> &'static str {
         match self {
             Self::Answered(_) => "",
+            Self::OverQuota { .. } => "the workspace is over its quota",
             Self::NotRun { reason, .. }
             | Self::Unknown { reason, .. }
             | Self::Invalid { reason, .. } => reason,
@@ -64,6 +70,7 @@
         match self {
             Self::Answered(response) => response.status,
             Self::NotRun { .. } => 503,
+            Self::OverQuota { .. } => 429,
             Self::Unknown { timed_out, .. } => {
                 if *timed_out {
                     504
@@ -81,7 +88,9 @@
         let status = self.status();
         let reason = self.reason();
         let retry_after = match &self {
-            Self::NotRun { retry_after, .. } => Some(*retry_after),
+            Self::NotRun { retry_after, .. } | Self::OverQuota { retry_after } => {
+                Some(*retry_after)
+            }
             _ => None,
         };
         if let Self::Answered(response) = self {
--- a/crates/marigold-sidecar/src/lib.rs
+++ b/crates/marigold-sidecar/src/lib.rs
@@ -12,6 +12,7 @@
 pub mod ingress;
 pub mod link;
 
+mod boot_clock;
 mod crash_tracker;
 mod header_names;
 mod settings;
--- a/crates/marigold-sidecar/src/link.rs
+++ b/crates/marigold-sidecar/src/link.rs
@@ -22,6 +22,6 @@
 };
 pub use frame_codec::{FrameCodec, Packet};
 pub use outcome::{CallOutcome, CallResult};
-pub use server::{CallHandler, LinkServer, StoreSync};
+pub use server::{CallHandler, LinkServer, QuotaHandler, StoreSync};
 pub use session::ReplyHandle;
 pub use socket::set_socket_options;
--- a/crates/marigold-sidecar/src/link/client.rs
+++ b/crates/marigold-sidecar/src/link/client.rs
@@ -9,6 +9,7 @@
 
 use bytes::{Bytes, BytesMut};
 use marigold_dispatch::SiteReport;
+use marigold_dispatch::quota::{QuotaAsk, QuotaGrant};
 use marigold_request::quarantine::CrashRecord;
 use tokio::io::{AsyncReadExt, AsyncWriteExt};
 use tokio::net::TcpStream;
@@ -17,7 +18,7 @@
 use tokio::time::{Instant, sleep, timeout};
 use tokio_util::codec::{Decoder, Encoder};
 
-use super::frame::CRASH_RECORDS_FEATURE;
+use super::frame::{CRASH_RECORDS_FEATURE, QUOTA_FEATURE};
 use super::frame_codec::{MAX_BODY_PART_BYTES, Packet};
 use super::keepalive::{Keepalive, KeepaliveAction};
 use super::open_calls::OpenCalls;
@@ -54,6 +55,14 @@
     StoreUpdate(Box<StoreUpdate>),
     /// It has requested the contents of the store from this daemon.
     FollowRequest(Follow),
+    /// It is connected.
+    Connected,
+    /// The connection to it has ended.
+    Disconnected,
+    /// It refused a connection, which proves that its process has ended.
+    Terminated,
+    /// It has answered an ask about quotas.
+    QuotaGrant(QuotaGrant),
     /// It has sent records of crashes.
     CrashRecords(Vec<CrashRecord>),
 }
@@ -69,6 +78,8 @@
     epoch: u32,
     /// Run of the executor's daemon, as of the last handshake.
     run_id: Option<u64>,
+    /// Whether there is a connection to a daemon that understands [`Frame::QuotaAsk`].
+    takes_quota_asks: bool,
 }
 
 struct Shared {
@@ -100,6 +111,7 @@
                 queued_bytes: 0,
                 epoch: 0,
                 run_id: None,
+                takes_quota_asks: false,
             }),
             wake: Notify::new(),
             closed: Cell::new(false),
@@ -147,6 +159,23 @@
         self.shared.wake.notify_one();
     }
 
+    /// Sends an ask about quotas; returns whether the executor is connected and understands it. It is lost if the
+    /// connection ends.
+    #[must_use]
+    pub fn ask_quota(&self, ask: QuotaAsk) -> bool {
+        let mut state = self.shared.state.borrow_mut();
+        if !state.takes_quota_asks {
+            return false;
+        }
+        state.push(Packet {
+            frame: Frame::QuotaAsk(ask),
+            body: Bytes::new(),
+        });
+        drop(state);
+        self.shared.wake.notify_one();
+        true
+    }
+
     /// Sends an update of the store to a daemon that has requested it.
     pub fn send_update(&self, mut update: StoreUpdate) {
         let body = std::mem::take(&mut update.delta);
@@ -253,6 +282,8 @@
                 if let Err(error) = serve(&shared, stream, input).await {
                     spdlog::debug!("connection to executor {} failed: {error}", shared.address);
                 }
+                shared.state.borrow_mut().takes_quota_asks = false;
+                (shared.listener)(shared.address, LinkEvent::Disconnected);
                 continue;
             }
             Ok(Err(error)) => {
@@ -290,6 +321,9 @@
         (true, false) => None,
     });
     drop(state);
+    if refused {
+        (shared.listener)(shared.address, LinkEvent::Terminated);
+    }
     (shared.listener)(shared.address, LinkEvent::Unreachable);
 }
 
@@ -319,6 +353,7 @@
                     "first frame of the connection is not a welcome",
                 ));
             };
+            shared.state.borrow_mut().takes_quota_asks = packet.body == QUOTA_FEATURE;
             handle_welcome(shared, &hello, welcome);
             return Ok((stream, bytes));
         }
@@ -343,6 +378,7 @@
     }
     drop(state);
     (shared.listener)(shared.address, LinkEvent::Report(welcome.site));
+    (shared.listener)(shared.address, LinkEvent::Connected);
 }
 
 async fn serve(shared: &Rc<Shared>, stream: TcpStream, input: BytesMut) -> io::Result<()> {
@@ -414,6 +450,9 @@
                 Frame::Follow(follow) => {
                     (shared.listener)(shared.address, LinkEvent::FollowRequest(follow));
                 }
+                Frame::QuotaGrant(grant) => {
+                    (shared.listener)(shared.address, LinkEvent::QuotaGrant(grant));
+                }
                 Frame::Report(report) => {
                     (shared.listener)(shared.address, LinkEvent::Report(report));
                 }
--- a/crates/marigold-sidecar/src/link/frame.rs
+++ b/crates/marigold-sidecar/src/link/frame.rs
@@ -5,6 +5,7 @@
 use std::time::Duration;
 
 use bytes::Bytes;
+use marigold_dispatch::quota::{QuotaAsk, QuotaGrant};
 use marigold_dispatch::{CallKind, Precedence, Rank, Site, SiteReport};
 use marigold_request::quarantine::{CrashRecord, Fingerprint};
 use marigold_types::{Digest, LogOffset, ServiceName, Version, WorkspaceName};
@@ -16,6 +17,9 @@
 /// daemons send none or another one, and send no records to a daemon that sends this one.
 pub const CRASH_RECORDS_FEATURE: &[u8] = b"crash-records-2";
 
+/// Body of a [`Frame::Welcome`] from a daemon that understands [`Frame::QuotaAsk`]. Older daemons send none.
+pub const QUOTA_FEATURE: &[u8] = b"quotas-1";
+
 /// One message. The body of a call or reply, or the last part of it, and the delta of a store update follow
 /// the encoded frame.
 #[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
@@ -46,6 +50,10 @@
     StoreUpdate(Box<StoreUpdate>),
     /// Requests that were in flight when backend servers crashed.
     CrashRecords(Vec<CrashRecord>),
+    /// Asks for requests within the quotas of workspaces. It is sent only to daemons that state [`QUOTA_FEATURE`].
+    QuotaAsk(QuotaAsk),
+    /// Answers [`Frame::QuotaAsk`].
+    QuotaGrant(QuotaGrant),
 }
 
 /// Opens a connection of a session.
--- a/crates/marigold-sidecar/src/link/server.rs
+++ b/crates/marigold-sidecar/src/link/server.rs
@@ -6,8 +6,9 @@
 use std::rc::Rc;
 use std::time::Duration;
 
-use bytes::BytesMut;
+use bytes::{Bytes, BytesMut};
 use marigold_dispatch::SiteReport;
+use marigold_dispatch::quota::{QuotaAsk, QuotaGrant};
 use marigold_request::quarantine::CrashRecord;
 use tokio::io::{AsyncReadExt, AsyncWriteExt};
 use tokio::net::tcp::{OwnedReadHalf, OwnedWriteHalf};
@@ -17,7 +18,7 @@
 use tokio_util::sync::CancellationToken;
 
 use super::client::join_parts;
-use super::frame::CRASH_RECORDS_FEATURE;
+use super::frame::{CRASH_RECORDS_FEATURE, QUOTA_FEATURE};
 use super::frame_codec::Packet;
 use super::session::Session;
 use super::{
@@ -70,11 +71,18 @@
     fn on_peer_update(&self, update: StoreUpdate);
 }
 
+/// Answers asks about the quotas of workspaces.
+pub trait QuotaHandler {
+    /// Returns the answer, or `None` if the ask makes no sense.
+    fn answer(&self, ask: &QuotaAsk) -> Option<QuotaGrant>;
+}
+
 /// Accepts connections from ingresses and keeps their sessions with this executor.
 pub struct LinkServer {
     run_id: u64,
     handler: Rc<dyn CallHandler>,
     store_sync: RefCell<Option<Rc<dyn StoreSync>>>,
+    quotas: RefCell<Option<Rc<dyn QuotaHandler>>>,
     sessions: RefCell<HashMap<SessionId, Rc<Session>>>,
 }
 
@@ -86,6 +94,7 @@
             run_id,
             handler,
             store_sync: RefCell::default(),
+            quotas: RefCell::default(),
             sessions: RefCell::new(HashMap::new()),
         })
     }
@@ -111,6 +120,11 @@
         *self.store_sync.borrow_mut() = Some(sync);
     }
 
+    /// Sets the handler of asks about quotas. Daemons that connect later are told that there is one.
+    pub fn set_quotas(&self, quotas: Rc<dyn QuotaHandler>) {
+        *self.quotas.borrow_mut() = Some(quotas);
+    }
+
     /// Sends an update of the store to all followers; it is built only if there are any.
     pub fn notify_followers(&self, update: impl FnOnce() -> StoreUpdate) {
         let now = Instant::now();
@@ -191,7 +205,9 @@
             site: self.handler.report(),
         });
         let mut out = BytesMut::new();
-        let body = bytes::Bytes::new();
+        let has_quotas = self.quotas.borrow().is_some();
+        let features: &[u8] = if has_quotas { QUOTA_FEATURE } else { &[] };
+        let body = Bytes::from_static(features);
         let frame = welcome;
         codec.encode(Packet { frame, body }, &mut out)?;
         // While the store is unavailable, a restarted daemon can obtain the configuration from daemons that
@@ -256,6 +272,12 @@
                             sync.on_peer_update(*update);
                         }
                     }
+                    Frame::QuotaAsk(ask) => {
+                        let quotas = self.quotas.borrow().clone();
+                        if let Some(grant) = quotas.and_then(|quotas| quotas.answer(&ask)) {
+                            session.push(Frame::QuotaGrant(grant));
+                        }
+                    }
                     Frame::Ping => session.push(Frame::Report(self.handler.report())),
                     _ => {}
                 }
--- a/crates/marigold-sidecar/src/sidecar.rs
+++ b/crates/marigold-sidecar/src/sidecar.rs
@@ -201,6 +201,7 @@
         ),
     );
     server.set_store_sync(relay.clone());
+    server.set_quotas(mesh.quotas.clone());
     let publisher = Rc::new(SitePublisher::new(
         store,
         adapter.site_table.clone(),
