--- /dev/null
+++ b/crates/marigold-dispatch/tests/quotas/exchange.rs
@@ -0,0 +1,264 @@
+//! Single asks and answers.
+
+use std::net::SocketAddr;
+use std::time::Duration;
+
+use marigold_dispatch::quota::{
+    GRANT_TTL, HomeStamp, QuotaAsk, QuotaDesk, QuotaGrant, QuotaHome, QuotaSlot, QuotaTicket,
+    QuotaVerdict, VOTE_TTL, Vote, WorkspaceAsk,
+};
+use marigold_dispatch::{Precedence, RequestQuota, Workspace, WorkspaceTable};
+use marigold_types::WorkspaceName;
+use tokio::time::Instant;
+
+const MOMENT: Duration = Duration::from_millis(1);
+
+fn name() -> WorkspaceName {
+    "acme".parse().expect("a name")
+}
+
+fn address(number: u8) -> SocketAddr {
+    SocketAddr::from(([10, 0, 0, number], 7000))
+}
+
+fn table(rate: f64, burst: f64) -> WorkspaceTable {
+    let mut table = WorkspaceTable::default();
+    let workspace = Workspace {
+        name: name(),
+        precedence: Precedence::default(),
+        quota: Some(RequestQuota { rate, burst }),
+    };
+    table.insert(workspace, []);
+    table
+}
+
+/// A home that knows three daemons, of which the tests send asks.
+struct Home {
+    inner: QuotaHome,
+    number: u64,
+    began: Instant,
+}
+
+impl Home {
+    fn new() -> Self {
+        let began = Instant::now();
+        let mut inner = QuotaHome::new(7, began);
+        inner.set_daemons(3, began);
+        let number = 0;
+        Self {
+            inner,
+            number,
+            began,
+        }
+    }
+
+    fn ask(
+        &mut self,
+        from: u8,
+        vote: Vote,
+        requests: u32,
+        table: &WorkspaceTable,
+        now: Instant,
+    ) -> QuotaGrant {
+        self.number += 1;
+        let wanted = WorkspaceAsk {
+            workspace: name(),
+            requests,
+        };
+        let ask = QuotaAsk {
+            from: address(from),
+            run: 1,
+            number: self.number,
+            slot: QuotaSlot::of(&name()),
+            daemons: 3,
+            vote,
+            wanted: vec![wanted],
+        };
+        self.inner.answer(&ask, table, now).expect("an answer")
+    }
+
+    fn stamp(&self, now: Instant) -> HomeStamp {
+        let millis = now.saturating_duration_since(self.began).as_millis();
+        HomeStamp {
+            run: 7,
+            millis: u64::try_from(millis).expect("a short time"),
+        }
+    }
+
+    fn vote_all(&mut self, table: &WorkspaceTable, now: Instant) {
+        for from in 1..=3 {
+            let vote = Vote::Cast(self.stamp(now));
+            self.ask(from, vote, 0, table, now);
+        }
+    }
+}
+
+#[test]
+fn votes_end_by_the_stamp_and_not_by_their_arrival() {
+    let mut home = Home::new();
+    let table = table(10.0, 10.0);
+    let stamp = home.stamp(home.began);
+    let late = home.began + VOTE_TTL - MOMENT;
+    for from in 1..=3 {
+        home.ask(from, Vote::Cast(stamp), 0, &table, late);
+    }
+    assert!(home.ask(1, Vote::Unchanged, 1, &table, late).is_trusted);
+    let ended = home.began + VOTE_TTL;
+    assert!(!home.ask(1, Vote::Unchanged, 1, &table, ended).is_trusted);
+    // Delivered after a pause of the home.
+    let grant = home.ask(1, Vote::Cast(stamp), 1, &table, ended);
+    assert!(!grant.is_trusted);
+}
+
+#[test]
+fn votes_with_stamps_of_another_run_are_not_counted() {
+    let mut home = Home::new();
+    let table = table(10.0, 10.0);
+    for from in 1..=3 {
+        let stamp = HomeStamp { run: 6, millis: 0 };
+        assert!(
+            !home
+                .ask(from, Vote::Cast(stamp), 0, &table, home.began)
+                .is_trusted
+        );
+    }
+}
+
+#[test]
+fn withdrawn_vote_is_not_counted_again_by_an_earlier_ask() {
+    let mut home = Home::new();
+    let table = table(10.0, 10.0);
+    let now = home.began;
+    home.vote_all(&table, now);
+    for from in 1..=3 {
+        home.ask(from, Vote::Withdrawn, 0, &table, now);
+    }
+    home.number = 0;
+    home.vote_all(&table, now);
+    home.number = 100;
+    assert!(!home.ask(1, Vote::Unchanged, 1, &table, now).is_trusted);
+}
+
+#[test]
+fn lowered_quota_takes_tokens_away_at_once() {
+    let mut home = Home::new();
+    let now = home.began;
+    let before = table(100.0, 100.0);
+    home.vote_all(&before, now);
+    let later = now + VOTE_TTL - MOMENT;
+    home.vote_all(&before, later);
+    assert_eq!(
+        home.ask(1, Vote::Unchanged, 1, &before, later).granted[0].requests,
+        1
+    );
+    let grant = home.ask(1, Vote::Unchanged, 100, &table(1.0, 5.0), later);
+    assert_eq!(grant.granted[0].requests, 5);
+}
+
+#[test]
+fn requests_that_are_refused_together_are_told_to_return_one_after_the_other() {
+    let mut home = Home::new();
+    let table = table(10.0, 0.0);
+    let now = home.began;
+    home.vote_all(&table, now);
+    let first = home.ask(1, Vote::Unchanged, 11, &table, now);
+    let second = home.ask(2, Vote::Unchanged, 1, &table, now);
+    let (first, second) = (&first.granted[0], &second.granted[0]);
+    assert_eq!(first.requests, 1);
+    assert_eq!(first.spacing, Duration::from_millis(100));
+    assert!(second.retry_after >= first.retry_after + first.spacing * 10);
+}
+
+#[test]
+fn workspace_in_another_slot_is_not_granted() {
+    let mut home = Home::new();
+    let table = table(10.0, 10.0);
+    let now = home.began;
+    let slot = QuotaSlot::all().find(|slot| *slot != QuotaSlot::of(&name()));
+    let slot = slot.expect("several slots");
+    for from in 1..=3 {
+        let wanted = WorkspaceAsk {
+            workspace: name(),
+            requests: 1,
+        };
+        let ask = QuotaAsk {
+            from: address(from),
+            run: 1,
+            number: u64::from(from),
+            slot,
+            daemons: 3,
+            vote: Vote::Cast(home.stamp(now)),
+            wanted: vec![wanted],
+        };
+        let grant = home.inner.answer(&ask, &table, now).expect("an answer");
+        assert_eq!(grant.granted[0].requests, 0);
+    }
+}
+
+/// Returns the desk of daemon 1 with a request, the open ask of it and its ticket.
+fn desk_with_request(began: Instant) -> (QuotaDesk, SocketAddr, QuotaAsk, QuotaTicket) {
+    let mut desk = QuotaDesk::new(address(1), 1, began);
+    desk.set_daemons(&[address(2)], began);
+    let ticket = desk.request(&name(), began);
+    let mut asks = desk.poll(began).asks;
+    asks.retain(|(_, ask)| !ask.wanted.is_empty());
+    let (home, ask) = asks.pop().expect("an ask");
+    (desk, home, ask, ticket)
+}
+
+fn grant_of(ask: &QuotaAsk) -> QuotaGrant {
+    let mut home = Home::new();
+    let table = table(10.0, 10.0);
+    home.vote_all(&table, home.began);
+    let answered = home.ask(1, Vote::Unchanged, 1, &table, home.began);
+    QuotaGrant {
+        number: ask.number,
+        ..answered
+    }
+}
+
+#[test]
+fn late_grant_is_not_used() {
+    let began = Instant::now();
+    let (mut desk, home, ask, ticket) = desk_with_request(began);
+    let grant = grant_of(&ask);
+    // The asker was paused; it has not noticed yet that the ask is overdue.
+    let now = began + GRANT_TTL + MOMENT;
+    assert!(desk.on_grant(home, &grant, now).is_empty());
+    let verdicts = desk.poll(now).verdicts;
+    assert_eq!(verdicts, [(ticket, QuotaVerdict::Unsettled)]);
+}
+
+#[test]
+fn grant_in_time_is_used_once() {
+    let began = Instant::now();
+    let (mut desk, home, ask, ticket) = desk_with_request(began);
+    let grant = grant_of(&ask);
+    let granted = [(ticket, QuotaVerdict::Granted)];
+    assert_eq!(desk.on_grant(home, &grant, began), granted);
+    assert!(desk.on_grant(home, &grant, began).is_empty());
+}
+
+#[test]
+fn daemon_that_has_just_started_gives_no_vote() {
+    let began = Instant::now();
+    let mut desk = QuotaDesk::new(address(2), 1, began);
+    desk.set_daemons(&[address(2)], began);
+    let mut home = Home::new();
+    let table = table(10.0, 10.0);
+    let mut step = began;
+    let mut voted_at = None;
+    while voted_at.is_none() {
+        for (to, ask) in desk.poll(step).asks {
+            if matches!(ask.vote, Vote::Cast(_)) {
+                voted_at.get_or_insert(step);
+            }
+            if let Some(grant) = home.inner.answer(&ask, &table, step) {
+                desk.on_grant(to, &grant, step);
+            }
+        }
+        step += Duration::from_millis(10);
+    }
+    let voted_at = voted_at.expect("a vote");
+    assert!(voted_at >= began + VOTE_TTL, "{:?}", voted_at - began);
+}
