--- a/crates/marigold-dispatch/src/quota/desk.rs
+++ b/crates/marigold-dispatch/src/quota/desk.rs
@@ -7,7 +7,7 @@
 use marigold_types::WorkspaceName;
 use tokio::time::Instant;
 
-use super::desk_slot::{DeskSlot, QuotaTicket, QuotaVerdict};
+use super::desk_slot::{DeskSlot, MAX_RANK, QuotaTicket, QuotaVerdict};
 use super::recent_max::RecentMax;
 use super::{QuotaAsk, QuotaGrant, QuotaSlot, VOTE_TTL, Vote};
 
@@ -32,7 +32,7 @@
 pub struct QuotaDesk {
     own: SocketAddr,
     run: u64,
-    /// Until then, votes of the previous run of this daemon may count.
+    /// Until then, votes of the previous run of this daemon may count, unless their homes have confirmed the contrary.
     votes_from: Instant,
     is_member: bool,
     daemons: RecentMax,
@@ -66,7 +66,7 @@
         self.daemons.record(daemons.len(), now);
         self.suspects.retain(|address, _| daemons.contains(address));
         for (slot, state) in QuotaSlot::all().zip(&mut self.slots) {
-            state.ranking = slot.rank(daemons);
+            state.set_ranking(slot.rank(daemons));
         }
     }
 
@@ -97,10 +97,14 @@
             actions.verdicts.extend(state.take_expired(now));
         }
         self.probe(&mut actions, now);
-        let may_vote = self.is_member && now >= self.votes_from;
+        let is_old = now >= self.votes_from;
+        if !is_old {
+            self.withdraw_former(&mut actions, now);
+        }
         let daemons = u32::try_from(self.daemons.get(now)).unwrap_or(u32::MAX);
         for (slot, state) in QuotaSlot::all().zip(&mut self.slots) {
             let number = self.next_number;
+            let may_vote = self.is_member && (is_old || state.is_cleared());
             let is_suspect = |home: &SocketAddr| self.suspects.contains_key(home);
             let Some(due) = state.next_ask(number, is_suspect, may_vote, now) else {
                 continue;
@@ -128,14 +132,20 @@
         now: Instant,
     ) -> Vec<(QuotaTicket, QuotaVerdict)> {
         self.suspects.remove(&from);
-        let slot = grant.slot.index();
-        let verdicts = slot.and_then(|index| self.slots[index].apply(from, grant, now));
-        verdicts.unwrap_or_default()
+        let Some(index) = grant.slot.index() else {
+            return Vec::new();
+        };
+        let state = &mut self.slots[index];
+        state.clear(from, Some(grant.number));
+        state.apply(from, grant, now).unwrap_or_default()
     }
 
     /// Records that the daemon at `address` is connected.
     pub fn on_connected(&mut self, address: SocketAddr) {
         self.suspects.remove(&address);
+        for state in &mut self.slots {
+            state.retry_former(address);
+        }
     }
 
     /// Records that the daemon at `address` is not reached. If its process `has_ended`, it has forgotten its votes.
@@ -149,10 +159,28 @@
         }
     }
 
+    /// Withdraws the votes of the previous run of this daemon.
+    fn withdraw_former(&mut self, actions: &mut DeskActions, now: Instant) {
+        for (slot, state) in QuotaSlot::all().zip(&mut self.slots) {
+            for (home, number) in state.take_former(&mut self.next_number, now) {
+                let ask = QuotaAsk {
+                    from: self.own,
+                    run: self.run,
+                    number,
+                    slot,
+                    daemons: 0,
+                    vote: Vote::Withdrawn,
+                    wanted: Vec::new(),
+                };
+                actions.asks.push((home, ask));
+            }
+        }
+    }
+
     /// Asks the daemons that would be homes if they were reached.
     fn probe(&mut self, actions: &mut DeskActions, now: Instant) {
         for (slot, state) in QuotaSlot::all().zip(&self.slots) {
-            for home in &state.ranking {
+            for home in state.ranking.iter().take(MAX_RANK) {
                 let Some(probe_at) = self.suspects.get_mut(home) else {
                     break;
                 };
--- a/crates/marigold-dispatch/src/quota/desk_slot.rs
+++ b/crates/marigold-dispatch/src/quota/desk_slot.rs
@@ -1,6 +1,6 @@
 //! The requests of one slot that wait for a grant, and the vote of this daemon in it.
 
-use std::collections::{BTreeMap, VecDeque};
+use std::collections::{BTreeMap, BTreeSet, VecDeque};
 use std::net::SocketAddr;
 use std::time::Duration;
 
@@ -20,6 +20,10 @@
 /// A home that has not answered within this time may be paused or cut off.
 const ANSWER_TIMEOUT: Duration = Duration::from_millis(200);
 
+/// The daemons that can be homes of a slot. So a daemon that has started can find out quickly whether any of them has a
+/// vote of its previous run; with eight, some is up unless nearly all daemons are lost.
+pub(super) const MAX_RANK: usize = 8;
+
 /// A request that waits for a grant.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord, Hash)]
 pub struct QuotaTicket(pub u64);
@@ -90,6 +94,14 @@
     received_at: Instant,
 }
 
+/// A daemon that may have the vote of the previous run of this one.
+#[derive(Debug, Clone, Copy)]
+struct FormerHome {
+    home: SocketAddr,
+    /// The ask that withdraws the vote, and when it was sent.
+    asked: Option<(u64, Instant)>,
+}
+
 /// An ask that is due.
 #[derive(Debug)]
 pub(super) struct DueAsk {
@@ -103,6 +115,10 @@
 pub(super) struct DeskSlot {
     pub(super) ranking: Vec<SocketAddr>,
     vote: Option<OwnVote>,
+    /// The daemons that have not confirmed yet that they don't count a vote of the previous run.
+    former: Vec<FormerHome>,
+    /// Those that have.
+    cleared: BTreeSet<SocketAddr>,
     stamp: Option<ReceivedStamp>,
     open: Option<OpenAsk>,
     waiting: BTreeMap<WorkspaceName, VecDeque<Waiting>>,
@@ -116,6 +132,8 @@
         Self {
             ranking: Vec::new(),
             vote: None,
+            former: Vec::new(),
+            cleared: BTreeSet::new(),
             stamp: None,
             open: None,
             waiting: BTreeMap::new(),
@@ -124,6 +142,66 @@
         }
     }
 
+    /// Replaces the order of homes. Votes go to the first [`MAX_RANK`] only.
+    pub(super) fn set_ranking(&mut self, ranking: Vec<SocketAddr>) {
+        let candidates = ranking.iter().take(MAX_RANK).copied();
+        let unknown = candidates.filter(|home| !self.cleared.contains(home));
+        let earlier = std::mem::take(&mut self.former);
+        self.former = unknown
+            .map(|home| {
+                let known = earlier.iter().find(|former| former.home == home);
+                let asked = known.and_then(|former| former.asked);
+                FormerHome { home, asked }
+            })
+            .collect();
+        self.ranking = ranking;
+    }
+
+    /// Returns whether no daemon has a vote of the previous run.
+    pub(super) fn is_cleared(&self) -> bool {
+        !self.ranking.is_empty() && self.former.is_empty()
+    }
+
+    /// Returns the daemons to withdraw the vote of the previous run from now.
+    pub(super) fn take_former(
+        &mut self,
+        next_number: &mut u64,
+        now: Instant,
+    ) -> Vec<(SocketAddr, u64)> {
+        let mut due = Vec::new();
+        for former in &mut self.former {
+            let is_asked =
+                |(_, at): (u64, Instant)| now.saturating_duration_since(at) < ANSWER_TIMEOUT;
+            if former.asked.is_some_and(is_asked) {
+                continue;
+            }
+            former.asked = Some((*next_number, now));
+            due.push((former.home, *next_number));
+            *next_number += 1;
+        }
+        due
+    }
+
+    /// Lets `home` be asked again, which was not connected before.
+    pub(super) fn retry_former(&mut self, home: SocketAddr) {
+        let former = self.former.iter_mut().filter(|former| former.home == home);
+        former.for_each(|former| former.asked = None);
+    }
+
+    /// Records that `home` counts no vote of the previous run: it has answered the ask with `number`, or ended.
+    pub(super) fn clear(&mut self, home: SocketAddr, number: Option<u64>) {
+        let is_cleared = |former: &FormerHome| {
+            former.home == home
+                && number
+                    .is_none_or(|number| former.asked.is_some_and(|(asked, _)| asked == number))
+        };
+        if self.former.iter().any(is_cleared) {
+            self.former.retain(|former| former.home != home);
+            self.cleared.insert(home);
+            self.renew_at = self.held_until;
+        }
+    }
+
     /// Adds a request to those that wait.
     pub(super) fn enqueue(&mut self, workspace: &WorkspaceName, ticket: QuotaTicket, now: Instant) {
         let queue = self.waiting.entry(workspace.clone());
@@ -161,6 +239,7 @@
 
     /// Handles the end of the process of `home`, which has forgotten its votes.
     pub(super) fn forget(&mut self, home: SocketAddr) {
+        self.clear(home, None);
         self.vote.take_if(|vote| vote.home == home);
         self.stamp.take_if(|stamp| stamp.home == home);
     }
@@ -211,7 +290,8 @@
             return None;
         }
         self.vote.take_if(|vote| vote.ends_at <= now);
-        let best = *self.ranking.iter().find(|home| !is_suspect(home))?;
+        let mut candidates = self.ranking.iter().take(MAX_RANK);
+        let best = *candidates.find(|home| !is_suspect(home))?;
         let (home, vote) = match self.vote {
             // The vote moves only when the former home has confirmed that it no longer counts it, or can't.
             Some(vote) if vote.home != best && !is_suspect(&vote.home) => {
--- a/crates/marigold-dispatch/src/quota/home.rs
+++ b/crates/marigold-dispatch/src/quota/home.rs
@@ -64,8 +64,9 @@
 
     /// Returns the number of slots in which this home grants requests.
     #[must_use]
-    pub fn trusted_slots(&self) -> usize {
-        self.slots.iter().filter(|slot| slot.trust() > 0).count()
+    pub fn trusted_slots(&self, now: Instant) -> usize {
+        let slots = self.slots.iter();
+        slots.filter(|slot| slot.is_trusted(now)).count()
     }
 
     /// Answers `ask`, or returns `None` if its slot does not exist.
@@ -110,7 +111,7 @@
         }
         let ends_at = match ask.vote {
             Vote::Unchanged => return,
-            Vote::Withdrawn => None,
+            Vote::Withdrawn => now + VOTE_TTL,
             Vote::Cast(stamp) => {
                 if stamp.run != self.run || stamp.millis > self.stamp(now).millis {
                     return;
@@ -119,7 +120,7 @@
                 if ends_at <= now {
                     return;
                 }
-                Some(ends_at)
+                ends_at
             }
         };
         self.slots[index].count(ask, ends_at);
--- a/crates/marigold-dispatch/src/quota/slot_votes.rs
+++ b/crates/marigold-dispatch/src/quota/slot_votes.rs
@@ -45,6 +45,11 @@
         }
     }
 
+    /// Returns whether the home may grant anything.
+    pub(super) fn is_trusted(&self, now: Instant) -> bool {
+        self.trust > 0 && self.votes.values().any(|vote| vote.ends_at > now)
+    }
+
     /// Returns the part of each quota that the home may grant, in thousandths.
     pub(super) fn trust(&self) -> u64 {
         self.trust
@@ -62,21 +67,23 @@
         first
     }
 
-    /// Counts the vote of the sender of `ask`, which ends at `ends_at`, or withdraws it if that is `None`.
-    pub(super) fn count(&mut self, ask: &QuotaAsk, ends_at: Option<Instant>) {
-        let former = self.votes.get(&ask.from);
-        if former.is_some_and(|former| former.run == ask.run && former.number >= ask.number) {
-            return;
+    /// Counts or withdraws the vote of the sender of `ask`. It would end at `ends_at`.
+    pub(super) fn count(&mut self, ask: &QuotaAsk, ends_at: Instant) {
+        let is_withdrawn = ask.vote == super::Vote::Withdrawn;
+        if let Some(former) = self.votes.get(&ask.from) {
+            let is_earlier = former.run == ask.run && former.number >= ask.number;
+            // The run that withdrew the vote of its previous one comes after it.
+            let is_previous = former.run != ask.run && former.is_withdrawn && !is_withdrawn;
+            if is_earlier || is_previous {
+                return;
+            }
         }
-        let Some(ends_at) = ends_at.or(former.map(|former| former.ends_at)) else {
-            return;
-        };
         let vote = CastVote {
             run: ask.run,
             number: ask.number,
             daemons: ask.daemons,
             ends_at,
-            is_withdrawn: ask.vote == super::Vote::Withdrawn,
+            is_withdrawn,
         };
         self.votes.insert(ask.from, vote);
         let next_end = self.next_end.map_or(ends_at, |end| end.min(ends_at));
--- a/crates/marigold-dispatch/tests/quotas/quota_mesh.rs
+++ b/crates/marigold-dispatch/tests/quotas/quota_mesh.rs
@@ -36,6 +36,8 @@
     pub pause: f64,
     /// A daemon no longer reaches another, or all others, in one direction.
     pub cut: f64,
+    /// The daemons fall into two parts that don't reach each other.
+    pub split: f64,
     /// The quota of a workspace changes.
     pub change: f64,
 }
@@ -81,6 +83,8 @@
     heat: Vec<f64>,
     granted: Vec<Vec<(Instant, usize)>>,
     counts: Vec<(u32, u32)>,
+    /// Tokens of each workspace in a bucket that sees all requests at once, and the requests that it refused.
+    exact: Vec<(f64, u32)>,
     next_run: u64,
 }
 
@@ -110,6 +114,7 @@
             heat: vec![1.0; quotas.len()],
             granted: vec![Vec::new(); quotas.len()],
             counts: vec![(0, 0); quotas.len()],
+            exact: quotas.iter().map(|quota| (quota.burst, 0)).collect(),
             next_run: 1,
         };
         for index in 0..daemons {
@@ -172,6 +177,9 @@
 
     pub fn forget_counts(&mut self) {
         self.counts.fill((0, 0));
+        for (_, excess) in &mut self.exact {
+            *excess = 0;
+        }
         for granted in &mut self.granted {
             granted.clear();
         }
@@ -190,6 +198,11 @@
         self.counts[workspace].1
     }
 
+    /// Returns the requests of a workspace that are over its quota.
+    pub fn excess(&self, workspace: usize) -> u32 {
+        self.exact[workspace].1
+    }
+
     /// Returns the numbers of refused and granted requests.
     pub fn totals(&self) -> (u32, u32) {
         let refused = self.counts.iter().map(|(_, refused)| refused).sum();
@@ -287,6 +300,13 @@
                 self.cuts.insert(pair, self.now + fault);
             }
         }
+        if self.rng.random_bool(disturbance.split) {
+            let part: Vec<_> = (0..count).map(|_| self.rng.random_bool(0.5)).collect();
+            let pairs = (0..count * count).map(|pair| (pair / count, pair % count));
+            for (from, to) in pairs.filter(|(from, to)| part[*from] != part[*to]) {
+                self.cuts.insert((from, to), self.now + fault);
+            }
+        }
         if self.rng.random_bool(disturbance.change) {
             self.change_quota();
         }
@@ -410,6 +430,9 @@
     fn arrive(&mut self) {
         let second = self.now.saturating_duration_since(self.began).as_secs();
         for workspace in 0..self.quotas.len() {
+            let quota = self.quotas[workspace];
+            let tokens = &mut self.exact[workspace].0;
+            *tokens = (*tokens + quota.rate * STEP.as_secs_f64()).min(quota.burst.max(1.0));
             let mut expected =
                 (self.demand)(workspace, second) * self.heat[workspace] * STEP.as_secs_f64();
             while expected > 0.0 {
@@ -427,6 +450,12 @@
         if !self.is_running(index) {
             return;
         }
+        let (tokens, excess) = &mut self.exact[workspace];
+        if *tokens >= 1.0 {
+            *tokens -= 1.0;
+        } else {
+            *excess += 1;
+        }
         let daemon = &mut self.daemons[index];
         let ticket = daemon.desk.request(&name(workspace), self.now);
         daemon.tickets.insert(ticket, workspace);
--- a/crates/marigold-sidecar/src/control/relay/sites.rs
+++ b/crates/marigold-sidecar/src/control/relay/sites.rs
@@ -51,6 +51,7 @@
         // Records missing from a read of the whole table are kept: the store may have lost them, in which
         // case their daemons write them again. Calls detect daemons that are really gone.
         let changed = self.apply_sites(&records);
+        self.parts.mesh.quotas.confirm_directory();
         let mut contact = self.first_contact.get();
         contact.record_read(self.other_daemons(), Instant::now());
         self.first_contact.set(contact);
--- a/crates/marigold-sidecar/src/ingress/mesh.rs
+++ b/crates/marigold-sidecar/src/ingress/mesh.rs
@@ -142,8 +142,8 @@
         if directory.generation() == before {
             return;
         }
-        let addresses: Vec<_> = directory.all().map(|site| site.address).collect();
-        self.quotas.set_daemons(&addresses);
+        let addresses = directory.all().map(|site| site.address);
+        self.quotas.set_daemons(addresses.collect());
         let count = directory.len();
         self.slack_share
             .borrow_mut()
--- a/crates/marigold-sidecar/src/ingress/quotas.rs
+++ b/crates/marigold-sidecar/src/ingress/quotas.rs
@@ -53,6 +53,8 @@
     home: RefCell<QuotaHome>,
     waiting: RefCell<HashMap<QuotaTicket, oneshot::Sender<QuotaVerdict>>>,
     is_running: Cell<bool>,
+    daemons: RefCell<Vec<SocketAddr>>,
+    is_directory_known: Cell<bool>,
     myself: Weak<Self>,
 }
 
@@ -73,6 +75,8 @@
             home: RefCell::new(QuotaHome::new(run, now)),
             waiting: RefCell::default(),
             is_running: Cell::new(false),
+            daemons: RefCell::default(),
+            is_directory_known: Cell::new(false),
             myself: myself.clone(),
         })
     }
@@ -92,6 +96,7 @@
                     return;
                 }
                 quotas.poll();
+                quotas.report();
                 let is_waiting = quotas.desk.borrow().is_waiting();
                 drop(quotas);
                 sleep(if is_waiting {
@@ -104,10 +109,25 @@
         });
     }
 
-    /// Replaces the known daemons.
-    pub fn set_daemons(&self, daemons: &[SocketAddr]) {
+    /// Replaces the known daemons. They don't count until [`confirm_directory`](Self::confirm_directory).
+    pub fn set_daemons(&self, daemons: Vec<SocketAddr>) {
+        *self.daemons.borrow_mut() = daemons;
+        if self.is_directory_known.get() {
+            self.apply_daemons();
+        }
+    }
+
+    /// Records that all daemons are known. A daemon that knew only itself would trust its own vote.
+    pub fn confirm_directory(&self) {
+        if !self.is_directory_known.replace(true) {
+            self.apply_daemons();
+        }
+    }
+
+    fn apply_daemons(&self) {
+        let daemons = self.daemons.borrow();
         let now = self.clock.now();
-        self.desk.borrow_mut().set_daemons(daemons, now);
+        self.desk.borrow_mut().set_daemons(&daemons, now);
         self.home.borrow_mut().set_daemons(daemons.len(), now);
     }
 
@@ -164,6 +184,12 @@
         table.as_ref().is_some_and(|table| table.has_quotas())
     }
 
+    fn report(&self) {
+        let slots = self.home.borrow().trusted_slots(self.clock.now());
+        let slots = u32::try_from(slots).unwrap_or(u32::MAX);
+        metrics::gauge!("marigold_quota_slots").set(f64::from(slots));
+    }
+
     /// Sends the asks that are due.
     fn poll(&self) {
         for _ in 0..MAX_ROUNDS {
@@ -216,9 +242,6 @@
         let now = self.clock.now();
         let table = self.table.borrow().clone().unwrap_or_default();
         let mut home = self.home.borrow_mut();
-        let grant = home.answer(ask, &table, now);
-        let slots = u32::try_from(home.trusted_slots()).unwrap_or(u32::MAX);
-        metrics::gauge!("marigold_quota_slots").set(f64::from(slots));
-        grant
+        home.answer(ask, &table, now)
     }
 }
