--- a/crates/marigold-dispatch/tests/quotas/exchange.rs
+++ b/crates/marigold-dispatch/tests/quotas/exchange.rs
@@ -292,3 +292,70 @@
     home.vote_all(&table, now);
     assert!(!home.ask(1, Vote::Unchanged, 1, &table, now).is_trusted);
 }
+
+/// Plays a desk that has voted for the first home of a slot, after that home was lost. Returns the time until it votes for
+/// another one, and whether it withdrew the vote first.
+fn next_vote(loss: Loss) -> (Duration, bool) {
+    let began = Instant::now();
+    let daemons = [address(1), address(2), address(3)];
+    let slot = QuotaSlot::of(&name());
+    let ranking = slot.rank(&daemons);
+    let first = ranking[0];
+    let mut desk = QuotaDesk::new(ranking[2], 1, began);
+    desk.set_daemons(&daemons, began);
+    let mut homes: Vec<_> = daemons.iter().map(|_| Home::new()).collect();
+    let table = table(10.0, 10.0);
+    let lost_at = began + VOTE_TTL * 3;
+    let mut has_withdrawn = false;
+    let mut step = began;
+    loop {
+        if step == lost_at {
+            match loss {
+                Loss::Silent => desk.on_unreachable(first, false, step),
+                Loss::Ended => desk.on_unreachable(first, true, step),
+                Loss::Removed => {
+                    let others: Vec<_> =
+                        daemons.into_iter().filter(|home| *home != first).collect();
+                    desk.set_daemons(&others, step);
+                }
+            }
+        }
+        for (to, ask) in desk.poll(step).asks {
+            let is_lost = step >= lost_at && loss != Loss::Removed && to == first;
+            if step >= lost_at && ask.slot == slot {
+                has_withdrawn |= to == first && ask.vote == Vote::Withdrawn;
+                if to != first && matches!(ask.vote, Vote::Cast(_)) {
+                    return (step - lost_at, has_withdrawn);
+                }
+            }
+            let index = daemons
+                .iter()
+                .position(|home| *home == to)
+                .expect("a daemon");
+            let grant = homes[index].inner.answer(&ask, &table, step);
+            if let Some(grant) = grant.filter(|_| !is_lost) {
+                desk.on_grant(to, &grant, step);
+            }
+        }
+        step += Duration::from_millis(10);
+        assert!(step < lost_at + VOTE_TTL * 5, "no vote after {loss:?}");
+    }
+}
+
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+enum Loss {
+    Silent,
+    Ended,
+    Removed,
+}
+
+#[test]
+fn vote_moves_only_when_the_former_home_no_longer_counts_it() {
+    // The last answer came at most one renewal before the loss.
+    let (silent, _) = next_vote(Loss::Silent);
+    assert!(silent > VOTE_TTL / 2, "{silent:?}");
+    let (ended, _) = next_vote(Loss::Ended);
+    assert!(ended < VOTE_TTL / 4, "{ended:?}");
+    let (removed, has_withdrawn) = next_vote(Loss::Removed);
+    assert!(has_withdrawn, "{removed:?}");
+}
