--- a/crates/marigold-sidecar/src/ingress.rs
+++ b/crates/marigold-sidecar/src/ingress.rs
@@ -2,6 +2,7 @@
 
 mod attempt;
 mod caller_check;
+mod config_freshness;
 mod connection;
 mod mesh;
 mod quotas;
@@ -9,6 +10,7 @@
 mod request_outcome;
 mod request_trace;
 
+pub use config_freshness::ConfigFreshness;
 pub use connection::listen;
 pub use mesh::{Mesh, MeshOptions, StoreUpdateListener, Tuning};
 pub use quotas::{OverQuota, Quotas};
