--- a/crates/marigold-dispatch/src/lib.rs
+++ b/crates/marigold-dispatch/src/lib.rs
@@ -32,6 +32,7 @@
 mod progress;
 mod queue_key;
 mod queue_order;
+pub mod quota;
 mod rank;
 mod relay_selector;
 mod request_limit;
--- a/crates/marigold-sidecar/src/ingress/request_handler.rs
+++ b/crates/marigold-sidecar/src/ingress/request_handler.rs
@@ -29,6 +29,7 @@
 use self::request_context::RequestContext;
 use super::config_freshness::ConfigFreshness;
 use super::mesh::Mesh;
+use super::quotas::OverQuota;
 use super::request_outcome::RequestOutcome;
 use super::request_trace::RequestTrace;
 use crate::HeaderNames;
@@ -114,6 +115,7 @@
             .as_ref()
             .is_none_or(|old| old.version() < table.version());
         if is_newer {
+            self.mesh.quotas.install(table.workspaces().cloned());
             *current = Some(table);
         }
         is_newer
@@ -226,6 +228,17 @@
             .already_waited(&route.kind, timeout);
         let objective = route.objective.saturating_sub(already_waited);
         let deadline = began + timeout.min(route.timeout);
+        if let Some(workspace) = &workspace {
+            match timeout_at(deadline, self.mesh.quotas.admit(workspace)).await {
+                Ok(Ok(())) => {}
+                Ok(Err(OverQuota::Refused { retry_after })) => {
+                    return RequestOutcome::OverQuota { retry_after };
+                }
+                Ok(Err(OverQuota::Unsettled)) | Err(_) => {
+                    return not_run("the quota can't be checked", UNAVAILABLE_RETRY_DELAY);
+                }
+            }
+        }
         let is_return = !already_waited.is_zero();
         let callers_deadline = began + timeout;
         let returns = (self.mesh).count_request(&service, &route.kind, is_return, callers_deadline);
@@ -453,8 +466,9 @@
         let service_label = service.to_owned();
         metrics::counter!("marigold_requests_total", "service" => service_label, "outcome" => outcome_label)
             .increment(1);
-        if let RequestOutcome::NotRun { reason, .. } = outcome {
-            metrics::counter!("marigold_refusals_total", "reason" => *reason).increment(1);
+        if outcome_label == "not_run" {
+            let reason = outcome.reason();
+            metrics::counter!("marigold_refusals_total", "reason" => reason).increment(1);
         }
         metrics::histogram!("marigold_request_seconds", "outcome" => outcome_label)
             .record(took.as_secs_f64());
@@ -462,6 +476,7 @@
             RequestOutcome::Answered(response) if response.status < 500 => Severity::Routine,
             RequestOutcome::Answered(_)
             | RequestOutcome::NotRun { .. }
+            | RequestOutcome::OverQuota { .. }
             | RequestOutcome::Invalid { .. } => Severity::Info,
             RequestOutcome::Unknown { .. } => Severity::Warn,
         };
--- a/crates/marigold-sidecar/src/link/frame.rs
+++ b/crates/marigold-sidecar/src/link/frame.rs
@@ -5,6 +5,7 @@
 use std::time::Duration;
 
 use bytes::Bytes;
+use marigold_dispatch::quota::{QuotaAsk, QuotaGrant};
 use marigold_dispatch::{
     CallKind, Precedence, Rank, RolloutOrder, RolloutStatus, Site, SiteReport, VersionCounts,
 };
@@ -18,6 +19,9 @@
 /// daemons send none or another one, and send no records to a daemon that sends this one.
 pub const CRASH_RECORDS_FEATURE: &[u8] = b"crash-records-2";
 
+/// Body of a [`Frame::Welcome`] from a daemon that understands [`Frame::QuotaAsk`]. Older daemons send none.
+pub const QUOTA_FEATURE: &[u8] = b"quotas-1";
+
 /// One message. The body of a call or reply, or the last part of it, and the delta of a store update follow
 /// the encoded frame.
 #[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
@@ -54,6 +58,10 @@
     CountsRequest(ServiceName),
     /// The counts of the backend server as evidence on its version.
     VersionCounts(VersionCounts),
+    /// Asks for requests within the quotas of workspaces. It is sent only to daemons that state [`QUOTA_FEATURE`].
+    QuotaAsk(QuotaAsk),
+    /// Answers [`Frame::QuotaAsk`].
+    QuotaGrant(QuotaGrant),
 }
 
 /// Opens a connection of a session.
--- a/crates/marigold-sidecar/src/link/server.rs
+++ b/crates/marigold-sidecar/src/link/server.rs
@@ -7,6 +7,7 @@
 use std::time::Duration;
 
 use bytes::{Bytes, BytesMut};
+use marigold_dispatch::quota::{QuotaAsk, QuotaGrant};
 use marigold_dispatch::{SiteReport, VersionCounts};
 use marigold_request::RefusalReason;
 use marigold_request::quarantine::CrashRecord;
@@ -19,7 +20,7 @@
 use tokio_util::sync::CancellationToken;
 
 use super::body_budget::BodyBudget;
-use super::frame::CRASH_RECORDS_FEATURE;
+use super::frame::{CRASH_RECORDS_FEATURE, QUOTA_FEATURE};
 use super::frame_codec::Packet;
 use super::incoming_body::IncomingBody;
 use super::session::Session;
@@ -83,11 +84,18 @@
     fn on_peer_update(&self, update: StoreUpdate);
 }
 
+/// Answers asks about the quotas of workspaces.
+pub trait QuotaHandler {
+    /// Returns the answer, or `None` if the ask makes no sense.
+    fn answer(&self, ask: &QuotaAsk) -> Option<QuotaGrant>;
+}
+
 /// Accepts connections from ingresses and keeps their sessions with this executor.
 pub struct LinkServer {
     run_id: u64,
     handler: Rc<dyn CallHandler>,
     store_sync: RefCell<Option<Rc<dyn StoreSync>>>,
+    quotas: RefCell<Option<Rc<dyn QuotaHandler>>>,
     sessions: RefCell<HashMap<SessionId, Rc<Session>>>,
     bodies: Rc<BodyBudget>,
 }
@@ -100,6 +108,7 @@
             run_id,
             handler,
             store_sync: RefCell::default(),
+            quotas: RefCell::default(),
             sessions: RefCell::new(HashMap::new()),
             bodies: BodyBudget::new(usize::MAX),
         })
@@ -132,6 +141,11 @@
         *self.store_sync.borrow_mut() = Some(sync);
     }
 
+    /// Sets the handler of asks about quotas. Daemons that connect later are told that there is one.
+    pub fn set_quotas(&self, quotas: Rc<dyn QuotaHandler>) {
+        *self.quotas.borrow_mut() = Some(quotas);
+    }
+
     /// Sends an update of the store to all followers; it is built only if there are any.
     pub fn notify_followers(&self, update: impl FnOnce() -> StoreUpdate) {
         let now = Instant::now();
@@ -222,7 +236,9 @@
             site: self.handler.report(),
         });
         let mut out = BytesMut::new();
-        let body = Bytes::new();
+        let has_quotas = self.quotas.borrow().is_some();
+        let features: &[u8] = if has_quotas { QUOTA_FEATURE } else { &[] };
+        let body = Bytes::from_static(features);
         let frame = welcome;
         codec.encode(Packet { frame, body }, &mut out)?;
         // While the store is unavailable, a restarted daemon can obtain the configuration from daemons that
@@ -297,6 +313,12 @@
                             session.push(Frame::VersionCounts(counts));
                         }
                     }
+                    Frame::QuotaAsk(ask) => {
+                        let quotas = self.quotas.borrow().clone();
+                        if let Some(grant) = quotas.and_then(|quotas| quotas.answer(&ask)) {
+                            session.push(Frame::QuotaGrant(grant));
+                        }
+                    }
                     Frame::Ping => session.push(Frame::Report(self.handler.report())),
                     _ => {}
                 }
