Quotas: requests that were refused elsewhere give their grant back

Cause: a request within the quota that found no room had used up its token, and its caller's return took another one. Change: the daemon gives the grant back with its next ask, to the run of the home that made it. The wait for a grant ends with the request's deadline, a home without a configuration does not answer, and a directory that another daemon has sent counts as known. requests_that_were_refused_elsewhere_use_up_the_quota and grants_given_back_go_beyond_the_burst test it.

--- a/crates/marigold-dispatch/src/quota/ask.rs
+++ b/crates/marigold-dispatch/src/quota/ask.rs
@@ -45,6 +45,8 @@
     pub workspace: WorkspaceName,
     /// Number of requests.
     pub requests: u32,
+    /// Number of requests that this run of the home has granted before, and that were refused elsewhere and have not run.
+    pub returned: u32,
 }
 
 /// Answers a [`QuotaAsk`].
--- a/crates/marigold-dispatch/src/quota/desk.rs
+++ b/crates/marigold-dispatch/src/quota/desk.rs
@@ -80,6 +80,13 @@
         ticket
     }
 
+    /// Gives the grant of a request back that has not run, for which it waited until `granted_at`.
+    pub fn give_back(&mut self, workspace: &WorkspaceName, granted_at: Instant) {
+        if let Some(index) = QuotaSlot::of(workspace).index() {
+            self.slots[index].give_back(workspace, granted_at);
+        }
+    }
+
     /// Returns whether any request waits.
     #[must_use]
     pub fn is_waiting(&self) -> bool {
--- a/crates/marigold-dispatch/src/quota/desk_slot.rs
+++ b/crates/marigold-dispatch/src/quota/desk_slot.rs
@@ -102,6 +102,14 @@
     asked: Option<(u64, Instant)>,
 }
 
+/// The run of a home that grants requests, which alone can take grants back.
+#[derive(Debug, Clone, Copy)]
+struct GrantSource {
+    home: SocketAddr,
+    run: u64,
+    since: Instant,
+}
+
 /// An ask that is due.
 #[derive(Debug)]
 pub(super) struct DueAsk {
@@ -122,6 +130,9 @@
     stamp: Option<ReceivedStamp>,
     open: Option<OpenAsk>,
     waiting: BTreeMap<WorkspaceName, VecDeque<Waiting>>,
+    source: Option<GrantSource>,
+    /// Grants of the source that were not used.
+    returned: BTreeMap<WorkspaceName, u32>,
     /// No ask is sent earlier, after an answer of a home without enough votes.
     held_until: Instant,
     renew_at: Instant,
@@ -137,6 +148,8 @@
             stamp: None,
             open: None,
             waiting: BTreeMap::new(),
+            source: None,
+            returned: BTreeMap::new(),
             held_until: now,
             renew_at: now,
         }
@@ -258,6 +271,41 @@
         expired
     }
 
+    /// Gives a grant back that came at `granted_at`, unless another home or run may have made it.
+    pub(super) fn give_back(&mut self, workspace: &WorkspaceName, granted_at: Instant) {
+        if self.source.is_some_and(|source| source.since <= granted_at) {
+            *self.returned.entry(workspace.clone()).or_default() += 1;
+        }
+    }
+
+    /// Records that `home` grants requests.
+    fn record_source(&mut self, home: SocketAddr, run: u64, now: Instant) {
+        let is_same = |source: &GrantSource| (source.home, source.run) == (home, run);
+        if !self.source.as_ref().is_some_and(is_same) {
+            let since = now;
+            self.source = Some(GrantSource { home, run, since });
+            self.returned.clear();
+        }
+    }
+
+    /// Removes the grants to give back to `home`, and adds them to what is `wanted` of it.
+    fn take_returned(&mut self, home: SocketAddr, wanted: &mut Vec<WorkspaceAsk>) {
+        if self.source.is_none_or(|source| source.home != home) {
+            return;
+        }
+        for (workspace, returned) in std::mem::take(&mut self.returned) {
+            let known = wanted.iter_mut().find(|ask| ask.workspace == workspace);
+            match known {
+                Some(ask) => ask.returned = returned,
+                None => wanted.push(WorkspaceAsk {
+                    workspace,
+                    requests: 0,
+                    returned,
+                }),
+            }
+        }
+    }
+
     /// Removes the requests to ask for now.
     fn take_due(&mut self, now: Instant) -> Vec<(WorkspaceName, Vec<Waiting>)> {
         let mut due = Vec::new();
@@ -305,8 +353,10 @@
         let wanted = requests.iter().map(|(workspace, queue)| WorkspaceAsk {
             workspace: workspace.clone(),
             requests: u32::try_from(queue.len()).unwrap_or(u32::MAX),
+            returned: 0,
         });
-        let wanted = wanted.collect();
+        let mut wanted = wanted.collect();
+        self.take_returned(home, &mut wanted);
         self.open = Some(OpenAsk {
             number,
             home,
@@ -366,6 +416,7 @@
             self.requeue(open.requests);
             return Some(Vec::new());
         }
+        self.record_source(home, grant.stamp.run, now);
         let mut verdicts = Vec::new();
         for (workspace, queue) in open.requests {
             let mut answers = grant.granted.iter();
--- a/crates/marigold-dispatch/src/quota/home.rs
+++ b/crates/marigold-dispatch/src/quota/home.rs
@@ -169,6 +169,7 @@
         if bucket.quota != quota {
             bucket.set(quota, trust, now);
         }
+        bucket.tokens.put_back(want.returned, now);
         while grant.requests < want.requests {
             if let Err(wait) = bucket.tokens.take(now) {
                 let missing = wait.map_or(MAX_RETRY, Interval::duration);
--- a/crates/marigold-dispatch/tests/quotas/exchange.rs
+++ b/crates/marigold-dispatch/tests/quotas/exchange.rs
@@ -64,6 +64,7 @@
         let wanted = WorkspaceAsk {
             workspace: name(),
             requests,
+            returned: 0,
         };
         let ask = QuotaAsk {
             from: address(from),
@@ -180,6 +181,7 @@
         let wanted = WorkspaceAsk {
             workspace: name(),
             requests: 1,
+            returned: 0,
         };
         let ask = QuotaAsk {
             from: address(from),
@@ -359,3 +361,95 @@
     let (removed, has_withdrawn) = next_vote(Loss::Removed);
     assert!(has_withdrawn, "{removed:?}");
 }
+
+/// A daemon that is alone in its mesh, and so its own home.
+struct Alone {
+    desk: QuotaDesk,
+    home: QuotaHome,
+    table: WorkspaceTable,
+    now: Instant,
+}
+
+impl Alone {
+    fn new(table: WorkspaceTable) -> Self {
+        let now = Instant::now();
+        let mut desk = QuotaDesk::new(address(1), 1, now);
+        desk.set_daemons(&[address(1)], now);
+        let mut alone = Self {
+            desk,
+            home: QuotaHome::new(7, now),
+            table,
+            now,
+        };
+        alone.home.set_daemons(1, now);
+        // The vote of a previous run has ended by then, and the bucket is full.
+        for _ in 0..100 {
+            alone.pass(VOTE_TTL / 20);
+        }
+        alone
+    }
+
+    fn pass(&mut self, time: Duration) -> Vec<(QuotaTicket, QuotaVerdict)> {
+        self.now += time;
+        let mut actions = self.desk.poll(self.now);
+        let mut verdicts = std::mem::take(&mut actions.verdicts);
+        for (home, ask) in actions.asks {
+            let grant = self.home.answer(&ask, &self.table, self.now);
+            let grant = grant.expect("an answer");
+            verdicts.extend(self.desk.on_grant(home, &grant, self.now));
+        }
+        verdicts
+    }
+
+    /// Returns how many of `requests` that come one after another are granted. Each is refused elsewhere and gives its
+    /// grant back if `give_back`.
+    fn granted(&mut self, requests: u32, give_back: bool) -> u32 {
+        let mut granted = 0;
+        for _ in 0..requests {
+            let ticket = self.desk.request(&name(), self.now);
+            let verdicts = self.pass(MOMENT);
+            if verdicts.contains(&(ticket, QuotaVerdict::Granted)) {
+                granted += 1;
+                if give_back {
+                    self.desk.give_back(&name(), self.now);
+                }
+            }
+        }
+        granted
+    }
+}
+
+#[test]
+fn requests_that_were_refused_elsewhere_use_up_the_quota() {
+    let mut alone = Alone::new(table(1.0, 10.0));
+    assert_eq!(alone.granted(60, true), 60);
+    // The last one is given back with the next ask.
+    assert_eq!(alone.granted(60, false), 10);
+}
+
+#[test]
+fn grants_given_back_go_beyond_the_burst() {
+    let mut alone = Alone::new(table(1.0, 10.0));
+    for _ in 0..50 {
+        alone.desk.give_back(&name(), alone.now);
+    }
+    assert_eq!(alone.granted(60, false), 10);
+}
+
+#[test]
+fn another_run_of_the_home_takes_grants_back() {
+    let mut alone = Alone::new(table(1.0, 10.0));
+    assert_eq!(alone.granted(10, false), 10);
+    let granted_at = alone.now;
+    alone.home = QuotaHome::new(8, alone.now);
+    alone.home.set_daemons(1, alone.now);
+    for _ in 0..20 {
+        alone.pass(VOTE_TTL / 20);
+    }
+    let taken = alone.granted(10, false);
+    for _ in 0..10 {
+        alone.desk.give_back(&name(), granted_at);
+    }
+    assert!(taken < 10, "{taken}");
+    assert_eq!(alone.granted(10, false), 0);
+}
--- a/crates/marigold-request/src/limits/bucket.rs
+++ b/crates/marigold-request/src/limits/bucket.rs
@@ -76,6 +76,13 @@
         Err(wait.map(Interval::from_millis))
     }
 
+    /// Puts back the tokens of `calls` that were granted and not made.
+    pub fn put_back(&mut self, calls: u32, now: Instant) {
+        self.refill(now);
+        let gain = TOKENS_PER_CALL.saturating_mul(u64::from(calls));
+        self.tokens = self.tokens.saturating_add(gain).min(self.capacity());
+    }
+
     fn capacity(&self) -> u64 {
         let window = u64::try_from(BURST_WINDOW.as_millis()).unwrap_or(u64::MAX);
         let default = || self.rate.0.saturating_mul(window);
--- a/crates/marigold-sidecar/src/control/relay/store_updates.rs
+++ b/crates/marigold-sidecar/src/control/relay/store_updates.rs
@@ -89,6 +89,9 @@
         }
         if reader.is_some() || update.all_sites {
             let is_known = update.all_sites || self.knows_sites();
+            if is_known {
+                self.parts.mesh.quotas.confirm_directory();
+            }
             self.sites_confirmed_at.set(is_known.then_some(now));
         }
     }
--- a/crates/marigold-sidecar/src/ingress/quotas.rs
+++ b/crates/marigold-sidecar/src/ingress/quotas.rs
@@ -91,7 +91,7 @@
         let myself = self.myself.clone();
         tokio::task::spawn_local(async move {
             while let Some(quotas) = myself.upgrade() {
-                if !quotas.has_quotas() {
+                if !quotas.has_quotas() && !quotas.desk.borrow().is_waiting() {
                     quotas.is_running.set(false);
                     return;
                 }
@@ -159,6 +159,20 @@
         result
     }
 
+    /// Returns the time by the clock that grants are dated by.
+    #[must_use]
+    pub fn now(&self) -> Instant {
+        self.clock.now()
+    }
+
+    /// Gives the grant of a request of `workspace` back that was admitted at `granted_at` and has not run.
+    pub fn give_back(&self, workspace: &Workspace, granted_at: Instant) {
+        if workspace.quota.is_some() {
+            let mut desk = self.desk.borrow_mut();
+            desk.give_back(&workspace.name, granted_at);
+        }
+    }
+
     /// Applies the answer of the daemon at `from`.
     pub fn on_grant(&self, from: SocketAddr, grant: &QuotaGrant) {
         let now = self.clock.now();
@@ -240,7 +254,8 @@
 impl QuotaHandler for Quotas {
     fn answer(&self, ask: &QuotaAsk) -> Option<QuotaGrant> {
         let now = self.clock.now();
-        let table = self.table.borrow().clone().unwrap_or_default();
+        // Without a configuration it would refuse requests that are within their quota.
+        let table = self.table.borrow().clone()?;
         let mut home = self.home.borrow_mut();
         home.answer(ask, &table, now)
     }
--- a/crates/marigold-sidecar/src/ingress/request_handler.rs
+++ b/crates/marigold-sidecar/src/ingress/request_handler.rs
@@ -4,6 +4,7 @@
 mod conclusion;
 mod hedge;
 mod in_flight_request;
+mod quota_check;
 mod request_context;
 
 use std::cell::{Cell, OnceCell, RefCell};
@@ -29,7 +30,6 @@
 use self::request_context::RequestContext;
 use super::config_freshness::ConfigFreshness;
 use super::mesh::Mesh;
-use super::quotas::OverQuota;
 use super::request_outcome::RequestOutcome;
 use super::request_trace::RequestTrace;
 use crate::HeaderNames;
@@ -228,17 +228,10 @@
             .already_waited(&route.kind, timeout);
         let objective = route.objective.saturating_sub(already_waited);
         let deadline = began + timeout.min(route.timeout);
-        if let Some(workspace) = &workspace {
-            match timeout_at(deadline, self.mesh.quotas.admit(workspace)).await {
-                Ok(Ok(())) => {}
-                Ok(Err(OverQuota::Refused { retry_after })) => {
-                    return RequestOutcome::OverQuota { retry_after };
-                }
-                Ok(Err(OverQuota::Unsettled)) | Err(_) => {
-                    return not_run("the quota can't be checked", UNAVAILABLE_RETRY_DELAY);
-                }
-            }
-        }
+        let granted_at = match self.check_quota(workspace.as_deref(), deadline).await {
+            Ok(granted_at) => granted_at,
+            Err(outcome) => return outcome,
+        };
         let is_return = !already_waited.is_zero();
         let callers_deadline = began + timeout;
         let returns = (self.mesh).count_request(&service, &route.kind, is_return, callers_deadline);
@@ -264,6 +257,9 @@
         };
         if let Some(RequestOutcome::NotRun { .. }) = &outcome {
             (self.mesh).record_refusal(&route.kind, callers_deadline, returns);
+            if let Some(workspace) = &workspace {
+                self.mesh.quotas.give_back(workspace, granted_at);
+            }
         }
         match (outcome, failure) {
             (Some(outcome), _) => outcome,
