Callers: recognize requests that come back by the request instead of its timeout

Cause: the timeouts of callers of one kind differ by 15%.

Change: an ingress remembers the requests that it refused (method, target, size of the body, deadline) and finds them again. Without such a record only a timeout below 0.75 of the longest shows an earlier attempt.

--- a/crates/marigold-dispatch/src/admission_controller.rs
+++ b/crates/marigold-dispatch/src/admission_controller.rs
@@ -232,12 +232,9 @@
         {
             return AdmissionDecision::Wait(self.enqueue(request, late_key, run, now));
         }
-        let spare = request
-            .objective
-            .saturating_duration_since(now)
-            .saturating_sub(run.mul_f64(RUN_TIME_MARGIN))
-            .min(max_wait);
-        AdmissionDecision::Refuse(self.retry_after(&on_time_key, spare, now))
+        // Its objective will be over when it comes back, so it will wait for what requests on time leave.
+        let spare = (left.saturating_sub(run) / LATE_WAIT_DIVISOR).min(max_wait);
+        AdmissionDecision::Refuse(self.retry_after(&late_key, spare, now))
     }
 
     /// Frees the slot of a request that has ended. If `ran` is true, its run time is added to the averages.
--- a/crates/marigold-dispatch/src/caller_returns.rs
+++ b/crates/marigold-dispatch/src/caller_returns.rs
@@ -1,15 +1,19 @@
-//! Tells which requests come from callers that were refused before.
+//! Recognizes requests of callers that come back after a refusal or a failure.
 //!
-//! Load pattern: one service receives requests of callers and calls of other services' backend servers. The limit of
-//! retries grows with the former only. Callers that are refused come back, a few times each; calls of backend servers
-//! don't, since the run that made them fails.
+//! Load pattern: under overload a large part of the requests are returns. They have used up some of their objective and
+//! are served after those that can still be in time. Deadlines alone don't tell them from first attempts, since the
+//! timeouts of callers differ.
+//!
+//! One service receives requests of callers and calls of other services' backend servers. The limit of retries grows with
+//! the former only. Callers that are refused come back, a few times each; calls of backend servers don't, since the run
+//! that made them fails.
 
 use std::collections::{HashMap, VecDeque};
 use std::time::Duration;
 
 use tokio::time::Instant;
 
-use crate::{CallKind, RequestOrigin};
+use crate::{CallKind, RequestMark, RequestOrigin};
 
 /// The refusals of a kind after which its returns are looked at.
 const MIN_REFUSALS: f64 = 8.0;
@@ -17,37 +21,51 @@
 const MIN_RETURN_RATIO: f64 = 0.25;
 /// The number of refusals at which the counts are halved, so that the latest count most.
 const MAX_REFUSALS: f64 = 64.0;
-/// The difference between a caller's deadline before and after a refusal: the variation of its network delay.
-const DEADLINE_TOLERANCE: Duration = Duration::from_millis(10);
-/// The maximum number of refusals of a kind that are remembered, and of kinds; bounds memory.
-const MAX_REMEMBERED: usize = 64;
+/// The difference between a caller's deadline before and after a refusal: the variation of its network delay, with
+/// retransmissions on a link that loses packets.
+const DEADLINE_TOLERANCE: Duration = Duration::from_millis(250);
+/// The maximum number of ended requests of a kind that are remembered, and of kinds; bounds memory.
+const MAX_REMEMBERED: usize = 256;
 const MAX_KINDS: usize = 512;
 
-/// A refusal whose caller may come back.
+/// A request that ended without success, whose caller may come back.
 #[derive(Debug, Clone, Copy)]
-struct Refusal {
+pub struct EndedAttempt {
+    /// What the caller sends again.
+    pub mark: RequestMark,
+    /// When the caller's first attempt arrived.
+    pub first_at: Instant,
     /// The caller's deadline, which it keeps.
-    deadline: Instant,
+    pub deadline: Instant,
     /// How often the caller had come back before.
-    returns: u8,
+    pub returns: u8,
+}
+
+/// A request that was sent before.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub struct CallerReturn {
+    /// When the caller's first attempt arrived.
+    pub first_at: Instant,
+    /// How often the caller has come back.
+    pub returns: u8,
 }
 
 #[derive(Debug, Clone, Default)]
 struct KindReturns {
     refusals: f64,
     returns: f64,
-    latest: VecDeque<Refusal>,
+    latest: VecDeque<EndedAttempt>,
 }
 
-/// Matches requests with earlier refusals by their deadlines.
+/// Matches requests with earlier attempts of their callers.
 #[derive(Debug, Clone, Default)]
 pub struct CallerReturns {
     kinds: HashMap<CallKind, KindReturns>,
 }
 
 impl CallerReturns {
-    /// Records that a request of `kind` was refused, whose caller had come back `returns` times.
-    pub fn record_refusal(&mut self, kind: &CallKind, deadline: Instant, returns: u8) {
+    /// Records an attempt of `kind` that was refused, or failed although it may be sent again.
+    pub fn record_end(&mut self, kind: &CallKind, ended: EndedAttempt) {
         if self.kinds.len() >= MAX_KINDS && !self.kinds.contains_key(kind) {
             return;
         }
@@ -60,30 +78,29 @@
         if known.latest.len() >= MAX_REMEMBERED {
             known.latest.pop_front();
         }
-        known.latest.push_back(Refusal { deadline, returns });
+        known.latest.push_back(ended);
     }
 
-    /// Records a request with less time left than usual. Returns how often its caller has come back, or 0 if it was not
-    /// refused here.
-    pub fn record_return(&mut self, kind: &CallKind, deadline: Instant) -> u8 {
-        let Some(known) = self.kinds.get_mut(kind) else {
-            return 0;
+    /// Returns the earlier attempts of a request, or `None` if none has ended here without success. Each is returned once.
+    pub fn take_return(
+        &mut self,
+        kind: &CallKind,
+        mark: RequestMark,
+        deadline: Instant,
+    ) -> Option<CallerReturn> {
+        let known = self.kinds.get_mut(kind)?;
+        let is_same = |ended: &EndedAttempt| {
+            let later = ended.deadline.saturating_duration_since(deadline);
+            let distance = later.max(deadline.saturating_duration_since(ended.deadline));
+            ended.mark == mark && distance <= DEADLINE_TOLERANCE
         };
-        let distance = |refusal: &Refusal| {
-            let later = refusal.deadline.saturating_duration_since(deadline);
-            later.max(deadline.saturating_duration_since(refusal.deadline))
-        };
-        let latest = known.latest.iter().enumerate();
-        let Some((index, nearest)) = latest.min_by_key(|(_, refusal)| distance(refusal)) else {
-            return 0;
-        };
-        if distance(nearest) > DEADLINE_TOLERANCE {
-            return 0;
-        }
-        let returns = nearest.returns.saturating_add(1);
-        known.latest.remove(index);
+        let index = known.latest.iter().rposition(is_same)?;
+        let ended = known.latest.remove(index)?;
         known.returns += 1.0;
-        returns
+        Some(CallerReturn {
+            first_at: ended.first_at,
+            returns: ended.returns.saturating_add(1),
+        })
     }
 
     /// Returns who sends requests of `kind`, judged by whether they come back after refusals.
--- a/crates/marigold-dispatch/tests/load/admission_scenarios.rs
+++ b/crates/marigold-dispatch/tests/load/admission_scenarios.rs
@@ -3,14 +3,18 @@
 use std::time::Duration;
 
 use super::request_class::RequestClass;
-use super::scenario::{CallerBehaviour, Change, Scenario, Server};
+use super::scenario::{CallerBehaviour, Change, Scenario, Server, TIMEOUT_SPREAD};
 use super::scenarios::check;
+use super::simulation::Simulation;
 
 /// The time for which a server is slow.
 const SPELL: Duration = Duration::from_millis(600);
 /// The run times of a slow server, relative to its usual ones.
 const SPELL_FACTOR: f64 = 2.5;
 
+/// The fraction of the requests that differences between timeouts may cost.
+const MAX_SPREAD_LOSS: f64 = 0.02;
+
 /// Servers of two speeds, most of whose slots are used, and two classes of requests of different rank.
 fn uneven_servers() -> Scenario {
     let slowness = [0.7, 0.7, 1.6];
@@ -30,6 +34,7 @@
         callers: CallerBehaviour {
             max_retries: 2,
             immediate_retry_ratio: 0.0,
+            timeout_spread: TIMEOUT_SPREAD,
         },
         changes: Vec::new(),
         duration: Duration::from_secs(10),
@@ -103,3 +108,34 @@
     start_at_the_top_of_the_wave: top_of_the_wave();
     uneven_servers_reject_more_than_half: rejecting_servers();
 }
+
+/// Under a load beyond the capacity, callers whose timeouts differ are served in time as often as callers who all have
+/// the mean of these timeouts.
+#[tokio::test(start_paused = true)]
+async fn callers_with_different_timeouts_are_served_in_time() {
+    let mut scenario = uneven_servers();
+    for data_centre in 0..scenario.data_centres {
+        let change = Change::Load(data_centre, 1.25);
+        scenario.changes.push((Duration::from_secs(2), change));
+    }
+    for seed in [21, 22] {
+        let on_time = |timeout_spread: f64| {
+            let mut scenario = scenario.clone();
+            let mean_ratio = 1.0 - (TIMEOUT_SPREAD - timeout_spread) / 2.0;
+            scenario.callers.timeout_spread = timeout_spread;
+            for class in &mut scenario.classes {
+                class.timeout = class.timeout.mul_f64(mean_ratio);
+            }
+            let stats = Simulation::simulate(&scenario, seed).stats;
+            let requests: u32 = stats.iter().map(|stats| stats.requests).sum();
+            let on_time: u32 = stats.iter().map(|stats| stats.on_time).sum();
+            f64::from(on_time) / f64::from(requests)
+        };
+        let (alike, different) = (on_time(0.0), on_time(TIMEOUT_SPREAD));
+        println!("seed {seed}: on time {alike:.3} if alike, {different:.3} if different");
+        assert!(
+            different >= alike - MAX_SPREAD_LOSS,
+            "{different} of {alike}"
+        );
+    }
+}
--- a/crates/marigold-dispatch/tests/load/ingress.rs
+++ b/crates/marigold-dispatch/tests/load/ingress.rs
@@ -3,7 +3,9 @@
 use std::collections::HashMap;
 use std::time::Duration;
 
-use marigold_dispatch::{CallerReturns, CallerTimeouts, Placement, RetryBudget, RetryRequest};
+use marigold_dispatch::{
+    CallerReturn, CallerReturns, CallerTimeouts, Placement, RequestMark, RetryBudget, RetryRequest,
+};
 use marigold_types::{DataCentre, ServiceName};
 use tokio::time::Instant;
 
@@ -37,22 +39,18 @@
         }
     }
 
-    /// Counts a request, whose caller came back if `is_return`. Returns how often it did.
+    /// Counts a request. Returns its earlier attempts, if this ingress has seen them.
     pub fn record_request(
         &mut self,
         class: &RequestClass,
-        is_return: bool,
+        mark: RequestMark,
         deadline: Instant,
         now: Instant,
-    ) -> u8 {
-        let returns = if is_return {
-            self.caller_returns.record_return(&class.kind, deadline)
-        } else {
-            0
-        };
+    ) -> Option<CallerReturn> {
+        let found = (self.caller_returns).take_return(&class.kind, mark, deadline);
         let origin = self.caller_returns.origin(&class.kind);
         self.budget(&class.service).record_request(origin, now);
-        returns
+        found
     }
 
     pub fn try_spend_retry(
--- a/crates/marigold-dispatch/tests/load/placement_scenarios.rs
+++ b/crates/marigold-dispatch/tests/load/placement_scenarios.rs
@@ -8,7 +8,7 @@
 
 use super::fluid_bound;
 use super::request_class::RequestClass;
-use super::scenario::{CallerBehaviour, Change, Scenario, Server};
+use super::scenario::{CallerBehaviour, Change, Scenario, Server, TIMEOUT_SPREAD};
 use super::scenarios::{MIN_CREDIT_RATIO, check, credit};
 use super::simulation::Simulation;
 
@@ -66,6 +66,7 @@
         callers: CallerBehaviour {
             max_retries: 2,
             immediate_retry_ratio: 0.0,
+            timeout_spread: TIMEOUT_SPREAD,
         },
         changes: Vec::new(),
         duration: Duration::from_secs(seconds),
--- a/crates/marigold-dispatch/tests/load/request.rs
+++ b/crates/marigold-dispatch/tests/load/request.rs
@@ -29,6 +29,8 @@
     pub progress: Progress,
     /// The remaining time of its objective at the last arrival, as estimated by the ingress.
     pub objective: Duration,
+    /// The time of the first arrival, as estimated by the ingress.
+    pub seen_at: Instant,
     /// The time of the last arrival.
     pub arrived_at: Instant,
 }
--- a/crates/marigold-dispatch/tests/load/scenario.rs
+++ b/crates/marigold-dispatch/tests/load/scenario.rs
@@ -41,8 +41,13 @@
     pub max_retries: u32,
     /// The fraction of refused callers that retry at once, regardless of the retry delay.
     pub immediate_retry_ratio: f64,
+    /// The largest fraction by which the timeout of a caller is below the one of its class.
+    pub timeout_spread: f64,
 }
 
+/// The differences between the timeouts of callers that have been seen on the platform.
+pub const TIMEOUT_SPREAD: f64 = 0.15;
+
 /// A load scenario.
 #[derive(Debug, Clone)]
 pub struct Scenario {
--- a/crates/marigold-dispatch/tests/load/scenarios.rs
+++ b/crates/marigold-dispatch/tests/load/scenarios.rs
@@ -4,7 +4,7 @@
 
 use super::class_stats::ClassStats;
 use super::request_class::RequestClass;
-use super::scenario::{CallerBehaviour, Change, Scenario, Server};
+use super::scenario::{CallerBehaviour, Change, Scenario, Server, TIMEOUT_SPREAD};
 use super::simulation::Simulation;
 use super::{fluid_bound, ingress, simulation};
 
@@ -50,6 +50,7 @@
         callers: CallerBehaviour {
             max_retries: 1,
             immediate_retry_ratio: 0.0,
+            timeout_spread: TIMEOUT_SPREAD,
         },
         changes: Vec::new(),
         duration: sec(20),
@@ -125,6 +126,7 @@
         callers: CallerBehaviour {
             max_retries: 4,
             immediate_retry_ratio: 0.5,
+            timeout_spread: TIMEOUT_SPREAD,
         },
         ..burst()
     }
--- a/crates/marigold-dispatch/tests/load/simulation.rs
+++ b/crates/marigold-dispatch/tests/load/simulation.rs
@@ -7,7 +7,9 @@
 use std::net::SocketAddr;
 use std::time::Duration;
 
-use marigold_dispatch::{Conclusion, Directory, LinkRate, Progress, Site};
+use marigold_dispatch::{
+    Conclusion, Directory, EndedAttempt, LinkRate, Progress, RequestMark, Site,
+};
 use marigold_types::SlotCount;
 use rand::{RngExt, SeedableRng};
 use rand_chacha::ChaCha8Rng;
@@ -198,7 +200,8 @@
         let ingress = candidates[self.rng.random_range(0..candidates.len())];
         self.results.stats[class].requests += 1;
         let max_retries = self.scenario.callers.max_retries;
-        let timeout = self.scenario.classes[class].timeout;
+        let spread = self.scenario.callers.timeout_spread * self.rng.random::<f64>();
+        let timeout = self.scenario.classes[class].timeout.mul_f64(1.0 - spread);
         let deadline = self.now + timeout;
         self.start(class, ingress, deadline, max_retries, None);
     }
@@ -225,6 +228,7 @@
             progress: Progress::default(),
             objective: Duration::ZERO,
             arrived_at: self.now,
+            seen_at: self.now,
         });
         self.request(request);
     }
@@ -235,13 +239,17 @@
         let class = &self.scenario.classes[request.class];
         let ingress = &mut self.ingresses[request.ingress];
         let timeout = request.deadline.saturating_duration_since(self.now);
-        let spent = ingress.caller_timeouts.already_waited(&class.kind, timeout);
+        let guess = ingress.caller_timeouts.already_waited(&class.kind, timeout);
+        let found = ingress.record_request(class, mark(number), request.deadline, self.now);
+        let spent = found.map_or(guess, |found| {
+            self.now.saturating_duration_since(found.first_at)
+        });
         request.objective = class.objective.saturating_sub(spent);
+        request.seen_at = self.now - spent;
+        request.returns = found.map_or(0, |found| found.returns);
         request.arrived_at = self.now;
         request.tried.clear();
         request.progress = Progress::default();
-        request.returns =
-            ingress.record_request(class, !spent.is_zero(), request.deadline, self.now);
         self.results.requests += 1;
         let (class, ingress) = (request.class, request.ingress);
         self.record_arising(class, ingress);
@@ -268,9 +276,13 @@
         request.refusals += 1;
         let kind = &self.scenario.classes[request.class].kind;
         let ingress = &mut self.ingresses[request.ingress];
-        ingress
-            .caller_returns
-            .record_refusal(kind, request.deadline, request.returns);
+        let ended = EndedAttempt {
+            mark: mark(number),
+            first_at: request.seen_at,
+            deadline: request.deadline,
+            returns: request.returns,
+        };
+        ingress.caller_returns.record_end(kind, ended);
         if let Some(parent) = request.parent {
             return self.call_ended(parent, false);
         }
@@ -331,6 +343,11 @@
     SocketAddr::from(([10, 0, 0, 1], 7_000 + number))
 }
 
+/// Returns what the caller of a request sends again when it comes back.
+fn mark(request: usize) -> RequestMark {
+    RequestMark::new("GET", &request.to_string(), BODY_BYTES)
+}
+
 fn number_of(address: SocketAddr) -> usize {
     usize::from(address.port() - 7_000)
 }
--- a/crates/marigold-dispatch/tests/load/workspace_scenarios.rs
+++ b/crates/marigold-dispatch/tests/load/workspace_scenarios.rs
@@ -5,7 +5,7 @@
 
 use super::class_stats::ClassStats;
 use super::request_class::RequestClass;
-use super::scenario::{CallerBehaviour, Change, Scenario, Server};
+use super::scenario::{CallerBehaviour, Change, Scenario, Server, TIMEOUT_SPREAD};
 use super::simulation::Simulation;
 
 const SEEDS: [u64; 2] = [21, 22];
@@ -47,6 +47,7 @@
         callers: CallerBehaviour {
             max_retries: 1,
             immediate_retry_ratio: 0.0,
+            timeout_spread: TIMEOUT_SPREAD,
         },
         changes: Vec::new(),
         duration: Duration::from_secs(12),
--- a/crates/marigold-sidecar/src/ingress/mesh.rs
+++ b/crates/marigold-sidecar/src/ingress/mesh.rs
@@ -7,9 +7,9 @@
 use std::time::Duration;
 
 use marigold_dispatch::{
-    AttemptOutcome, CallKind, CallerReturns, Directory, ExecutorChoice, LinkSelector, Placement,
-    PlacementRequest, Reached, RetryBudget, RetryRequest, SiteReport, SlackShare, VersionGate,
-    select_trial_executor,
+    AttemptOutcome, CallKind, CallerReturn, CallerReturns, Directory, EndedAttempt, ExecutorChoice,
+    LinkSelector, Placement, PlacementRequest, Reached, RequestMark, RetryBudget, RetryRequest,
+    SiteReport, SlackShare, VersionGate, select_trial_executor,
 };
 use marigold_request::quarantine::Fingerprint;
 use marigold_types::{DataCentre, ServiceName};
@@ -328,31 +328,26 @@
         }
     }
 
-    /// Counts a request for `service`, which earns retries for its budget. Returns how often its caller has come back;
-    /// `is_return` states whether it has less time left than usual.
+    /// Counts a request for `service`, which earns retries for its budget. Returns its earlier attempts, if this daemon has
+    /// seen them.
     pub fn count_request(
         &self,
         service: &ServiceName,
         kind: &CallKind,
-        is_return: bool,
+        mark: RequestMark,
         deadline: Instant,
-    ) -> u8 {
+    ) -> Option<CallerReturn> {
         let mut callers = self.caller_returns.borrow_mut();
-        let returns = if is_return {
-            callers.record_return(kind, deadline)
-        } else {
-            0
-        };
+        let found = callers.take_return(kind, mark, deadline);
         let origin = callers.origin(kind);
         drop(callers);
         self.with_budget(service, |budget, now| budget.record_request(origin, now));
-        returns
+        found
     }
 
-    /// Records that a request was refused, whose caller had come back `returns` times.
-    pub fn record_refusal(&self, kind: &CallKind, deadline: Instant, returns: u8) {
-        let mut callers = self.caller_returns.borrow_mut();
-        callers.record_refusal(kind, deadline, returns);
+    /// Records an attempt of a caller that may come back.
+    pub fn record_end(&self, kind: &CallKind, ended: EndedAttempt) {
+        self.caller_returns.borrow_mut().record_end(kind, ended);
     }
 
     /// Takes one retry from the budget of `service`; returns whether there was one.
--- a/crates/marigold-sidecar/src/ingress/request_handler.rs
+++ b/crates/marigold-sidecar/src/ingress/request_handler.rs
@@ -15,8 +15,9 @@
 use std::time::Duration;
 
 use marigold_dispatch::{
-    CallKind, CallerLimits, CallerTimeouts, ExecutorChoice, PlacementRequest, Progress,
-    RoutePolicy, RouteTable, Shutdown, ShutdownStage, VersionFilter, WeightedRoundRobin,
+    CallKind, CallerLimits, CallerReturn, CallerTimeouts, EndedAttempt, ExecutorChoice,
+    PlacementRequest, Progress, RequestMark, RoutePolicy, RouteTable, Shutdown, ShutdownStage,
+    VersionFilter, WeightedRoundRobin,
 };
 use marigold_request::RefusalReason;
 use marigold_request::quarantine::QuarantineStatus;
@@ -222,19 +223,16 @@
         };
         trace.service = Some(service.clone());
         let timeout = request.caller_timeout.unwrap_or(DEFAULT_CALLER_TIMEOUT);
-        let already_waited = self
-            .caller_timeouts
-            .borrow_mut()
-            .already_waited(&route.kind, timeout);
-        let objective = route.objective.saturating_sub(already_waited);
         let deadline = began + timeout.min(route.timeout);
         let granted_at = match self.check_quota(workspace.as_deref(), deadline).await {
             Ok(granted_at) => granted_at,
             Err(outcome) => return outcome,
         };
-        let is_return = !already_waited.is_zero();
         let callers_deadline = began + timeout;
-        let returns = (self.mesh).count_request(&service, &route.kind, is_return, callers_deadline);
+        let mark = RequestMark::new(&request.method, &request.target, request.body.len());
+        let found = (self.mesh).count_request(&service, &route.kind, mark, callers_deadline);
+        let first_at = self.first_arrival(request, &route, found, began);
+        let returns = found.map_or(0, |found| found.returns);
         let context = RequestContext {
             table: &table,
             route: &route,
@@ -243,7 +241,7 @@
             origin: &self.options.origin,
             id,
             began,
-            objective,
+            objective: route.objective.saturating_sub(began - first_at),
             deadline,
             returns,
             fingerprint: OnceCell::new(),
@@ -256,7 +254,13 @@
             () = self.concluding() => (None, true),
         };
         if let Some(RequestOutcome::NotRun { .. }) = &outcome {
-            (self.mesh).record_refusal(&route.kind, callers_deadline, returns);
+            let ended = EndedAttempt {
+                mark,
+                first_at,
+                deadline: callers_deadline,
+                returns,
+            };
+            self.mesh.record_end(&route.kind, ended);
             if let Some(workspace) = &workspace {
                 self.mesh.quotas.give_back(workspace, granted_at);
             }
@@ -272,6 +276,24 @@
         }
     }
 
+    /// Returns when the first attempt of a caller arrived, or would have if it had come here.
+    fn first_arrival(
+        &self,
+        request: &Request,
+        route: &RoutePolicy,
+        found: Option<CallerReturn>,
+        began: Instant,
+    ) -> Instant {
+        if let Some(found) = found {
+            return found.first_at;
+        }
+        let Some(timeout) = request.caller_timeout else {
+            return began;
+        };
+        let waited = (self.caller_timeouts.borrow_mut()).already_waited(&route.kind, timeout);
+        began.checked_sub(waited).unwrap_or(began)
+    }
+
     /// Tries executors one after another until the outcome is final.
     ///
     /// An error response is stored in `failure` during the retry, and returned if the retry yields no
