--- a/crates/marigold-sidecar/src/control/relay.rs
+++ b/crates/marigold-sidecar/src/control/relay.rs
@@ -340,9 +340,11 @@
         self.report_unknown(version, &unknown);
         let previous = self.configs.borrow().version();
         self.configs.borrow_mut().push(version, value);
-        if let Some(previous) = previous {
-            self.notify_followers(|| self.update_since(Some(previous)));
-        }
+        // Followers ask for the first one on a heartbeat, since they may already have it from elsewhere.
+        self.notify_followers(|| match previous {
+            Some(previous) => self.update_since(Some(previous)),
+            None => self.heartbeat(),
+        });
         true
     }
 
