Executor: give away the slots of lost responses as far as the backend server is calm

Change: an overdue request no longer counts towards that half once three requests that took slots after it have ended in the usual time, since the server can then no longer be running it; at most as many as there are slots. The more responses are lost, the sooner a run is overdue, down to two mean run times where a fifth are.

--- a/crates/marigold-dispatch/src/admission_controller.rs
+++ b/crates/marigold-dispatch/src/admission_controller.rs
@@ -176,7 +176,8 @@
     /// Takes the slots of requests whose response is most likely lost; returns whether there is a new one.
     pub fn mark_overdue(&mut self, now: Instant) -> bool {
         let kinds = &self.kinds;
-        let overdue_after = |kind: &CallKind| kinds.get(kind)?.run_time.overdue_after();
+        let overdue_after =
+            |kind: &CallKind, lost: f64| kinds.get(kind)?.run_time.overdue_after(lost);
         self.running.mark_overdue(self.slots, overdue_after, now)
     }
 
--- a/crates/marigold-dispatch/src/placement.rs
+++ b/crates/marigold-dispatch/src/placement.rs
@@ -229,7 +229,7 @@
         kind: &CallKind,
         now: Instant,
     ) -> Option<Duration> {
-        let limit = self.run_times.get(kind)?.overdue_after()?;
+        let limit = self.run_times.get(kind)?.overdue_after(0.0)?;
         let slowness = self
             .executors
             .get(&choice.address)
--- a/crates/marigold-dispatch/src/run_time.rs
+++ b/crates/marigold-dispatch/src/run_time.rs
@@ -9,6 +9,9 @@
 /// A run is overdue after this many mean run times and mean deviations.
 const OVERDUE_MEANS: u32 = 2;
 const OVERDUE_DEVIATIONS: u32 = 6;
+/// The part of the responses that are lost from which a run is overdue after the mean run times alone: by then most
+/// runs of that length are lost.
+const COMMON_LOSS_RATIO: f64 = 0.2;
 
 /// An exponential moving average of run times that starts as an arithmetic mean.
 #[derive(Debug, Clone, Copy, Default, PartialEq, Eq)]
@@ -37,10 +40,12 @@
         if self.count == 0 { default } else { self.mean }
     }
 
-    /// Returns the run time that few runs exceed, or `None` before it is known.
+    /// Returns the run time that few runs exceed, or `None` before it is known. The greater the part of the responses
+    /// that are lost, the shorter it is.
     #[must_use]
-    pub fn overdue_after(&self) -> Option<Duration> {
-        let limit = self.mean * OVERDUE_MEANS + self.deviation * OVERDUE_DEVIATIONS;
+    pub fn overdue_after(&self, lost_ratio: f64) -> Option<Duration> {
+        let rare = 1.0 - (lost_ratio / COMMON_LOSS_RATIO).min(1.0);
+        let limit = self.mean * OVERDUE_MEANS + (self.deviation * OVERDUE_DEVIATIONS).mul_f64(rare);
         (self.count >= MIN_OVERDUE_COUNT).then_some(limit)
     }
 
--- a/crates/marigold-dispatch/src/running_set.rs
+++ b/crates/marigold-dispatch/src/running_set.rs
@@ -15,6 +15,13 @@
 /// At most one in this number of the slots is given to other requests while overdue ones may still run. The backend
 /// server queues what it cannot run.
 const MAX_OVERDUE_DIVISOR: usize = 2;
+/// Requests that took an overdue one's slot and have ended in the usual time, after which the backend server can no
+/// longer be running the overdue one.
+const MIN_CALM_ENDS: u32 = 3;
+/// The greatest pace at which a backend server counts as running all requests at once, none of them queued.
+const MAX_CALM_PACE: f64 = 1.25;
+/// The divisor of the moving average of the part of the responses that are lost: a new run has a weight of 1/32.
+const LOSS_SMOOTHING_DIVISOR: f64 = 32.0;
 /// The divisor of the moving average of the pace: a new run has a weight of 1/8.
 const PACE_SMOOTHING_DIVISOR: f64 = 8.0;
 
@@ -38,7 +45,17 @@
     expected: Duration,
     /// Requests that started later and have ended.
     later_ends: u32,
-    is_overdue: bool,
+    /// When it was found to be overdue.
+    overdue_at: Option<Instant>,
+    /// Requests that started after it was found to be overdue and have ended while the backend server was calm.
+    calm_ends: u32,
+}
+
+impl Run {
+    /// Returns whether its slot was given away although the backend server may still run it.
+    fn may_still_run(&self) -> bool {
+        self.overdue_at.is_some() && self.calm_ends < MIN_CALM_ENDS
+    }
 }
 
 /// The requests that were sent to the backend server and have not ended.
@@ -48,6 +65,8 @@
     overdue: usize,
     /// The run times of late, relative to the mean of their kinds: above 1 while the backend server is slow.
     pace: f64,
+    /// The part of the responses of late that are lost, as far as known.
+    lost_ratio: f64,
 }
 
 impl Default for RunningSet {
@@ -56,6 +75,7 @@
             runs: SlotMap::with_key(),
             overdue: 0,
             pace: 1.0,
+            lost_ratio: 0.0,
         }
     }
 }
@@ -78,23 +98,28 @@
             started_at: now,
             expected,
             later_ends: 0,
-            is_overdue: false,
+            overdue_at: None,
+            calm_ends: 0,
         })
     }
 
     /// Removes a request that has ended; `ran` is whether the backend server has responded.
     pub fn end(&mut self, permit: Permit, ran: bool, now: Instant) -> Option<EndedRun> {
         let run = self.runs.remove(permit)?;
-        self.overdue -= usize::from(run.is_overdue);
+        self.overdue -= usize::from(run.overdue_at.is_some());
         let time = now.saturating_duration_since(run.started_at);
         if ran {
-            for other in self.runs.values_mut() {
-                other.later_ends += u32::from(other.started_at < run.started_at);
-            }
+            self.lost_ratio -= self.lost_ratio / LOSS_SMOOTHING_DIVISOR;
             if !run.expected.is_zero() {
                 let ratio = time.as_secs_f64() / run.expected.as_secs_f64();
                 self.pace += (ratio - self.pace) / PACE_SMOOTHING_DIVISOR;
             }
+            let is_calm = self.pace <= MAX_CALM_PACE;
+            for other in self.runs.values_mut() {
+                other.later_ends += u32::from(other.started_at < run.started_at);
+                let took_slot = other.overdue_at.is_some_and(|at| at <= run.started_at);
+                other.calm_ends += u32::from(is_calm && took_slot);
+            }
         }
         Some(EndedRun {
             kind: run.kind,
@@ -103,30 +128,39 @@
     }
 
     /// Marks the requests whose response is most likely lost, so that they no longer hold one of `slots`; returns
-    /// whether there is a new one. `overdue_after` returns the run time that few requests of a kind exceed.
+    /// whether there is a new one. `overdue_after` returns the run time that few requests of a kind exceed, given the part
+    /// of the responses that are lost.
     pub fn mark_overdue(
         &mut self,
         slots: u32,
-        overdue_after: impl Fn(&CallKind) -> Option<Duration>,
+        overdue_after: impl Fn(&CallKind, f64) -> Option<Duration>,
         now: Instant,
     ) -> bool {
-        let max = usize::try_from(slots).unwrap_or(usize::MAX) / MAX_OVERDUE_DIVISOR;
+        let slots = usize::try_from(slots).unwrap_or(usize::MAX);
         let pace = self.pace.max(1.0);
         let before = self.overdue;
+        let mut running = self.runs.values().filter(|run| run.may_still_run()).count();
         for run in self.runs.values_mut() {
-            if self.overdue >= max || run.is_overdue || run.later_ends < MIN_LATER_ENDS {
+            let is_full = running >= slots / MAX_OVERDUE_DIVISOR || self.overdue >= slots;
+            if is_full || run.overdue_at.is_some() || run.later_ends < MIN_LATER_ENDS {
                 continue;
             }
             let elapsed = now.saturating_duration_since(run.started_at);
-            run.is_overdue =
-                overdue_after(&run.kind).is_some_and(|limit| elapsed > limit.mul_f64(pace));
-            self.overdue += usize::from(run.is_overdue);
+            let limit = overdue_after(&run.kind, self.lost_ratio);
+            if limit.is_some_and(|limit| elapsed > limit.mul_f64(pace)) {
+                run.overdue_at = Some(now);
+                running += 1;
+                self.overdue += 1;
+                self.lost_ratio += (1.0 - self.lost_ratio) / LOSS_SMOOTHING_DIVISOR;
+            }
         }
         self.overdue > before
     }
 
     /// Returns whether the response to a request is most likely lost.
     pub fn is_overdue(&self, permit: Permit) -> bool {
-        self.runs.get(permit).is_some_and(|run| run.is_overdue)
+        self.runs
+            .get(permit)
+            .is_some_and(|run| run.overdue_at.is_some())
     }
 }
--- a/crates/marigold-dispatch/tests/lost_responses.rs
+++ b/crates/marigold-dispatch/tests/lost_responses.rs
@@ -2,6 +2,7 @@
 
 mod common;
 
+use std::collections::VecDeque;
 use std::time::Duration;
 
 use common::{ms, slot_request};
@@ -109,3 +110,42 @@
         usize::try_from(SLOTS).expect("fits")
     );
 }
+
+/// Keeps a server busy for `rounds` run times, while each third response is lost and its request ends at its deadline.
+/// Returns the number of responses.
+fn serve_while_responses_are_lost(rounds: u64) -> usize {
+    let mut server = Server::new();
+    let mut lost: VecDeque<(Permit, Instant)> = VecDeque::new();
+    let mut started = 0_u64;
+    let mut responses = 0;
+    for _ in 0..rounds {
+        let permits: Vec<_> = std::iter::from_fn(|| server.start()).collect();
+        server.now += RUN;
+        for permit in permits {
+            started += 1;
+            if started.is_multiple_of(3) {
+                lost.push_back((permit, server.now + LONG));
+            } else {
+                server.controller.release(permit, true, server.now);
+                responses += 1;
+            }
+        }
+        while let Some((permit, _)) = lost.pop_front_if(|(_, at)| *at <= server.now) {
+            server.controller.release(permit, false, server.now);
+        }
+        server.controller.mark_overdue(server.now);
+    }
+    responses
+}
+
+/// A lost response holds its slot for the two run times after which it is overdue, and for one until that is noticed. Of
+/// the responses that are possible then, three quarters arrive.
+#[tokio::test(start_paused = true)]
+async fn lost_responses_hold_most_slots_of_a_server_that_goes_on() {
+    let rounds = 60;
+    let responses = serve_while_responses_are_lost(rounds);
+    let run_times = 1 + 1 + 3;
+    let possible = usize::try_from(rounds * u64::from(SLOTS) * 2 / run_times).expect("fits");
+    println!("{responses} of {possible} responses");
+    assert!(responses * 4 >= possible * 3, "{responses} of {possible}");
+}
