Crates: group the decisions by what they decide; split the executor and the request handler

marigold-dispatch had 55 files in one folder; they are now in admission, placing, retries, backend, membership and routes. No behaviour changes; tests of both crates pass.

--- a/crates/marigold-dispatch/src/admission_controller.rs
+++ b/crates/marigold-dispatch/src/admission/admission_controller.rs
@@ -12,18 +12,19 @@
 use std::time::Duration;
 
 use marigold_types::{ServiceName, SlotCount};
-use slotmap::{SlotMap, new_key_type};
+use slotmap::SlotMap;
 use tokio::time::Instant;
 
 use self::estimates::INITIAL_RUN_DIVISOR;
-use crate::kind_stats::KindStats;
-use crate::queue_key::QueueKey;
-use crate::queue_order::QueueOrder;
-use crate::return_schedule::ReturnSchedule;
-use crate::running_set::{Permit, RunningSet};
-use crate::wait_queue::WaitQueue;
-use crate::waiting_request::WaitingRequest;
-use crate::workspace_shares::WorkspaceShares;
+use crate::admission::kind_stats::KindStats;
+use crate::admission::queue_key::QueueKey;
+use crate::admission::queue_order::QueueOrder;
+use crate::admission::return_schedule::ReturnSchedule;
+use crate::admission::running_set::{Permit, RunningSet};
+use crate::admission::ticket::Ticket;
+use crate::admission::wait_queue::WaitQueue;
+use crate::admission::waiting_request::WaitingRequest;
+use crate::admission::workspace_shares::WorkspaceShares;
 use crate::{
     AdmissionDecision, CallKind, RequestLimit, RequestPacer, RunTime, SiteReport, SlotRequest,
 };
@@ -47,11 +48,6 @@
 /// A queue that may be served next.
 type Candidate<'a> = (QueueOrder, &'a QueueKey, &'a WaitQueue);
 
-new_key_type! {
-    /// Identifies a request that waits for a slot.
-    pub struct Ticket;
-}
-
 /// Assigns the slots of the backend server beside the sidecar to requests, by value per second of slot time.
 ///
 /// The controller of marigoldd, which schedules by priority class, is in marigold-request.
--- a/crates/marigold-dispatch/src/admission_controller/displacement.rs
+++ b/crates/marigold-dispatch/src/admission/admission_controller/displacement.rs
@@ -5,9 +5,9 @@
 use tokio::time::Instant;
 
 use super::{AdmissionController, Ticket};
-use crate::queue_key::QueueKey;
-use crate::queue_order::QueueOrder;
-use crate::wait_queue::WaitQueue;
+use crate::admission::queue_key::QueueKey;
+use crate::admission::queue_order::QueueOrder;
+use crate::admission::wait_queue::WaitQueue;
 
 impl AdmissionController {
     /// Returns the requests that have made room for others since the last call, with the retry delay of each.
--- a/crates/marigold-dispatch/src/admission_controller/estimates.rs
+++ b/crates/marigold-dispatch/src/admission/admission_controller/estimates.rs
@@ -6,10 +6,10 @@
 use tokio::time::Instant;
 
 use super::AdmissionController;
-use crate::demand::DEMAND_DECAY_TIME;
-use crate::kind_stats::KindStats;
-use crate::queue_key::QueueKey;
-use crate::queue_order::QueueOrder;
+use crate::admission::demand::DEMAND_DECAY_TIME;
+use crate::admission::kind_stats::KindStats;
+use crate::admission::queue_key::QueueKey;
+use crate::admission::queue_order::QueueOrder;
 use crate::{CallKind, Precedence, SlotRequest, Ticket};
 
 /// The run time assumed before the first run is the objective divided by this number.
--- a/crates/marigold-dispatch/src/admission_decision.rs
+++ b/crates/marigold-dispatch/src/admission/admission_decision.rs
@@ -3,7 +3,7 @@
 use std::time::Duration;
 
 use crate::Ticket;
-use crate::running_set::Permit;
+use crate::admission::running_set::Permit;
 
 /// The decision of the [`AdmissionController`](crate::AdmissionController) on a [`SlotRequest`](crate::SlotRequest).
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
--- a/crates/marigold-dispatch/src/kind_stats.rs
+++ b/crates/marigold-dispatch/src/admission/kind_stats.rs
@@ -5,8 +5,8 @@
 
 use tokio::time::Instant;
 
-use crate::demand::Demand;
-use crate::rank::LATE_VALUE_RATIO;
+use crate::admission::demand::Demand;
+use crate::routes::rank::LATE_VALUE_RATIO;
 use crate::{Precedence, Rank, RunTime};
 
 /// The minimum run time for urgency; shorter runs count as this long.
--- a/crates/marigold-dispatch/src/wait_queue.rs
+++ b/crates/marigold-dispatch/src/admission/wait_queue.rs
@@ -3,7 +3,7 @@
 use std::collections::VecDeque;
 use std::time::Duration;
 
-use crate::admission_controller::Ticket;
+use crate::admission::ticket::Ticket;
 
 /// A FIFO queue of tickets that tracks the sum of their expected run times.
 #[derive(Debug, Clone, Default)]
--- a/crates/marigold-dispatch/src/waiting_request.rs
+++ b/crates/marigold-dispatch/src/admission/waiting_request.rs
@@ -5,7 +5,7 @@
 use tokio::time::Instant;
 
 use crate::SlotRequest;
-use crate::queue_key::QueueKey;
+use crate::admission::queue_key::QueueKey;
 
 /// A request in a queue.
 #[derive(Debug, Clone)]
--- a/crates/marigold-dispatch/src/workspace_share.rs
+++ b/crates/marigold-dispatch/src/admission/workspace_share.rs
@@ -2,7 +2,7 @@
 
 use crate::Precedence;
 
-/// Recent slot time of a workspace, in seconds weighted by age; see [`WorkspaceShares`](crate::workspace_shares::WorkspaceShares).
+/// Recent slot time of a workspace, in seconds weighted by age; see [`WorkspaceShares`](crate::admission::workspace_shares::WorkspaceShares).
 #[derive(Debug, Clone, Copy, Default)]
 pub struct WorkspaceShare {
     pub precedence: Precedence,
--- a/crates/marigold-dispatch/src/workspace_shares.rs
+++ b/crates/marigold-dispatch/src/admission/workspace_shares.rs
@@ -10,7 +10,7 @@
 use tokio::time::Instant;
 
 use crate::Precedence;
-use crate::workspace_share::WorkspaceShare;
+use crate::admission::workspace_share::WorkspaceShare;
 
 /// The time constant of the exponential decay of what was asked for and used.
 const SHARE_DECAY_TIME: Duration = Duration::from_secs(4);
--- a/crates/marigold-dispatch/src/placement.rs
+++ b/crates/marigold-dispatch/src/placing/placement.rs
@@ -13,7 +13,7 @@
 use rand::{Rng, RngExt};
 use tokio::time::Instant;
 
-use crate::risk::{displaced, loss};
+use crate::placing::risk::{displaced, loss};
 use crate::{
     AttemptOutcome, CallKind, Directory, ExecutorState, PlacementRequest, RunTime, Site, SiteReport,
 };
--- a/crates/marigold-dispatch/src/risk.rs
+++ b/crates/marigold-dispatch/src/placing/risk.rs
@@ -3,7 +3,7 @@
 use std::time::Duration;
 
 use crate::PlacementRequest;
-use crate::rank::LATE_VALUE_RATIO;
+use crate::routes::rank::LATE_VALUE_RATIO;
 
 /// The cost of a response that takes its whole objective, as a fraction of its value. Prefers the shortest
 /// among waits that would all meet the objective.
--- a/crates/marigold-dispatch/src/retry_budget.rs
+++ b/crates/marigold-dispatch/src/retries/retry_budget.rs
@@ -10,7 +10,7 @@
 
 use tokio::time::Instant;
 
-use crate::retry_request::RETRY_LEVELS;
+use crate::retries::retry_request::RETRY_LEVELS;
 use crate::{RequestOrigin, RetryRequest};
 
 /// The number of buckets in a window.
--- a/crates/marigold-sidecar/src/executor/exchange.rs
+++ b/crates/marigold-sidecar/src/executor/exchange.rs
@@ -14,6 +14,8 @@
 use crate::http1::{HttpError, ParsedResponse, Response, ResponseReader, encode_request};
 use crate::link::Call;
 
+/// Status of a backend server's response to a request whose deadline has passed.
+pub const STATUS_DEADLINE_PASSED: u16 = 504;
 const READ_BUFFER_BYTES: usize = 8 << 10;
 /// Status of a request whose expected identity is not the one of the backend server.
 const STATUS_MISDIRECTED: u16 = 421;
--- a/crates/marigold-sidecar/src/executor/run_evidence.rs
+++ b/crates/marigold-sidecar/src/executor/run_evidence.rs
@@ -9,7 +9,7 @@
 use marigold_types::ServiceName;
 use tokio::time::Instant;
 
-use super::local_executor::STATUS_DEADLINE_PASSED;
+use super::exchange::STATUS_DEADLINE_PASSED;
 
 /// Limit on the kinds that are counted; bounds memory and the size of messages.
 const MAX_KINDS: usize = 64;
--- a/crates/marigold-sidecar/src/ingress/request_handler.rs
+++ b/crates/marigold-sidecar/src/ingress/request_handler.rs
@@ -2,10 +2,12 @@
 
 mod caller;
 mod conclusion;
+mod first_arrival;
 mod hedge;
 mod in_flight_request;
 mod quota_check;
 mod request_context;
+mod request_log;
 
 use std::cell::{Cell, OnceCell, RefCell};
 use std::collections::HashMap;
@@ -15,9 +17,9 @@
 use std::time::Duration;
 
 use marigold_dispatch::{
-    CallKind, CallerLimits, CallerReturn, CallerTimeouts, EndedAttempt, ExecutorChoice,
-    PlacementRequest, Progress, RequestMark, RoutePolicy, RouteTable, Shutdown, ShutdownStage,
-    VersionFilter, WeightedRoundRobin,
+    CallKind, CallerLimits, CallerTimeouts, EndedAttempt, ExecutorChoice, PlacementRequest,
+    Progress, RequestMark, RoutePolicy, RouteTable, Shutdown, ShutdownStage, VersionFilter,
+    WeightedRoundRobin,
 };
 use marigold_request::RefusalReason;
 use marigold_request::quarantine::QuarantineStatus;
@@ -34,7 +36,7 @@
 use super::request_outcome::RequestOutcome;
 use super::request_trace::RequestTrace;
 use crate::HeaderNames;
-use crate::events::{EventLog, Severity};
+use crate::events::EventLog;
 use crate::http1::{Request, Response};
 use crate::link::{CallOutcome, CallResult};
 
@@ -276,24 +278,6 @@
         }
     }
 
-    /// Returns when the first attempt of a caller arrived, or would have if it had come here.
-    fn first_arrival(
-        &self,
-        request: &Request,
-        route: &RoutePolicy,
-        found: Option<CallerReturn>,
-        began: Instant,
-    ) -> Instant {
-        if let Some(found) = found {
-            return found.first_at;
-        }
-        let Some(timeout) = request.caller_timeout else {
-            return began;
-        };
-        let waited = (self.caller_timeouts.borrow_mut()).already_waited(&route.kind, timeout);
-        began.checked_sub(waited).unwrap_or(began)
-    }
-
     /// Tries executors one after another until the outcome is final.
     ///
     /// An error response is stored in `failure` during the retry, and returned if the retry yields no
@@ -471,59 +455,4 @@
         let index = cycle.next(&route.targets)?;
         Some(route.targets[index].service.clone())
     }
-
-    fn record_request(
-        &self,
-        request: &Request,
-        outcome: &RequestOutcome,
-        trace: &RequestTrace,
-        took: Duration,
-    ) {
-        let outcome_label = outcome.label();
-        let service = trace.service.as_ref().map_or("", ServiceName::as_str);
-        let service_label = service.to_owned();
-        metrics::counter!("marigold_requests_total", "service" => service_label, "outcome" => outcome_label)
-            .increment(1);
-        if outcome_label == "not_run" {
-            let reason = outcome.reason();
-            metrics::counter!("marigold_refusals_total", "reason" => reason).increment(1);
-        }
-        metrics::histogram!("marigold_request_seconds", "outcome" => outcome_label)
-            .record(took.as_secs_f64());
-        let severity = match outcome {
-            RequestOutcome::Answered(response) if response.status < 500 => Severity::Routine,
-            RequestOutcome::Answered(_)
-            | RequestOutcome::NotRun { .. }
-            | RequestOutcome::OverQuota { .. }
-            | RequestOutcome::Invalid { .. } => Severity::Info,
-            RequestOutcome::Unknown { .. } => Severity::Warn,
-        };
-        let executors: Vec<String> = trace.executors.iter().map(ToString::to_string).collect();
-        let fingerprint = trace
-            .fingerprint
-            .map_or_else(String::new, |print| print.to_string());
-        self.events.emit(
-            "request_ended",
-            severity,
-            &[
-                ("request", request.id.as_deref().unwrap_or_default().into()),
-                ("outcome", outcome_label.into()),
-                ("status", outcome.status().into()),
-                ("reason", outcome.reason().into()),
-                ("route", trace.route.as_str().into()),
-                ("fingerprint", fingerprint.into()),
-                ("service", service.into()),
-                ("version", trace.version.0.into()),
-                ("executors", executors.into()),
-                ("steps", trace.steps.clone().into()),
-                ("waited_ms", millis(trace.waited).into()),
-                ("ran_ms", millis(trace.ran).into()),
-                ("took_ms", millis(took).into()),
-            ],
-        );
-    }
-}
-
-fn millis(time: Duration) -> u64 {
-    u64::try_from(time.as_millis()).unwrap_or(u64::MAX)
 }
