--- a/crates/marigold-dispatch/tests/load/scenarios.rs
+++ b/crates/marigold-dispatch/tests/load/scenarios.rs
@@ -11,7 +11,7 @@
 const SEEDS: [u64; 2] = [11, 12];
 /// Nearly zero, since the credit bound does not include traffic costs.
 const LOW_BYTE_COST: f64 = 0.01;
-/// The value in deploy/sidecar.ini.
+/// Traffic that costs more than an answer of the least urgent rank is worth.
 const HIGH_BYTE_COST: f64 = 0.25;
 /// The fraction of the maximum credit that must be earned.
 pub const MIN_CREDIT_RATIO: f64 = 0.9;
--- a/crates/marigold-dispatch/tests/placement.rs
+++ b/crates/marigold-dispatch/tests/placement.rs
@@ -20,9 +20,13 @@
 
 impl Fixture {
     fn new() -> Self {
+        Self::with_byte_cost(0.04)
+    }
+
+    fn with_byte_cost(byte_cost: f64) -> Self {
         let mut fixture = Self {
             directory: Directory::default(),
-            placement: Placement::new(data_centre("here"), 0.04),
+            placement: Placement::new(data_centre("here"), byte_cost),
             rng: ChaCha8Rng::seed_from_u64(7),
             now: Instant::now(),
         };
@@ -112,6 +116,29 @@
     assert!(minor <= Some(address(2)), "{minor:?}");
 }
 
+/// A request of the least urgent of three ranks, with a response of 5 KB, is not refused for its bytes while others have
+/// free slots.
+#[tokio::test(start_paused = true)]
+async fn request_refused_by_full_local_executors_goes_to_free_remote_ones() {
+    let mut fixture = Fixture::with_byte_cost(deployed_byte_cost());
+    for number in 1..=4 {
+        (0..200).for_each(|_| fixture.record_run(number, 50, 5_000));
+    }
+    fixture.report(1, 4, 4);
+    fixture.report(2, 4, 4);
+    let chosen = fixture.choose_ranked(Rank(2), 0, &[address(1), address(2)]);
+    assert!(chosen >= Some(address(3)), "{chosen:?}");
+}
+
+/// Returns the cost of a kibibyte between data centres in the settings that are deployed.
+fn deployed_byte_cost() -> f64 {
+    let settings = include_str!("../../../deploy/sidecar.ini");
+    let value = settings
+        .lines()
+        .find_map(|line| line.strip_prefix("byte_cost = "));
+    value.expect("a byte cost").parse().expect("a number")
+}
+
 /// A wait within the objective does not justify a remote executor.
 #[tokio::test(start_paused = true)]
 async fn local_executor_is_kept_while_the_wait_is_within_the_objective() {
