--- a/crates/marigold-dispatch/src/lib.rs
+++ b/crates/marigold-dispatch/src/lib.rs
@@ -39,8 +39,8 @@
     ExecutorChoice, ExecutorState, Placement, PlacementRequest, Reached, SiteReport,
 };
 pub use retries::{
-    AttemptOutcome, CallerReturn, CallerReturns, CallerTimeouts, Conclusion, EndedAttempt,
-    Progress, RequestMark, RequestOrigin, RetryBudget, RetryRequest, SlackShare,
+    AttemptOutcome, CallerReturn, CallerReturns, CallerTimeouts, Conclusion, Progress,
+    RefusedAttempt, RequestMark, RequestOrigin, RetryBudget, RetryRequest, SlackShare,
 };
 pub use rollout::{
     CanaryWindow, KindCounts, RolloutEvidence, RolloutJudge, RolloutOrder, RolloutState,
--- a/crates/marigold-dispatch/src/retries.rs
+++ b/crates/marigold-dispatch/src/retries.rs
@@ -12,7 +12,7 @@
 mod slack_share;
 
 pub use attempt_outcome::AttemptOutcome;
-pub use caller_returns::{CallerReturn, CallerReturns, EndedAttempt};
+pub use caller_returns::{CallerReturn, CallerReturns, RefusedAttempt};
 pub use caller_timeouts::CallerTimeouts;
 pub use progress::{Conclusion, Progress};
 pub use request_mark::RequestMark;
--- a/crates/marigold-dispatch/src/retries/caller_returns.rs
+++ b/crates/marigold-dispatch/src/retries/caller_returns.rs
@@ -1,4 +1,4 @@
-//! Recognizes requests of callers that come back after a refusal or a failure.
+//! Recognizes requests of callers that come back after a refusal.
 //!
 //! Load pattern: under overload a large part of the requests are returns. They have used up some of their objective and
 //! are served after those that can still be in time. Deadlines alone don't tell them from first attempts, since the
@@ -24,13 +24,13 @@
 /// The difference between a caller's deadline before and after a refusal: the variation of its network delay, with
 /// retransmissions on a link that loses packets.
 const DEADLINE_TOLERANCE: Duration = Duration::from_millis(250);
-/// The maximum number of ended requests of a kind that are remembered, and of kinds; bounds memory.
+/// The maximum number of refusals of a kind that are remembered, and of kinds; bounds memory.
 const MAX_REMEMBERED: usize = 256;
 const MAX_KINDS: usize = 512;
 
-/// A request that ended without success, whose caller may come back.
+/// A refused request, whose caller may come back.
 #[derive(Debug, Clone, Copy)]
-pub struct EndedAttempt {
+pub struct RefusedAttempt {
     /// What the caller sends again.
     pub mark: RequestMark,
     /// When the caller's first attempt arrived.
@@ -54,7 +54,7 @@
 struct KindReturns {
     refusals: f64,
     returns: f64,
-    latest: VecDeque<EndedAttempt>,
+    latest: VecDeque<RefusedAttempt>,
 }
 
 /// Matches requests with earlier attempts of their callers.
@@ -64,8 +64,8 @@
 }
 
 impl CallerReturns {
-    /// Records an attempt of `kind` that was refused, or failed although it may be sent again.
-    pub fn record_end(&mut self, kind: &CallKind, ended: EndedAttempt) {
+    /// Records an attempt of `kind` that was refused.
+    pub fn record_refusal(&mut self, kind: &CallKind, refused: RefusedAttempt) {
         if self.kinds.len() >= MAX_KINDS && !self.kinds.contains_key(kind) {
             return;
         }
@@ -78,10 +78,10 @@
         if known.latest.len() >= MAX_REMEMBERED {
             known.latest.pop_front();
         }
-        known.latest.push_back(ended);
+        known.latest.push_back(refused);
     }
 
-    /// Returns the earlier attempts of a request, or `None` if none has ended here without success. Each is returned once.
+    /// Returns the earlier attempts of a request, or `None` if none was refused here. Each is returned once.
     pub fn take_return(
         &mut self,
         kind: &CallKind,
@@ -89,17 +89,17 @@
         deadline: Instant,
     ) -> Option<CallerReturn> {
         let known = self.kinds.get_mut(kind)?;
-        let is_same = |ended: &EndedAttempt| {
-            let later = ended.deadline.saturating_duration_since(deadline);
-            let distance = later.max(deadline.saturating_duration_since(ended.deadline));
-            ended.mark == mark && distance <= DEADLINE_TOLERANCE
+        let is_same = |refused: &RefusedAttempt| {
+            let later = refused.deadline.saturating_duration_since(deadline);
+            let distance = later.max(deadline.saturating_duration_since(refused.deadline));
+            refused.mark == mark && distance <= DEADLINE_TOLERANCE
         };
         let index = known.latest.iter().rposition(is_same)?;
-        let ended = known.latest.remove(index)?;
+        let refused = known.latest.remove(index)?;
         known.returns += 1.0;
         Some(CallerReturn {
-            first_at: ended.first_at,
-            returns: ended.returns.saturating_add(1),
+            first_at: refused.first_at,
+            returns: refused.returns.saturating_add(1),
         })
     }
 
--- a/crates/marigold-dispatch/tests/caller_returns.rs
+++ b/crates/marigold-dispatch/tests/caller_returns.rs
@@ -6,7 +6,7 @@
 
 use common::{kind, ms};
 use marigold_dispatch::{
-    CallerReturn, CallerReturns, CallerTimeouts, EndedAttempt, Rank, RequestMark, RequestOrigin,
+    CallerReturn, CallerReturns, CallerTimeouts, Rank, RefusedAttempt, RequestMark, RequestOrigin,
     RetryBudget, RetryRequest,
 };
 use tokio::time::{Instant, advance};
@@ -25,8 +25,8 @@
     RequestMark::new("GET", &format!("/read/{number}"), 0)
 }
 
-fn ended(number: u64, deadline: Instant) -> EndedAttempt {
-    EndedAttempt {
+fn refused(number: u64, deadline: Instant) -> RefusedAttempt {
+    RefusedAttempt {
         mark: mark(number),
         first_at: Instant::now(),
         deadline,
@@ -43,7 +43,7 @@
             let mut callers = CallerReturns::default();
             let first_at = Instant::now();
             let deadline = first_at + ms(1_000);
-            callers.record_end(&kind("read"), ended(7, deadline));
+            callers.record_refusal(&kind("read"), refused(7, deadline));
             advance(ms(80)).await;
             let found = callers.take_return(&kind("read"), mark($number), deadline + ms($off));
             let expected = CallerReturn { first_at, returns: 2 };
@@ -68,8 +68,8 @@
     assert_eq!(callers.origin(&kind("read")), RequestOrigin::Unknown);
     for number in 0..20 {
         let deadline = Instant::now() + ms(1_000 + 50 * number);
-        callers.record_end(&kind("read"), ended(number, deadline));
-        callers.record_end(&kind("call"), ended(number, deadline));
+        callers.record_refusal(&kind("read"), refused(number, deadline));
+        callers.record_refusal(&kind("call"), refused(number, deadline));
         callers.take_return(&kind("read"), mark(number), deadline);
     }
     assert_eq!(callers.origin(&kind("read")), RequestOrigin::Caller);
--- a/crates/marigold-dispatch/tests/load/simulation.rs
+++ b/crates/marigold-dispatch/tests/load/simulation.rs
@@ -8,7 +8,7 @@
 use std::time::Duration;
 
 use marigold_dispatch::{
-    Conclusion, Directory, EndedAttempt, LinkRate, Progress, RequestMark, Site,
+    Conclusion, Directory, LinkRate, Progress, RefusedAttempt, RequestMark, Site,
 };
 use marigold_types::SlotCount;
 use rand::{RngExt, SeedableRng};
@@ -276,13 +276,13 @@
         request.refusals += 1;
         let kind = &self.scenario.classes[request.class].kind;
         let ingress = &mut self.ingresses[request.ingress];
-        let ended = EndedAttempt {
+        let refused = RefusedAttempt {
             mark: mark(number),
             first_at: request.seen_at,
             deadline: request.deadline,
             returns: request.returns,
         };
-        ingress.caller_returns.record_end(kind, ended);
+        ingress.caller_returns.record_refusal(kind, refused);
         if let Some(parent) = request.parent {
             return self.call_ended(parent, false);
         }
--- a/crates/marigold-request/src/quarantine/table.rs
+++ b/crates/marigold-request/src/quarantine/table.rs
@@ -161,7 +161,7 @@
     }
 
     /// Records that the backend server is known to be done with a request that it did not answer.
-    pub fn record_end(&mut self, run: RunToken, now: Instant) {
+    pub fn record_refusal(&mut self, run: RunToken, now: Instant) {
         self.end_run(run);
         if run.exclusive && run.crashes == self.crashes {
             self.close_hold(run.fingerprint, now);
--- a/crates/marigold-request/tests/crashing_requests.rs
+++ b/crates/marigold-request/tests/crashing_requests.rs
@@ -116,7 +116,7 @@
     let now = Instant::now();
     let mut daemon = quarantine(1);
     let runs = [1, 2, 3].map(|number| start(&mut daemon, print(number), now));
-    daemon.record_end(runs[0], now);
+    daemon.record_refusal(runs[0], now);
     daemon.record_answer(runs[1], now);
     daemon.record_crash(now);
     let statuses = [1, 2, 3].map(|number| daemon.status(&print(number), now));
@@ -218,7 +218,7 @@
     let first = start(&mut daemon, print(1), now);
     daemon.record_crash(now);
     let _ = start(&mut daemon, print(1), now);
-    daemon.record_end(first, now);
+    daemon.record_refusal(first, now);
     daemon.record_crash(now);
     assert!(matches!(
         daemon.status(&print(1), now),
--- a/crates/marigold-sidecar/src/crash_tracker/tracked_run.rs
+++ b/crates/marigold-sidecar/src/crash_tracker/tracked_run.rs
@@ -43,7 +43,7 @@
             self.tracker
                 .quarantine
                 .borrow_mut()
-                .record_end(run, Instant::now());
+                .record_refusal(run, Instant::now());
             self.tracker.share_soon();
         }
     }
--- a/crates/marigold-sidecar/src/executor/local_executor/backend_changes.rs
+++ b/crates/marigold-sidecar/src/executor/local_executor/backend_changes.rs
@@ -2,18 +2,16 @@
 
 use std::io;
 
-use marigold_dispatch::AdmissionController;
-use marigold_dispatch::Announcement;
-use marigold_dispatch::AnnouncementOutcome;
-use marigold_dispatch::Departure;
-use marigold_dispatch::NamedLimit;
+use marigold_dispatch::{
+    AdmissionController, Announcement, AnnouncementOutcome, Departure, NamedLimit,
+};
 
 use super::{LocalExecutor, UNAVAILABLE_RETRY_DELAY};
 use crate::events::Severity;
 use crate::executor::exchange::BackendStatement;
-use crate::executor::health_probes::probe_quiet_backend;
-use crate::executor::health_probes::probe_until_heard;
-use crate::executor::health_probes::probe_until_limit_is_known;
+use crate::executor::health_probes::{
+    probe_quiet_backend, probe_until_heard, probe_until_limit_is_known,
+};
 use crate::executor::limit_watch::LimitWatch;
 use crate::executor::silence_watch::SilenceChange;
 
--- a/crates/marigold-sidecar/src/executor/local_executor/call_run.rs
+++ b/crates/marigold-sidecar/src/executor/local_executor/call_run.rs
@@ -6,10 +6,8 @@
 
 use marigold_dispatch::SlotRequest;
 use marigold_request::RefusalReason;
-use marigold_request::quarantine::Fingerprint;
-use marigold_request::quarantine::QuarantineStatus;
-use tokio::time::Instant;
-use tokio::time::timeout_at;
+use marigold_request::quarantine::{Fingerprint, QuarantineStatus};
+use tokio::time::{Instant, timeout_at};
 use tokio_util::sync::CancellationToken;
 
 use super::{LocalExecutor, RESPONSE_TRANSIT_TIME, UNAVAILABLE_RETRY_DELAY, refused};
@@ -19,18 +17,11 @@
 use crate::executor::backend_conn::BackendConn;
 use crate::executor::backend_monitor::UNREACHABLE_COOLDOWN;
 use crate::executor::backend_pool::BackendPool;
-use crate::executor::call_progress::CallProgress;
-use crate::executor::call_progress::millis;
-use crate::executor::exchange::BackendRequest;
-use crate::executor::exchange::ExchangeOutcome;
-use crate::executor::exchange::STATUS_DEADLINE_PASSED;
-use crate::executor::exchange::exchange;
-use crate::link::Call;
-use crate::link::CallHandler;
-use crate::link::CallId;
-use crate::link::CallOutcome;
-use crate::link::Reply;
-use crate::link::ReplyHandle;
+use crate::executor::call_progress::{CallProgress, millis};
+use crate::executor::exchange::{
+    BackendRequest, ExchangeOutcome, STATUS_DEADLINE_PASSED, exchange,
+};
+use crate::link::{Call, CallHandler, CallId, CallOutcome, Reply, ReplyHandle};
 
 impl LocalExecutor {
     pub(super) async fn run(
--- a/crates/marigold-sidecar/src/ingress/mesh.rs
+++ b/crates/marigold-sidecar/src/ingress/mesh.rs
@@ -7,8 +7,8 @@
 use std::time::Duration;
 
 use marigold_dispatch::{
-    AttemptOutcome, CallKind, CallerReturn, CallerReturns, Directory, EndedAttempt, ExecutorChoice,
-    LinkSelector, Placement, PlacementRequest, Reached, RequestMark, RetryBudget, RetryRequest,
+    AttemptOutcome, CallKind, CallerReturn, CallerReturns, Directory, ExecutorChoice, LinkSelector,
+    Placement, PlacementRequest, Reached, RefusedAttempt, RequestMark, RetryBudget, RetryRequest,
     SiteReport, SlackShare, VersionGate, select_trial_executor,
 };
 use marigold_request::quarantine::Fingerprint;
@@ -345,9 +345,11 @@
         found
     }
 
-    /// Records an attempt of a caller that may come back.
-    pub fn record_end(&self, kind: &CallKind, ended: EndedAttempt) {
-        self.caller_returns.borrow_mut().record_end(kind, ended);
+    /// Records a refused attempt, whose caller may come back.
+    pub fn record_refusal(&self, kind: &CallKind, refused: RefusedAttempt) {
+        self.caller_returns
+            .borrow_mut()
+            .record_refusal(kind, refused);
     }
 
     /// Takes one retry from the budget of `service`; returns whether there was one.
--- a/crates/marigold-sidecar/src/ingress/request_handler.rs
+++ b/crates/marigold-sidecar/src/ingress/request_handler.rs
@@ -17,8 +17,8 @@
 use std::time::Duration;
 
 use marigold_dispatch::{
-    CallKind, CallerLimits, CallerTimeouts, EndedAttempt, ExecutorChoice, PlacementRequest,
-    Progress, RequestMark, RoutePolicy, RouteTable, Shutdown, ShutdownStage, VersionFilter,
+    CallKind, CallerLimits, CallerTimeouts, ExecutorChoice, PlacementRequest, Progress,
+    RefusedAttempt, RequestMark, RoutePolicy, RouteTable, Shutdown, ShutdownStage, VersionFilter,
     WeightedRoundRobin,
 };
 use marigold_request::RefusalReason;
@@ -256,13 +256,13 @@
             () = self.concluding() => (None, true),
         };
         if let Some(RequestOutcome::NotRun { .. }) = &outcome {
-            let ended = EndedAttempt {
+            let refused = RefusedAttempt {
                 mark,
                 first_at,
                 deadline: callers_deadline,
                 returns,
             };
-            self.mesh.record_end(&route.kind, ended);
+            self.mesh.record_refusal(&route.kind, refused);
             if let Some(workspace) = &workspace {
                 self.mesh.quotas.give_back(workspace, granted_at);
             }
--- a/crates/marigold-sidecar/src/ingress/request_handler/first_arrival.rs
+++ b/crates/marigold-sidecar/src/ingress/request_handler/first_arrival.rs
@@ -1,7 +1,6 @@
 //! When the first attempt of a caller arrived.
 
-use marigold_dispatch::CallerReturn;
-use marigold_dispatch::RoutePolicy;
+use marigold_dispatch::{CallerReturn, RoutePolicy};
 use tokio::time::Instant;
 
 use super::Ingress;
--- a/crates/marigold-standin/src/load/ledger.rs
+++ b/crates/marigold-standin/src/load/ledger.rs
@@ -49,7 +49,7 @@
     }
 
     /// Records how a call ended. Ignores calls that were not recorded as sent.
-    pub fn record_end(&mut self, result: &CallResult) {
+    pub fn record_refusal(&mut self, result: &CallResult) {
         if let Some(entry) = self.entries.get_mut(&result.number) {
             entry.end = Some(result.end);
         }
--- a/crates/marigold-standin/src/load/run.rs
+++ b/crates/marigold-standin/src/load/run.rs
@@ -79,7 +79,7 @@
                 CallEvent::Unsent => tally.add_unsent(),
                 CallEvent::Ended(result) => {
                     tally.add(&result);
-                    self.ledger.record_end(&result);
+                    self.ledger.record_refusal(&result);
                 }
             }
             if finished {
--- a/crates/marigold-standin/tests/load.rs
+++ b/crates/marigold-standin/tests/load.rs
@@ -12,7 +12,7 @@
     let mut ledger = Ledger::new("r-".to_owned());
     ledger.record_sent(7, once);
     if let Some(end) = end {
-        ledger.record_end(&CallResult {
+        ledger.record_refusal(&CallResult {
             number: 7,
             route: 0,
             end,
