Quarantine: broken exchanges stay suspected of an end that shows later

Cause: an exchange that broke without a response left the runs in flight as soon as the address accepted a connection. A backend server that closes one connection and then accepts others without answering was noticed 0.2 to 1.2 s later, and its end was blamed on requests that had been sent after it. A break also counted as a sign of life, and a health check answered by the next instance as one of the previous.

Change: the quarantine keeps the order of sends, breaks and answers (InFlight). After a break the executor listens and then sends a health check: unanswered for 100 ms, the backend server is silent. Health checks answered under another identity are no sign of life.

Holding new sends during the check was not built: sound requests have nothing left to gain by it.

--- a/crates/marigold-dispatch/src/backend/silence_detector.rs
+++ b/crates/marigold-dispatch/src/backend/silence_detector.rs
@@ -67,6 +67,12 @@
         self.has_failed_probe = self.last_heard.is_none_or(|heard| heard < sent_at);
     }
 
+    /// Returns whether the backend server has responded since `time`.
+    #[must_use]
+    pub fn heard_since(&self, time: Instant) -> bool {
+        self.last_heard.is_some_and(|heard| heard >= time)
+    }
+
     /// Returns whether the backend server, which has `slots`, seems to have ended.
     #[must_use]
     pub fn is_silent(&self, slots: u32, now: Instant) -> bool {
--- a/crates/marigold-request/src/quarantine/run_token.rs
+++ b/crates/marigold-request/src/quarantine/run_token.rs
@@ -1,6 +1,6 @@
 //! Tokens for requests that a backend server is running.
 
-use crate::quarantine::Fingerprint;
+use crate::quarantine::{EventNumber, Fingerprint};
 
 /// Identifies the run of a request, including the backend server process that runs it.
 ///
@@ -13,4 +13,5 @@
     pub(super) exclusive: bool,
     /// The number of crashes of the backend server before the run started.
     pub(super) crashes: u32,
+    pub(super) started: EventNumber,
 }
--- a/crates/marigold-request/src/quarantine/table.rs
+++ b/crates/marigold-request/src/quarantine/table.rs
@@ -1,23 +1,21 @@
 //! The quarantine of one daemon: which requests are suspect, refused or cleared.
 
-use std::collections::{BTreeMap, BTreeSet, VecDeque};
+use std::collections::{BTreeMap, BTreeSet};
 use std::time::Duration;
 
 use marigold_types::{InstanceId, Interval};
 use tokio::time::Instant;
 
-use crate::quarantine::{CrashId, CrashRecord, Fingerprint, QuarantinePolicy, RunToken};
+use crate::quarantine::in_flight::InFlight;
+use crate::quarantine::{
+    CrashId, CrashRecord, EventNumber, Fingerprint, QuarantinePolicy, RunToken,
+};
 use crate::{Refusal, RefusalReason};
 
 /// The maximum number of recorded requests.
 const MAX_RECORDS: usize = 1024;
 /// The maximum number of updates pending for other daemons.
 const MAX_UPDATES: usize = 1024;
-/// A run that ended without an answer counts as in flight until the backend server answers another request this
-/// much later, since it may go on with the run, and may have crashed unnoticed.
-const ABANDONED_TTL: Duration = Duration::from_secs(1);
-/// The maximum number of such runs.
-const MAX_ABANDONED: usize = 64;
 /// When to return with a request whose exclusive run has an unknown outcome. It is known when the backend server
 /// answers another request or the next instance announces itself, neither of which can be predicted.
 const HOLD_RETRY_DELAY: Interval = Interval::from_millis(500);
@@ -41,21 +39,6 @@
     held_at: Instant,
 }
 
-/// The runs of one request in progress at the daemon's backend server.
-#[derive(Debug, Clone, Copy, Default)]
-struct Running {
-    count: u32,
-    exclusive: bool,
-}
-
-/// A run that ended without an answer.
-#[derive(Debug, Clone, Copy)]
-struct Abandoned {
-    fingerprint: Fingerprint,
-    exclusive: bool,
-    at: Instant,
-}
-
 /// Records the requests in flight at each crash of this daemon's backend server and of others.
 ///
 /// Every operation on a request takes logarithmic time, unless the table is full.
@@ -63,10 +46,7 @@
 pub struct Quarantine {
     local: InstanceId,
     policy: QuarantinePolicy,
-    running: BTreeMap<Fingerprint, Running>,
-    abandoned: VecDeque<Abandoned>,
-    /// The number of crashes of the backend server so far.
-    crashes: u32,
+    in_flight: InFlight,
     entries: BTreeMap<Fingerprint, Entry>,
     expiries: BTreeSet<(Instant, Fingerprint)>,
     /// The requests whose records other daemons have not been sent yet.
@@ -82,9 +62,7 @@
         Self {
             local,
             policy,
-            running: BTreeMap::new(),
-            abandoned: VecDeque::new(),
-            crashes: 0,
+            in_flight: InFlight::default(),
             entries: BTreeMap::new(),
             expiries: BTreeSet::new(),
             updates: BTreeSet::new(),
@@ -132,25 +110,21 @@
     /// [`QuarantineStatus::Suspect`] demands.
     #[must_use]
     pub fn record_start(&mut self, fingerprint: Fingerprint, exclusive: bool) -> RunToken {
-        let running = self.running.entry(fingerprint).or_default();
-        running.count += 1;
-        running.exclusive |= exclusive;
-        RunToken {
-            fingerprint,
-            exclusive,
-            crashes: self.crashes,
-        }
+        self.in_flight.start(fingerprint, exclusive)
+    }
+
+    /// Returns the number of the latest event at the backend server, for [`Self::record_alive`].
+    #[must_use]
+    pub fn latest_event(&self) -> EventNumber {
+        self.in_flight.latest()
     }
 
     /// Records the answer of the backend server, which clears a request that was in flight at crashes.
     pub fn record_answer(&mut self, run: RunToken, now: Instant) {
-        self.end_run(run);
+        self.in_flight.end(run);
         self.expire(now);
-        let is_over = |run: &mut Abandoned| now.saturating_duration_since(run.at) >= ABANDONED_TTL;
-        while let Some(over) = self.abandoned.pop_front_if(is_over) {
-            if over.exclusive {
-                self.close_hold(over.fingerprint, now);
-            }
+        for fingerprint in self.in_flight.answer(run, now) {
+            self.close_hold(fingerprint, now);
         }
         if let Some(entry) = self.entries.get_mut(&run.fingerprint)
             && !entry.record.is_cleared()
@@ -162,49 +136,45 @@
 
     /// Records that the backend server is known to be done with a request that it did not answer.
     pub fn record_refusal(&mut self, run: RunToken, now: Instant) {
-        self.end_run(run);
-        if run.exclusive && run.crashes == self.crashes {
+        self.in_flight.end(run);
+        if run.exclusive && self.in_flight.is_current(run) {
             self.close_hold(run.fingerprint, now);
         }
     }
 
-    fn end_run(&mut self, run: RunToken) {
-        // The crash already ended all runs that started before it.
-        if run.crashes != self.crashes {
-            return;
+    /// Records that nobody waits for the answer to a request any more. The backend server may still run it. After an
+    /// exclusive run no daemon runs the request until the outcome is known.
+    pub fn record_abandoned(&mut self, run: RunToken, now: Instant) {
+        if self.in_flight.is_current(run) {
+            self.in_flight.abandon(run, now);
+            self.open_hold_of(run, now);
         }
-        if let Some(running) = self.running.get_mut(&run.fingerprint) {
-            running.count -= 1;
-            if running.count == 0 {
-                self.running.remove(&run.fingerprint);
-            }
+        self.in_flight.end(run);
+    }
+
+    /// Records that the exchange of a request broke without a response. The backend server may have ended by it, which
+    /// may show later; after an exclusive run no daemon runs the request until the outcome is known.
+    pub fn record_broken(&mut self, run: RunToken, now: Instant) {
+        if self.in_flight.is_current(run) {
+            self.in_flight.break_off(run, now);
+            self.open_hold_of(run, now);
         }
+        self.in_flight.end(run);
     }
 
-    /// Records that nobody waits for the answer to a request any more. The backend server may still run it. After an
-    /// exclusive run no daemon runs the request until the outcome is known.
-    pub fn record_abandoned(&mut self, run: RunToken, now: Instant) {
-        if run.crashes == self.crashes {
-            if self.abandoned.len() == MAX_ABANDONED {
-                self.abandoned.pop_front();
-            }
-            self.abandoned.push_back(Abandoned {
-                fingerprint: run.fingerprint,
-                exclusive: run.exclusive,
-                at: now,
-            });
-            if run.exclusive {
-                self.open_hold(run.fingerprint, now);
-            }
+    /// Records that the backend server has responded to a health check that was sent after `event`: it has outlived the
+    /// exchanges that broke before.
+    pub fn record_alive(&mut self, event: EventNumber, now: Instant) {
+        for fingerprint in self.in_flight.clear_broken(event) {
+            self.close_hold(fingerprint, now);
         }
-        self.end_run(run);
     }
 
     /// Records that nothing is heard from the daemon's backend server any more, so that it may have ended; returns the
     /// records of the requests in flight. The runs go on: the server answers again, or its crash is recorded.
     pub fn record_silence(&mut self, now: Instant) -> Vec<CrashRecord> {
         let crash = self.next_crash();
-        let suspects = self.suspects();
+        let suspects = (self.in_flight).suspects(self.policy.hold.duration(), now);
         for (fingerprint, exclusive) in &suspects {
             if *exclusive {
                 self.open_hold(*fingerprint, now);
@@ -220,12 +190,9 @@
 
     /// Records that the daemon's backend server is heard again after a silence.
     pub fn record_sound(&mut self, now: Instant) {
-        let running = self.running.iter();
-        let exclusive: Vec<_> = running
-            .filter(|(_, running)| running.exclusive)
-            .map(|(fingerprint, _)| *fingerprint)
-            .collect();
-        for fingerprint in exclusive {
+        let mut outlived = self.in_flight.exclusive();
+        outlived.extend(self.in_flight.clear_broken(self.in_flight.latest()));
+        for fingerprint in outlived {
             self.close_hold(fingerprint, now);
         }
     }
@@ -233,10 +200,8 @@
     /// Records a crash of the daemon's backend server; returns the records of the requests in flight.
     pub fn record_crash(&mut self, now: Instant) -> Vec<CrashRecord> {
         let crash = self.next_crash();
-        let suspects = self.suspects();
-        self.crashes += 1;
-        self.running.clear();
-        self.abandoned.clear();
+        let suspects = (self.in_flight).suspects(self.policy.hold.duration(), now);
+        self.in_flight.crash();
         let add = |(fingerprint, exclusive)| {
             self.change(fingerprint, now, |record| {
                 if exclusive {
@@ -321,20 +286,8 @@
     fn next_crash(&self) -> CrashId {
         CrashId {
             instance: self.local,
-            number: self.crashes,
-        }
-    }
-
-    /// Returns the requests that are or may be in flight, and which of them run exclusively.
-    fn suspects(&self) -> BTreeMap<Fingerprint, bool> {
-        let running = self.running.iter();
-        let mut suspects: BTreeMap<_, _> = running
-            .map(|(fingerprint, running)| (*fingerprint, running.exclusive))
-            .collect();
-        for run in &self.abandoned {
-            *suspects.entry(run.fingerprint).or_default() |= run.exclusive;
+            number: self.in_flight.crashes(),
         }
-        suspects
     }
 
     /// Awaits the outcome of an exclusive run, unless an answer has cleared the request meanwhile.
@@ -346,6 +299,12 @@
         self.change(fingerprint, now, |record| record.hold.open());
     }
 
+    fn open_hold_of(&mut self, run: RunToken, now: Instant) {
+        if run.exclusive {
+            self.open_hold(run.fingerprint, now);
+        }
+    }
+
     fn close_hold(&mut self, fingerprint: Fingerprint, now: Instant) {
         if self.entries.contains_key(&fingerprint) {
             self.change(fingerprint, now, |record| record.hold.close());
--- a/crates/marigold-sidecar/src/crash_tracker.rs
+++ b/crates/marigold-sidecar/src/crash_tracker.rs
@@ -9,7 +9,7 @@
 use std::time::Duration;
 
 use marigold_request::quarantine::{
-    CrashRecord, Fingerprint, Quarantine, QuarantinePolicy, QuarantineStatus, RunToken,
+    CrashRecord, EventNumber, Fingerprint, Quarantine, QuarantinePolicy, QuarantineStatus, RunToken,
 };
 use marigold_types::{Address, Incarnation, InstanceId, Interval};
 use tokio::time::{Instant, sleep};
@@ -142,6 +142,20 @@
         self.share();
     }
 
+    /// Returns the number of the latest event at the backend server, for [`Self::record_alive`].
+    #[must_use]
+    pub fn latest_event(&self) -> EventNumber {
+        self.quarantine.borrow().latest_event()
+    }
+
+    /// Records that the backend server has outlived the exchanges that broke before `event`.
+    pub fn record_alive(&self, event: EventNumber) {
+        let mut quarantine = self.quarantine.borrow_mut();
+        quarantine.record_alive(event, Instant::now());
+        drop(quarantine);
+        self.share_soon();
+    }
+
     /// Records that the backend server is heard again after a silence.
     pub fn record_sound(&self) {
         self.quarantine.borrow_mut().record_sound(Instant::now());
--- a/crates/marigold-sidecar/src/crash_tracker/tracked_run.rs
+++ b/crates/marigold-sidecar/src/crash_tracker/tracked_run.rs
@@ -36,9 +36,9 @@
         }
     }
 
-    /// Records that the run is over without an answer, or did not take place.
-    pub fn ended(mut self) {
-        self.outcome = "no answer";
+    /// Records that the backend server did not run the request.
+    pub fn rejected(mut self) {
+        self.outcome = "rejected";
         if let Some(run) = self.run.take() {
             self.tracker
                 .quarantine
@@ -47,6 +47,20 @@
             self.tracker.share_soon();
         }
     }
+
+    /// Records that the exchange broke without a response. The backend server may have ended by the request.
+    pub fn broken(mut self) {
+        self.outcome = "exchange broke";
+        if let Some(run) = self.run.take() {
+            self.tracker
+                .quarantine
+                .borrow_mut()
+                .record_broken(run, Instant::now());
+            if self.is_trial {
+                self.tracker.share();
+            }
+        }
+    }
 }
 
 impl Drop for TrackedRun {
--- a/crates/marigold-sidecar/src/executor/crash_check.rs
+++ b/crates/marigold-sidecar/src/executor/crash_check.rs
@@ -1,54 +1,53 @@
-//! Detects that the backend server has crashed.
+//! Checks whether the backend server has ended after an exchange with it broke.
 
-use std::cell::{Cell, RefCell};
+use std::cell::Cell;
 use std::time::Duration;
 
-use tokio::time::sleep;
+use tokio::time::{Instant, sleep};
 
 use super::backend_pool::BackendPool;
-use crate::{CrashTracker, TrackedRun};
+use crate::CrashTracker;
 
 /// Delay of a check after a broken exchange, as an ending process closes one socket after another.
 const DELAY: Duration = Duration::from_millis(10);
 
-/// Distinguishes a crash of the backend server from the loss of single connections.
+/// Distinguishes a crash of the backend server from the loss of single connections. A crash breaks many exchanges,
+/// which are checked together.
 #[derive(Default)]
 pub struct CrashCheck {
-    /// The runs whose exchanges broke; empty if no check is running.
-    broken_runs: RefCell<Vec<TrackedRun>>,
+    is_running: Cell<bool>,
+    /// The number of exchanges that have broken.
+    breaks: Cell<u64>,
     /// Whether the crash of the current instance has been recorded.
     is_recorded: Cell<bool>,
 }
 
 impl CrashCheck {
-    /// Adds a run to the current check; returns whether the check is to be started. A crash breaks many
-    /// exchanges, which are checked together.
-    pub fn begin(&self, run: TrackedRun) -> bool {
-        let mut runs = self.broken_runs.borrow_mut();
-        runs.push(run);
-        runs.len() == 1
+    /// Records that an exchange broke; returns whether a check is to be started.
+    pub fn begin(&self) -> bool {
+        self.breaks.set(self.breaks.get() + 1);
+        !self.is_running.replace(true)
     }
 
-    /// Returns whether the backend server has ended. Repeats the check for the runs that are added during it.
-    pub async fn run(&self, pool: &BackendPool) -> bool {
+    /// Waits until no exchange breaks any more; returns when the last one did at the latest, or `None` if no process accepts
+    /// connections at the address of the backend server.
+    pub async fn settle(&self, pool: &BackendPool) -> Option<Instant> {
         loop {
-            let checked = self.broken_runs.borrow().len();
+            let breaks = self.breaks.get();
+            let checked_at = Instant::now();
             sleep(DELAY).await;
             if pool.has_ended().await {
-                return true;
+                return None;
             }
-            if self.broken_runs.borrow().len() == checked {
-                return false;
+            if self.breaks.get() == breaks {
+                return Some(checked_at);
             }
         }
     }
 
-    /// Ends the runs of the check. If the backend server is alive, it has lost their connections only, and a
-    /// later crash is not theirs.
+    /// Ends the check.
     pub fn end(&self) {
-        for run in self.broken_runs.take() {
-            run.ended();
-        }
+        self.is_running.set(false);
     }
 
     /// Records the crash of the current instance once.
--- a/crates/marigold-sidecar/src/executor/exchange.rs
+++ b/crates/marigold-sidecar/src/executor/exchange.rs
@@ -94,6 +94,18 @@
     pub statement: Option<BackendStatement>,
 }
 
+impl ExchangeResult {
+    /// Returns whether it shows that the backend server was alive. The end of a process closes its connections, too.
+    #[must_use]
+    pub fn is_sound(&self) -> bool {
+        match &self.outcome {
+            ExchangeOutcome::Broken(error) => !error.is_disconnect(),
+            ExchangeOutcome::Rejected { status } => *status != STATUS_MISDIRECTED,
+            ExchangeOutcome::Answered(_) => true,
+        }
+    }
+}
+
 /// Outcome of a request sent to the backend server.
 #[derive(Debug, Clone, PartialEq)]
 pub enum ExchangeOutcome {
@@ -130,6 +142,13 @@
     StrayResponses,
 }
 
+impl ExchangeError {
+    /// Returns whether the connection ended before the response did.
+    fn is_disconnect(&self) -> bool {
+        matches!(self, Self::Io { .. } | Self::Http(HttpError::Truncated))
+    }
+}
+
 /// Sends `request` over `conn` and waits for its response.
 ///
 /// The connection returns to `pool` only if it is certain to carry no leftover bytes of this exchange.
--- a/crates/marigold-sidecar/src/executor/health_probes.rs
+++ b/crates/marigold-sidecar/src/executor/health_probes.rs
@@ -3,12 +3,17 @@
 use std::rc::Rc;
 use std::time::Duration;
 
-use tokio::time::{Instant, sleep};
+use tokio::time::{Instant, sleep, timeout};
 
 use super::LocalExecutor;
 
 /// Interval at which a silent backend server is asked whether it is alive.
 const SILENCE_PROBE_INTERVAL: Duration = Duration::from_millis(400);
+/// Time for the response to a health check after an exchange broke. A request that ends backend servers is soon sent to
+/// the next one.
+const BREAK_PROBE_TIMEOUT: Duration = Duration::from_millis(100);
+/// A response that is read so soon after an exchange broke may have been sent before.
+const RESPONSE_READ_TIME: Duration = Duration::from_millis(5);
 /// Interval at which a backend server is asked for its limit of requests.
 const LIMIT_PROBE_INTERVAL: Duration = Duration::from_millis(100);
 
@@ -25,11 +30,8 @@
             return;
         }
         // Without a health check, requests show it.
-        let is_alive = executor
-            .check_health()
-            .await
-            .is_none_or(|result| result.is_ok());
-        if is_alive {
+        let is_alive = executor.is_answering().await.unwrap_or(true);
+        if is_alive && backend.is_current(&pool) {
             backend.silence.record_sound();
         }
     }
@@ -43,13 +45,50 @@
         return;
     };
     let sent_at = Instant::now();
-    let result = executor.check_health().await;
+    let answered = executor.is_answering().await;
     if backend.is_current(&pool) {
-        let answered = result.map(|result| result.is_ok());
         backend.silence.end_probe(sent_at, answered);
     }
 }
 
+/// Finds out whether the backend server has outlived an exchange that broke without a response: its end may close the
+/// connection of the request that caused it and leave the others open.
+pub async fn probe_after_break(executor: Rc<LocalExecutor>) {
+    let backend = executor.backend();
+    let Some(pool) = backend.pool() else {
+        return;
+    };
+    let check = &backend.crash_check;
+    let settled = check.settle(&pool).await;
+    if !backend.is_current(&pool) {
+        check.end();
+        return;
+    }
+    let Some(broken_at) = settled else {
+        executor.record_crash();
+        check.end();
+        return;
+    };
+    let event = executor.latest_event();
+    let sent_at = Instant::now();
+    let mut is_alive = backend.silence.heard_since(broken_at + RESPONSE_READ_TIME);
+    if !is_alive {
+        let answer = timeout(BREAK_PROBE_TIMEOUT, executor.is_answering()).await;
+        // Without a health check, nothing tells a broken connection from a silent end.
+        is_alive = answer.unwrap_or(Some(false)).unwrap_or(true);
+    }
+    check.end();
+    if !backend.is_current(&pool) {
+        return;
+    }
+    if is_alive || backend.silence.heard_since(sent_at) {
+        executor.record_alive(event);
+    } else {
+        backend.silence.record_failed_probe(sent_at);
+        executor.check_silence();
+    }
+}
+
 /// Asks a backend server that served before this daemon started for its limit of requests. It runs one request at a
 /// time until it has responded, and that request may be a long one.
 pub async fn probe_until_limit_is_known(executor: Rc<LocalExecutor>) {
--- a/crates/marigold-sidecar/src/executor/local_executor.rs
+++ b/crates/marigold-sidecar/src/executor/local_executor.rs
@@ -120,6 +120,14 @@
         Some(probe(address, &path, &self.options.names).await)
     }
 
+    /// Returns whether the current instance of the backend server answers a health check, or `None` if there is no path to
+    /// send one to. An answer of another instance shows that the current one has ended.
+    pub(super) async fn is_answering(&self) -> Option<bool> {
+        let current = self.backend.serving()?.identity.clone();
+        let result = self.check_health().await?;
+        Some(result.is_ok_and(|response| response.identity.is_none_or(|other| other == current)))
+    }
+
     /// Returns the current instance of the backend server and its connections.
     pub(super) fn backend(&self) -> &BackendMonitor {
         &self.backend
--- a/crates/marigold-sidecar/src/executor/local_executor/backend_changes.rs
+++ b/crates/marigold-sidecar/src/executor/local_executor/backend_changes.rs
@@ -5,6 +5,7 @@
 use marigold_dispatch::{
     AdmissionController, Announcement, AnnouncementOutcome, Departure, NamedLimit,
 };
+use marigold_request::quarantine::EventNumber;
 
 use super::{LocalExecutor, UNAVAILABLE_RETRY_DELAY};
 use crate::events::Severity;
@@ -17,7 +18,7 @@
 
 impl LocalExecutor {
     /// Records that the backend server has fallen silent, or is heard again.
-    pub(super) fn check_silence(&self) {
+    pub(in crate::executor) fn check_silence(&self) {
         let Some((_, slots)) = self.serving() else {
             return;
         };
@@ -42,6 +43,22 @@
         }
     }
 
+    /// Records that no process accepts connections at the address of the backend server.
+    pub(in crate::executor) fn record_crash(&self) {
+        self.backend.crash_check.record(&self.crashes);
+        self.mark_unreachable(&io::ErrorKind::ConnectionRefused.into());
+    }
+
+    /// Returns the number of the latest event at the backend server, for [`Self::record_alive`].
+    pub(in crate::executor) fn latest_event(&self) -> EventNumber {
+        self.crashes.latest_event()
+    }
+
+    /// Records that the backend server has outlived the exchanges that broke before `event`.
+    pub(in crate::executor) fn record_alive(&self, event: EventNumber) {
+        self.crashes.record_alive(event);
+    }
+
     /// Applies an announcement of the backend server.
     pub fn apply_announcement(&self, announcement: &Announcement) -> AnnouncementOutcome {
         let was_serving = self.backend.serving().is_some();
--- a/crates/marigold-sidecar/src/executor/local_executor/call_run.rs
+++ b/crates/marigold-sidecar/src/executor/local_executor/call_run.rs
@@ -1,6 +1,5 @@
 //! One call, from its admission to its outcome.
 
-use std::io;
 use std::rc::Rc;
 use std::time::Duration;
 
@@ -21,6 +20,7 @@
 use crate::executor::exchange::{
     BackendRequest, ExchangeOutcome, STATUS_DEADLINE_PASSED, exchange,
 };
+use crate::executor::health_probes::probe_after_break;
 use crate::link::{Call, CallHandler, CallId, CallOutcome, Reply, ReplyHandle};
 
 impl LocalExecutor {
@@ -144,7 +144,7 @@
                 }
             }
             Ok(ExchangeOutcome::Rejected { status }) => {
-                run.ended();
+                run.rejected();
                 CallOutcome::Rejected { status }
             }
             Ok(ExchangeOutcome::Broken(error)) => {
@@ -159,7 +159,7 @@
                         ("ran_ms", millis(now.elapsed()).into()),
                     ],
                 );
-                self.check_for_crash(&pool, run);
+                self.check_after_break(&pool, run);
                 CallOutcome::Lost { broken: true }
             }
             Err(_) => {
@@ -179,7 +179,9 @@
     ) -> ExchangeOutcome {
         let watched = self.backend.silence.watch(expected_run);
         let result = exchange(pool, conn, &self.options.names, request).await;
-        watched.record_sound();
+        if result.is_sound() {
+            watched.record_sound();
+        }
         if matches!(result.outcome, ExchangeOutcome::Broken(_)) && self.backend.is_current(pool) {
             self.end_wait_for_limit();
         }
@@ -203,24 +205,15 @@
         self.crashes.start(fingerprint)
     }
 
-    /// Checks whether the backend server has crashed, after the exchange of `run` on a connection of `pool` broke.
-    pub(super) fn check_for_crash(&self, pool: &Rc<BackendPool>, run: TrackedRun) {
+    /// Checks whether the backend server has ended, after the exchange of `run` on a connection of `pool` broke.
+    pub(super) fn check_after_break(&self, pool: &Rc<BackendPool>, run: TrackedRun) {
+        run.broken();
         let Some(executor) = self.myself.upgrade() else {
             return;
         };
-        if !self.backend.crash_check.begin(run) {
-            return;
+        if self.backend.is_current(pool) && self.backend.crash_check.begin() {
+            tokio::task::spawn_local(probe_after_break(executor));
         }
-        let pool = pool.clone();
-        tokio::task::spawn_local(async move {
-            let crash_check = &executor.backend.crash_check;
-            let has_ended = crash_check.run(&pool).await;
-            if has_ended && executor.backend.is_current(&pool) {
-                crash_check.record(&executor.crashes);
-                executor.mark_unreachable(&io::ErrorKind::ConnectionRefused.into());
-            }
-            crash_check.end();
-        });
     }
 
     /// Builds the request to the backend server, or returns `None` if the deadline is too close or the backend server
--- a/crates/marigold-sidecar/src/executor/silence_watch.rs
+++ b/crates/marigold-sidecar/src/executor/silence_watch.rs
@@ -46,6 +46,16 @@
         self.detector.borrow_mut().record_sound(Instant::now());
     }
 
+    /// Returns whether the backend server has responded since `time`.
+    pub fn heard_since(&self, time: Instant) -> bool {
+        self.detector.borrow().heard_since(time)
+    }
+
+    /// Records that a health check sent at `sent_at` went unanswered.
+    pub fn record_failed_probe(&self, sent_at: Instant) {
+        self.detector.borrow_mut().record_failed_probe(sent_at);
+    }
+
     /// Returns whether a health check is to be sent to a backend server with `slots`, which [`Self::end_probe`] ends.
     pub fn begin_probe(&self, slots: u32) -> bool {
         let is_due = self.detector.borrow().needs_probe(slots, Instant::now());
@@ -57,7 +67,7 @@
         self.is_probing.set(false);
         match answered {
             Some(true) => self.record_sound(),
-            Some(false) => self.detector.borrow_mut().record_failed_probe(sent_at),
+            Some(false) => self.record_failed_probe(sent_at),
             None => {}
         }
     }
@@ -87,7 +97,7 @@
 }
 
 impl WatchedExchange<'_> {
-    /// Records that the backend server has responded, or that the exchange broke.
+    /// Records that the backend server has responded.
     pub fn record_sound(&self) {
         self.watch.record_sound();
     }
--- a/crates/marigold-sidecar/tests/crashing_requests.rs
+++ b/crates/marigold-sidecar/tests/crashing_requests.rs
@@ -9,7 +9,7 @@
 use std::time::Duration;
 
 use bytes::{Bytes, BytesMut};
-use common::test_mesh::{BackendBehaviour, TestMesh, get, until};
+use common::test_mesh::{BackendBehaviour, HEALTH_PATH, TestMesh, get, until};
 use common::{announcement, listener, local_tests, names, service};
 use futures_util::future::join;
 use marigold_dispatch::{LinkRate, ServingState, Site};
@@ -18,7 +18,7 @@
 use marigold_sidecar::events::EventLog;
 use marigold_sidecar::executor::{ExecutorOptions, LocalExecutor};
 use marigold_sidecar::ingress::{Mesh, MeshOptions, Tuning};
-use marigold_sidecar::link::{Frame, FrameCodec, LinkServer, Packet};
+use marigold_sidecar::link::{Call, Frame, FrameCodec, LinkServer, Packet};
 use marigold_types::{Address, Incarnation, InstanceId, SlotCount};
 use rand::SeedableRng;
 use rand::rngs::SmallRng;
@@ -167,6 +167,42 @@
         assert_eq!((records[0].fingerprint, records[0].crashes.len()), (print, 1));
     }
 
+    silence_after_a_broken_exchange_is_blamed_on_later_requests {
+        let daemon = Daemon::start("here").await;
+        let (socket, backend) = listener().await;
+        let end = spawn_local(fall_silent_on_first_request(socket));
+        daemon.executor.set_health_path(Box::new(|| Some(Arc::from(HEALTH_PATH))));
+        daemon.executor.apply_announcement(&announcement(backend, 1, ServingState::Ready));
+        let ingress = Daemon::start("here").await;
+        ingress.link_to(&daemon, "here").await;
+        let [guilty, later] = ["/safe/a", "/safe/b"].map(|target| Call {
+            target: Arc::from(target),
+            ..common::call(target, true)
+        });
+        let print = guilty.fingerprint();
+        ingress.mesh.send(daemon.address, guilty).expect("room").wait().await;
+        let later = ingress.mesh.send(daemon.address, later).expect("room");
+        // Far earlier than a run is overdue, and than the next instance announces itself.
+        until(|| !ingress.mesh.crashes.is_empty()).await;
+        let records = ingress.mesh.crashes.records();
+        let blamed: Vec<_> = records.iter().map(|record| record.fingerprint).collect();
+        assert_eq!(blamed, [print]);
+        assert!(daemon.executor.serving().is_some(), "a silent instance may be heard again");
+        drop(later);
+        end.abort();
+    }
+
+    backend_server_that_answers_health_checks_after_a_broken_exchange_counts_as_silent {
+        let mesh = TestMesh::new(&[BackendBehaviour::HangOnMark]).await;
+        mesh.executors[0].set_health_path(Box::new(|| Some(Arc::from(HEALTH_PATH))));
+        let cut = mesh.send(&get("/once/cut", CONNECTION_CLOSE)).await;
+        assert!(cut.starts_with("HTTP/1.1 502"), "{cut}");
+        sleep(Duration::from_millis(200)).await;
+        assert!(mesh.trackers[0].is_empty());
+        let next = mesh.send(&get("/once/b", CONNECTION_CLOSE)).await;
+        assert!(next.starts_with("HTTP/1.1 200"), "{next}");
+    }
+
     crash_of_a_silent_backend_server_goes_unnoticed_until_the_next_instance {
         let mesh = TestMesh::new(&[BackendBehaviour::Hang]).await;
         let requests = ["/safe/a", "/safe/b"].map(|path| get(path, CONNECTION_CLOSE));
@@ -307,6 +343,18 @@
     assert!(read > 0);
 }
 
+/// Reads the first request and closes its connection, then accepts connections without reading from them.
+async fn fall_silent_on_first_request(socket: TcpListener) {
+    let (mut stream, _) = socket.accept().await.expect("a connection");
+    let mut buffer = [0; 1024];
+    stream.read(&mut buffer).await.expect("a request");
+    drop(stream);
+    let mut open = Vec::new();
+    loop {
+        open.push(socket.accept().await.expect("a connection"));
+    }
+}
+
 /// A daemon without callers.
 struct Daemon {
     address: SocketAddr,
