Roll-outs: runs that are given up are evidence of a slow version

Cause: on eight servers a version that takes 100 ms in place of 20 was rolled back by the deadline's rule at 13.1 s, with "runs: 1" although it had got 210 requests. A second attempt elsewhere ends such runs, and a run that is dropped counted nowhere: the slower a version, the less was seen of it.

Change: executors count given-up runs by how long they had taken (GivenUpRuns); the judge takes those that exceed the mean of the other versions as lower bounds of run times, on both sides of the comparison, since responses are lost and callers leave everywhere. Callers that leave early say nothing.

--- a/crates/marigold-dispatch/src/lib.rs
+++ b/crates/marigold-dispatch/src/lib.rs
@@ -43,8 +43,9 @@
     RefusedAttempt, RequestMark, RequestOrigin, RetryBudget, RetryRequest, SlackShare,
 };
 pub use rollout::{
-    CanaryWindow, KindCounts, RolloutEvidence, RolloutJudge, RolloutOrder, RolloutState,
-    RolloutStatus, RolloutStep, StepCause, VersionCounts, VersionFilter, VersionGate, VersionRule,
+    CanaryWindow, GivenUpRuns, KindCounts, RolloutEvidence, RolloutJudge, RolloutOrder,
+    RolloutState, RolloutStatus, RolloutStep, StepCause, VersionCounts, VersionFilter, VersionGate,
+    VersionRule,
 };
 pub use routes::{
     CallKind, CallerLimits, Precedence, Rank, RequestQuota, RoutePolicy, RouteTable, ServicePolicy,
--- a/crates/marigold-dispatch/src/rollout.rs
+++ b/crates/marigold-dispatch/src/rollout.rs
@@ -5,6 +5,7 @@
 //! See docs/design/rollouts.md.
 
 mod canary_window;
+mod given_up_runs;
 mod kind_counts;
 mod rollout_evidence;
 mod rollout_judge;
@@ -21,6 +22,7 @@
 mod window_counts;
 
 pub use canary_window::CanaryWindow;
+pub use given_up_runs::GivenUpRuns;
 pub use kind_counts::KindCounts;
 pub use rollout_evidence::RolloutEvidence;
 pub use rollout_judge::RolloutJudge;
--- a/crates/marigold-dispatch/src/rollout/kind_counts.rs
+++ b/crates/marigold-dispatch/src/rollout/kind_counts.rs
@@ -4,6 +4,7 @@
 
 use serde::{Deserialize, Serialize};
 
+use super::GivenUpRuns;
 use crate::CallKind;
 
 /// Counts of the runs of one kind on a backend server, since it started.
@@ -21,6 +22,8 @@
     pub run_time: Duration,
     /// How long each of the current runs has taken, except on a server that has just started.
     pub open: Vec<Duration>,
+    /// Runs that ended without a response or a failure, except on a server that has just started.
+    pub given_up: GivenUpRuns,
 }
 
 impl KindCounts {
@@ -34,6 +37,7 @@
             timed: 0,
             run_time: Duration::ZERO,
             open: Vec::new(),
+            given_up: GivenUpRuns::default(),
         }
     }
 }
--- a/crates/marigold-dispatch/src/rollout/rollout_evidence.rs
+++ b/crates/marigold-dispatch/src/rollout/rollout_evidence.rs
@@ -137,17 +137,11 @@
     }
 
     fn slow_in(&self, kind: &CallKind, since: Option<Instant>) -> Option<String> {
-        let mut others = sum(self.others(), &[kind], since);
-        if others.timed < MIN_OTHER_RUNS {
-            others = sum(self.others(), &[kind], None);
-        }
-        let expected_s = others.mean_s();
-        if others.timed < MIN_OTHER_RUNS || expected_s < MIN_JUDGED_RUN_S {
-            return None;
-        }
+        let expected_s = self.expected_s(kind, since)?;
         let limit_s = SLOW_RATIO * expected_s;
         let with_overdue = |server: &ServerEvidence| {
             let mut counts = server.window(kind, since);
+            counts.add_given_up(&server.given_up(kind, since), expected_s);
             if let Some(latest) = server.latest(kind) {
                 counts.add_overdue(&latest.open, limit_s);
             }
@@ -175,6 +169,23 @@
         })
     }
 
+    /// Returns the average run time of `kind` on other versions in seconds, or `None` if it is not known. Runs are given up
+    /// there as well: callers leave, and responses are lost.
+    fn expected_s(&self, kind: &CallKind, since: Option<Instant>) -> Option<f64> {
+        let (mut others, mut since) = (sum(self.others(), &[kind], since), since);
+        if others.timed < MIN_OTHER_RUNS {
+            (others, since) = (sum(self.others(), &[kind], None), None);
+        }
+        let answered_s = others.mean_s();
+        if others.timed < MIN_OTHER_RUNS || answered_s < MIN_JUDGED_RUN_S {
+            return None;
+        }
+        for server in self.others() {
+            others.add_given_up(&server.given_up(kind, since), answered_s);
+        }
+        Some(others.mean_s())
+    }
+
     /// Returns whether there are enough responses to trust the version if none speaks against it.
     #[must_use]
     pub fn is_enough(&self) -> bool {
--- a/crates/marigold-dispatch/src/rollout/server_evidence.rs
+++ b/crates/marigold-dispatch/src/rollout/server_evidence.rs
@@ -6,7 +6,7 @@
 use tokio::time::Instant;
 
 use super::window_counts::WindowCounts;
-use super::{KindCounts, VersionCounts};
+use super::{GivenUpRuns, KindCounts, VersionCounts};
 use crate::{CallKind, ServerVersion};
 
 /// How long counts are kept; the longest window that ends now, apart from that since the beginning.
@@ -82,12 +82,28 @@
         let Some(latest) = self.latest(kind) else {
             return WindowCounts::default();
         };
-        let in_window = since.and_then(|since| {
+        WindowCounts::between(self.earlier(kind, since), latest)
+    }
+
+    /// Returns the runs of `kind` that were given up since `since`, or since the beginning.
+    pub fn given_up(&self, kind: &CallKind, since: Option<Instant>) -> GivenUpRuns {
+        let Some(latest) = self.latest(kind) else {
+            return GivenUpRuns::default();
+        };
+        match self.earlier(kind, since) {
+            Some(earlier) => latest.given_up.since(&earlier.given_up),
+            None => latest.given_up.clone(),
+        }
+    }
+
+    /// Returns the counts of `kind` at `since`, or at the beginning.
+    fn earlier(&self, kind: &CallKind, since: Option<Instant>) -> Option<&KindCounts> {
+        let at_start = since.and_then(|since| {
             let earlier = self.recent.iter().rev().find(|(at, _)| *at <= since);
             earlier.map(|(_, counts)| counts)
         });
-        let earlier = in_window.or(self.baseline.as_ref());
-        WindowCounts::between(earlier.and_then(|counts| find(counts, kind)), latest)
+        let earlier = at_start.or(self.baseline.as_ref());
+        earlier.and_then(|counts| find(counts, kind))
     }
 }
 
--- a/crates/marigold-dispatch/src/rollout/window_counts.rs
+++ b/crates/marigold-dispatch/src/rollout/window_counts.rs
@@ -2,7 +2,7 @@
 
 use std::time::Duration;
 
-use super::KindCounts;
+use super::{GivenUpRuns, KindCounts};
 
 /// Counts of runs within a window of time.
 #[derive(Debug, Clone, Copy, Default, PartialEq)]
@@ -50,6 +50,13 @@
         }
     }
 
+    /// Adds the runs that were given up after longer than `limit_s` seconds, which would have taken at least that long.
+    pub fn add_given_up(&mut self, runs: &GivenUpRuns, limit_s: f64) {
+        let (count, total_s) = runs.longer_than(limit_s);
+        self.timed += count;
+        self.run_s += total_s;
+    }
+
     /// Returns the average run time in seconds.
     pub fn mean_s(&self) -> f64 {
         self.run_s / self.timed.max(1.0)
--- a/crates/marigold-dispatch/tests/rollout/main.rs
+++ b/crates/marigold-dispatch/tests/rollout/main.rs
@@ -58,3 +58,31 @@
     slow_late: DESK, Fault::Slow(8.0, ms(3_000)), 12 => RolledBack;
     slow_with_long_runs: LEDGER, Fault::Slow(8.0, Duration::ZERO), 12 => RolledBack;
 }
+
+/// Plays a service with few servers, and expects the final state soon enough.
+macro_rules! small_service_tests {
+    ($($name:ident: $targets:expr, $fault:expr => $expected:ident;)*) => {$(
+        #[test]
+        fn $name() {
+            let wrong: Vec<_> = (0..SEEDS).filter_map(|seed| {
+                let mut model = Model::small($targets, $fault, Duration::from_secs(16), seed);
+                let state = model.play();
+                let is_late = RolloutState::$expected == RolloutState::RolledBack && model.late > 0;
+                let is_wrong = state != Some(RolloutState::$expected) || is_late;
+                is_wrong.then_some((seed, state, model.late, model.exposed))
+            }).collect();
+            assert!(wrong.is_empty(), "{wrong:?}");
+        }
+    )*};
+}
+
+small_service_tests! {
+    slow_among_two_servers: 2, Fault::Slow(5.0, Duration::ZERO) => RolledBack;
+    slow_among_three_servers: 3, Fault::Slow(5.0, Duration::ZERO) => RolledBack;
+    slow_among_four_servers: 4, Fault::Slow(5.0, Duration::ZERO) => RolledBack;
+    slow_among_eight_servers: 8, Fault::Slow(5.0, Duration::ZERO) => RolledBack;
+    slow_late_among_four_servers: 4, Fault::Slow(5.0, ms(5_000)) => RolledBack;
+    good_on_slower_machines_among_two_servers: 2, Fault::Slow(1.5, Duration::ZERO) => Completed;
+    good_on_slower_machines_among_four_servers: 4, Fault::Slow(1.5, Duration::ZERO) => Completed;
+    good_on_slower_machines_among_eight_servers: 8, Fault::Slow(1.5, Duration::ZERO) => Completed;
+}
--- a/crates/marigold-dispatch/tests/rollout/model.rs
+++ b/crates/marigold-dispatch/tests/rollout/model.rs
@@ -20,6 +20,13 @@
 /// When the servers of the new version have started.
 const START_TIME: Duration = Duration::from_millis(1_500);
 const SLOTS: u32 = 9;
+/// Idempotent runs are given up after this many times the usual run time, once a second attempt has succeeded.
+const GIVE_UP_RATIO: f64 = 4.0;
+/// Runs of a small service are slow from this time.
+const SLOW_TIME: Duration = Duration::from_millis(50);
+/// Operators accept no requests to a bad version later than this after so many bad responses.
+const ROLLBACK_TIME: Duration = Duration::from_secs(5);
+const BAD_RESPONSES: usize = 50;
 
 /// How the new version is at fault.
 #[derive(Debug, Clone, Copy, PartialEq)]
@@ -48,6 +55,8 @@
     began: Instant,
     time: Duration,
     fails: bool,
+    /// Whether a second attempt elsewhere ends it before its response.
+    is_given_up: bool,
 }
 
 struct Server {
@@ -64,6 +73,9 @@
 pub const LEDGER: [(f64, u64, bool); 3] =
     [(141.0, 150, false), (310.0, 880, true), (300.0, 55, true)];
 
+/// As above, of a small service.
+pub const SMALL: [(f64, u64, bool); 1] = [(300.0, 20, true)];
+
 pub struct Model {
     rng: ChaCha8Rng,
     kinds: Vec<(f64, u64, bool)>,
@@ -74,6 +86,11 @@
     /// Requests that reached the version before the end, and all requests.
     pub exposed: u32,
     pub total: u32,
+    /// Requests that reached the version although it should have been rolled back.
+    pub late: u32,
+    /// When slow runs of the version ended.
+    slow_at: Vec<Instant>,
+    gives_up: bool,
 }
 
 impl Model {
@@ -97,9 +114,20 @@
             duration,
             exposed: 0,
             total: 0,
+            late: 0,
+            slow_at: Vec::new(),
+            gives_up: false,
         }
     }
 
+    /// Returns a service with as many `targets` as servers of the old version, where second attempts end slow runs.
+    pub fn small(targets: usize, fault: Fault, duration: Duration, seed: u64) -> Self {
+        let mut model = Self::new(&SMALL, fault, duration, seed);
+        model.servers.truncate(2 * targets);
+        model.gives_up = true;
+        model
+    }
+
     /// Plays the roll-out and returns its final state.
     pub fn play(&mut self) -> Option<RolloutState> {
         let order = RolloutOrder {
@@ -162,8 +190,13 @@
             let counts = &mut server.counts;
             server.runs.retain(|run| {
                 let is_over = now >= run.began + run.time;
-                if is_over {
-                    let counts = &mut counts[run.kind];
+                if is_over && server.is_target && run.time >= SLOW_TIME {
+                    self.slow_at.push(now);
+                }
+                let counts = &mut counts[run.kind];
+                if is_over && run.is_given_up {
+                    counts.given_up.record(run.time);
+                } else if is_over {
                     counts.ended += 1;
                     counts.failed += u32::from(run.fails);
                     counts.timed += u32::from(!run.fails);
@@ -194,7 +227,13 @@
             VersionRule::Any | VersionRule::Except(_) => None,
         };
         let index = index.unwrap_or_else(|| self.least_busy(false));
-        self.exposed += u32::from(self.servers[index].is_target);
+        let is_target = self.servers[index].is_target;
+        self.exposed += u32::from(is_target);
+        let limit = self
+            .slow_at
+            .get(BAD_RESPONSES - 1)
+            .map(|at| *at + ROLLBACK_TIME);
+        self.late += u32::from(is_target && limit.is_some_and(|limit| now > limit));
         self.start(index, kind, now);
     }
 
@@ -246,10 +285,13 @@
             }
             _ => {}
         }
+        let is_given_up = self.gives_up && self.kinds[kind].2 && factor > GIVE_UP_RATIO;
+        let factor = if is_given_up { GIVE_UP_RATIO } else { factor };
         server.runs.push(Run {
             kind,
             began: now,
             time: ms(self.kinds[kind].1).mul_f64(factor),
+            is_given_up,
             fails: self.rng.random::<f64>() < chance,
         });
     }
--- a/crates/marigold-sidecar/src/executor/run_evidence.rs
+++ b/crates/marigold-sidecar/src/executor/run_evidence.rs
@@ -32,6 +32,15 @@
     last_run: u64,
 }
 
+impl State {
+    /// Returns the counts of `kind`, or `None` if there are too many kinds.
+    fn counts_of(&mut self, kind: &CallKind) -> Option<&mut KindCounts> {
+        let is_full = self.kinds.len() >= MAX_KINDS && !self.kinds.contains_key(kind);
+        let new = || KindCounts::new(kind.clone());
+        (!is_full).then(|| self.kinds.entry(kind.clone()).or_insert_with(new))
+    }
+}
+
 /// Counts of the runs on the current instance of the backend server.
 #[derive(Debug, Default)]
 pub struct RunEvidence {
@@ -60,7 +69,7 @@
         }
     }
 
-    /// Records that a run of `kind` begins. It is not counted if it is dropped.
+    /// Records that a run of `kind` begins. It counts as given up if it is dropped.
     pub fn start(&self, kind: &CallKind, now: Instant) -> CountedRun {
         let mut state = self.state.borrow_mut();
         state.last_run += 1;
@@ -99,7 +108,7 @@
     }
 }
 
-/// A run on the backend server. Dropping it ends the run without counting it.
+/// A run on the backend server. Dropping it records that nobody waits for the response any more.
 #[derive(Debug)]
 pub struct CountedRun {
     state: Rc<RefCell<State>>,
@@ -136,12 +145,12 @@
             return;
         };
         let time = run.began.elapsed();
-        let is_full = state.kinds.len() >= MAX_KINDS && !state.kinds.contains_key(&run.kind);
-        if is_full || !counts(time) {
+        if !counts(time) {
             return;
         }
-        let new = || KindCounts::new(run.kind.clone());
-        let counts = state.kinds.entry(run.kind.clone()).or_insert_with(new);
+        let Some(counts) = state.counts_of(&run.kind) else {
+            return;
+        };
         counts.ended = counts.ended.saturating_add(1);
         counts.failed = counts.failed.saturating_add(u32::from(has_failed));
         if is_timed && run.is_warm {
@@ -153,6 +162,12 @@
 
 impl Drop for CountedRun {
     fn drop(&mut self) {
-        self.state.borrow_mut().open.remove(&self.id);
+        let mut state = self.state.borrow_mut();
+        let Some(run) = state.open.remove(&self.id).filter(|run| run.is_warm) else {
+            return;
+        };
+        if let Some(counts) = state.counts_of(&run.kind) {
+            counts.given_up.record(run.began.elapsed());
+        }
     }
 }
