Placement: waits are learnt by kind; a request that may run once avoids failing servers twice as much

Cause: the wait at an executor was taken from its queue in the order of arrival, while executors serve by value for slot time.

Change: each ingress learns how long requests of a kind and precedence wait, relative to what the queues let expect (WaitRatio). A kind that overtakes others counts the whole queue all the same, since it makes them wait, unless its workspace goes before theirs. Losing a request that may run once costs twice its value. [decisions] in the settings selects the earlier ways (wait = queue, loss_cost = value); the started line names those in force.

--- a/crates/marigold-dispatch/src/lib.rs
+++ b/crates/marigold-dispatch/src/lib.rs
@@ -14,6 +14,7 @@
 
 mod admission;
 mod backend;
+mod decisions;
 mod locality;
 mod membership;
 mod placing;
@@ -31,12 +32,13 @@
     Announcement, AnnouncementOutcome, BackendInstance, BackendState, Departure, NamedLimit,
     ServerVersion, ServingState, SilenceDetector, WatchedRun, select_trial_executor,
 };
+pub use decisions::{Decisions, LossCost, WaitSource};
 pub use locality::{DataCentreFigures, KindDemand, LocalityPlan, LocalityPlanner, ShareReason};
 pub use membership::{
     Directory, FirstContact, LinkRate, LinkSelector, PollTimer, RelaySelector, Site, UpdateSource,
 };
 pub use placing::{
-    ExecutorChoice, ExecutorState, Placement, PlacementRequest, Reached, SiteReport,
+    ExecutorChoice, ExecutorState, Placement, PlacementRequest, Reached, SiteReport, WaitRatio,
 };
 pub use retries::{
     AttemptOutcome, CallerReturn, CallerReturns, CallerTimeouts, Conclusion, Progress,
--- a/crates/marigold-dispatch/src/placing/placement.rs
+++ b/crates/marigold-dispatch/src/placing/placement.rs
@@ -14,18 +14,19 @@
 use tokio::time::Instant;
 
 use crate::placing::risk::{displaced, loss};
+use crate::placing::wait_ratio::{WaitRatio, queue_wait};
 use crate::{
-    AttemptOutcome, CallKind, Directory, ExecutorState, PlacementRequest, RunTime, Site, SiteReport,
+    AttemptOutcome, CallKind, Decisions, Directory, ExecutorState, LossCost, PlacementRequest,
+    Precedence, RunTime, Site, SiteReport, WaitSource,
 };
 
 /// The run time assumed for a kind before its first run.
 const DEFAULT_RUN_TIME: Duration = Duration::from_millis(50);
-/// The fraction of a run time that a fully occupied server adds to the wait besides its queue, since requests
-/// arrive in bursts.
-const CONTENTION_RATIO: f64 = 0.25;
 /// The maximum random addition to the wait, as a fraction of a run time. Spreads requests over executors of
 /// equal cost.
 const JITTER_RATIO: f64 = 0.05;
+/// The least average run time at an executor, before its first run.
+const MIN_MEAN_RUN: Duration = Duration::from_millis(1);
 /// The fraction of the expected loss that counts for a request that can be retried on another server.
 const RETRIABLE_LOSS_RATIO: f64 = 0.4;
 /// The divisor of the moving average of response sizes: a new response has a weight of 1/32.
@@ -50,6 +51,24 @@
     pub wait: Duration,
     /// Whether the executor is in another data centre.
     pub is_remote: bool,
+    /// The requests per slot that the executor seems to have, this one included.
+    pub occupancy: f64,
+    /// The average run time of all requests at the executor.
+    pub mean_run: Duration,
+}
+
+impl ExecutorChoice {
+    /// Returns the choice of an executor for a reason other than its load.
+    #[must_use]
+    pub fn regardless_of_load(address: SocketAddr) -> Self {
+        Self {
+            address,
+            wait: Duration::ZERO,
+            is_remote: false,
+            occupancy: 0.0,
+            mean_run: Duration::ZERO,
+        }
+    }
 }
 
 /// The weighted average occupancy of several executors, in requests per slot.
@@ -75,6 +94,9 @@
     byte_cost: f64,
     executors: HashMap<SocketAddr, ExecutorState>,
     run_times: HashMap<CallKind, RunTime>,
+    /// Executors serve workspaces by their precedence before they compare kinds.
+    waits: HashMap<(CallKind, Precedence), WaitRatio>,
+    decisions: Decisions,
     /// The average size of a response body, in bytes.
     response_sizes: HashMap<CallKind, f64>,
     /// The average value of the requests for a service.
@@ -91,6 +113,8 @@
             byte_cost,
             executors: HashMap::new(),
             run_times: HashMap::new(),
+            waits: HashMap::new(),
+            decisions: Decisions::default(),
             response_sizes: HashMap::new(),
             request_values: HashMap::new(),
         }
@@ -101,6 +125,11 @@
         self.byte_cost = byte_cost;
     }
 
+    /// Sets the ways in which executors are compared.
+    pub fn set_decisions(&mut self, decisions: Decisions) {
+        self.decisions = decisions;
+    }
+
     /// Returns the state of the executor at `address`, inserting it if it is new.
     pub fn executor_mut(&mut self, address: SocketAddr, now: Instant) -> &mut ExecutorState {
         self.executors
@@ -181,6 +210,23 @@
         }
     }
 
+    /// Records how long a request of a kind and precedence waited at the executor of `choice` until it had a slot.
+    pub fn record_wait(
+        &mut self,
+        choice: &ExecutorChoice,
+        (kind, precedence): (&CallKind, Precedence),
+        wait: Duration,
+    ) {
+        let key = (kind.clone(), precedence);
+        let is_full = self.waits.len() >= MAX_KINDS && !self.waits.contains_key(&key);
+        if is_full || choice.mean_run.is_zero() {
+            return;
+        }
+        let wait = wait.as_secs_f64() / choice.mean_run.as_secs_f64();
+        let curve = self.waits.entry(key).or_default();
+        curve.observe(choice.occupancy, wait);
+    }
+
     /// Updates the health of the executor at `address` with the outcome of an attempt.
     ///
     /// At most half of a service's executors are ejected at a time: if more fail, the cause is not specific to
@@ -249,6 +295,7 @@
         let mut fallback = None;
         self.record_value(request);
         let occupancies = self.mean_occupancies(directory, request.service, now);
+        let wait_ratio = self.wait_ratio(request);
         for site in directory.of(request.service) {
             if request.tried.contains(&site.address)
                 || !request.versions.admits(site.version.as_ref())
@@ -258,7 +305,7 @@
             let mean_occupancy = occupancies
                 .get(&site.data_centre)
                 .map_or(0.0, Occupancy::mean);
-            let (cost, choice) = self.cost(site, request, mean_occupancy, rng, now);
+            let (cost, choice) = self.cost(site, request, (mean_occupancy, wait_ratio), rng, now);
             let executor = self.executor_mut(site.address, now);
             let report = executor.report();
             let serves_other = report.is_some_and(|report| !serves(report, request.service));
@@ -283,6 +330,24 @@
             .or(fallback.filter(|_| request.tried.is_empty()))
     }
 
+    /// Returns how long requests like this one wait, relative to what queues let expect.
+    ///
+    /// A request that overtakes others makes them wait in its place, so it counts the whole queue, unless its workspace
+    /// goes before theirs.
+    fn wait_ratio(&self, request: &PlacementRequest<'_>) -> f64 {
+        if self.decisions.wait == WaitSource::Queue {
+            return 1.0;
+        }
+        let key = (request.kind.clone(), request.precedence);
+        let ratio = self.waits.get(&key).map_or(1.0, WaitRatio::ratio);
+        let mut precedences = self.waits.keys().map(|(_, precedence)| *precedence);
+        if precedences.any(|other| other > request.precedence) {
+            ratio
+        } else {
+            ratio.max(1.0)
+        }
+    }
+
     fn record_value(&mut self, request: &PlacementRequest<'_>) {
         let value = request.rank.value();
         match self.request_values.get_mut(request.service) {
@@ -319,7 +384,7 @@
         &self,
         site: &Site,
         request: &PlacementRequest<'_>,
-        mean_occupancy: f64,
+        (mean_occupancy, wait_ratio): (f64, f64),
         rng: &mut R,
         now: Instant,
     ) -> (f64, ExecutorChoice) {
@@ -341,21 +406,26 @@
         let mean = executor
             .and_then(ExecutorState::report)
             .map_or(run * slowness, |report| {
-                report.mean_run.as_secs_f64().max(0.001)
+                report.mean_run.max(MIN_MEAN_RUN).as_secs_f64()
             });
-        let ahead = (requests + 1.0 - slots).max(0.0);
-        let wait = ahead * mean / slots;
-        let occupancy = ((requests + 1.0) / slots).min(1.0);
-        let contention = CONTENTION_RATIO * mean * occupancy * occupancy;
+        let occupancy = (requests + 1.0) / slots;
+        let wait = wait_ratio * mean * queue_wait(occupancy);
+        // Contention makes no response overdue.
+        let queued = wait_ratio * mean * (occupancy - 1.0).max(0.0);
         let jitter = JITTER_RATIO * run * rng.random::<f64>();
         let expected_loss = executor.map_or(0.0, |executor| executor.expected_loss(now));
-        let mut cost = loss(request, wait + contention + jitter, run * slowness);
-        let loss_ratio = if request.idempotent {
+        // Nobody can repeat what may run once.
+        let lost_ratio = match self.decisions.loss_cost {
+            LossCost::Double if !request.idempotent => 2.0,
+            LossCost::Double | LossCost::Value => 1.0,
+        };
+        let failure_ratio = if request.idempotent {
             RETRIABLE_LOSS_RATIO
         } else {
-            1.0
+            lost_ratio
         };
-        cost += request.rank.value() * expected_loss * loss_ratio;
+        let mut cost = loss(request, lost_ratio, wait + jitter, run * slowness);
+        cost += request.rank.value() * expected_loss * failure_ratio;
         if is_remote {
             let request_size = f64::from(u32::try_from(request.bytes).unwrap_or(u32::MAX));
             let response_size = self
@@ -370,8 +440,10 @@
         }
         let choice = ExecutorChoice {
             address: site.address,
-            wait: Duration::from_secs_f64(wait),
+            wait: Duration::from_secs_f64(queued),
             is_remote,
+            occupancy,
+            mean_run: Duration::from_secs_f64(mean),
         };
         (cost, choice)
     }
--- a/crates/marigold-dispatch/src/placing/placement_request.rs
+++ b/crates/marigold-dispatch/src/placing/placement_request.rs
@@ -5,7 +5,7 @@
 
 use marigold_types::ServiceName;
 
-use crate::{CallKind, Rank, VersionFilter};
+use crate::{CallKind, Precedence, Rank, VersionFilter};
 
 /// A request for which an executor is selected.
 #[derive(Debug, Clone, Copy)]
@@ -14,6 +14,8 @@
     pub service: &'a ServiceName,
     /// The kind of the request.
     pub kind: &'a CallKind,
+    /// The precedence of the caller's workspace.
+    pub precedence: Precedence,
     /// The priority of the request.
     pub rank: Rank,
     /// The remaining time in which a response has its full value.
--- a/crates/marigold-dispatch/src/placing/risk.rs
+++ b/crates/marigold-dispatch/src/placing/risk.rs
@@ -20,17 +20,18 @@
     ((occupancy - from) / (to - from)).clamp(0.0, 1.0)
 }
 
-/// Estimates the value that a request loses by a wait of `wait_s`, given a mean run time of `run_s`.
+/// Estimates the value that a request loses by a wait of `wait_s`, given a mean run time of `run_s`. `lost_ratio` is what a
+/// lost response costs, as a fraction of the request's value.
 ///
 /// A longer wait makes it more likely that the response is late, or that the request is refused or abandoned.
-pub fn loss(request: &PlacementRequest<'_>, wait_s: f64, run_s: f64) -> f64 {
+pub fn loss(request: &PlacementRequest<'_>, lost_ratio: f64, wait_s: f64, run_s: f64) -> f64 {
     let exceeds = |limit: Duration| {
         let left = limit.as_secs_f64() - wait_s;
         run_exceeds(left / run_s.max(MIN_DURATION.as_secs_f64()))
     };
     let objective = request.objective.max(MIN_DURATION).as_secs_f64();
     let late = (1.0 - LATE_VALUE_RATIO) * exceeds(request.objective);
-    let lost = LATE_VALUE_RATIO * exceeds(request.time_left);
+    let lost = (lost_ratio - 1.0 + LATE_VALUE_RATIO) * exceeds(request.time_left);
     request.rank.value() * (late + lost + LATENCY_COST_RATIO * (wait_s + run_s) / objective)
 }
 
--- a/crates/marigold-dispatch/tests/load/main.rs
+++ b/crates/marigold-dispatch/tests/load/main.rs
@@ -12,5 +12,6 @@
 mod request_class;
 mod scenario;
 mod scenarios;
+mod shifted_scenarios;
 mod simulation;
 mod workspace_scenarios;
--- a/crates/marigold-dispatch/tests/load/request.rs
+++ b/crates/marigold-dispatch/tests/load/request.rs
@@ -4,7 +4,7 @@
 
 use tokio::time::Instant;
 
-use marigold_dispatch::Progress;
+use marigold_dispatch::{ExecutorChoice, Progress};
 
 /// A request, including its retries by the caller, which keep its objective and deadline.
 #[derive(Debug, Clone)]
@@ -40,6 +40,9 @@
 pub struct Attempt {
     pub request: usize,
     pub executor: usize,
+    pub choice: ExecutorChoice,
+    /// When it reached the executor.
+    pub arrived: Option<Instant>,
     /// When its run began.
     pub began: Option<Instant>,
     pub permit: Option<marigold_dispatch::Permit>,
--- a/crates/marigold-dispatch/tests/load/simulation.rs
+++ b/crates/marigold-dispatch/tests/load/simulation.rs
@@ -8,7 +8,7 @@
 use std::time::Duration;
 
 use marigold_dispatch::{
-    Conclusion, Directory, LinkRate, Progress, RefusedAttempt, RequestMark, Site,
+    Conclusion, Decisions, Directory, LinkRate, Progress, RefusedAttempt, RequestMark, Site,
 };
 use marigold_types::SlotCount;
 use rand::{RngExt, SeedableRng};
@@ -84,6 +84,16 @@
         simulation.results
     }
 
+    /// Runs a scenario to its end with other ways of deciding than by default.
+    pub fn simulate_with(scenario: &Scenario, decisions: Decisions, seed: u64) -> Results {
+        let mut simulation = Self::new(scenario.clone(), seed);
+        for ingress in &mut simulation.ingresses {
+            ingress.placement.set_decisions(decisions);
+        }
+        simulation.run();
+        simulation.results
+    }
+
     /// Runs a scenario in which a share of each data centre's demand goes elsewhere, see docs/design/locality.md.
     pub fn simulate_shares(scenario: &Scenario, seed: u64) -> Results {
         let mut simulation = Self::new(scenario.clone(), seed);
--- a/crates/marigold-dispatch/tests/load/simulation/routing.rs
+++ b/crates/marigold-dispatch/tests/load/simulation/routing.rs
@@ -26,6 +26,7 @@
         let placement_request = PlacementRequest {
             service: &class.service,
             kind: &class.kind,
+            precedence: class.precedence,
             rank: class.rank,
             idempotent: class.idempotent,
             objective: request.objective.saturating_sub(elapsed),
@@ -72,6 +73,8 @@
         self.attempts.push(Attempt {
             request: number,
             executor,
+            choice,
+            arrived: None,
             began: None,
             permit: None,
             is_over: false,
@@ -96,6 +99,10 @@
             AttemptResult::Refused(_) => AttemptOutcome::Refused,
         };
         placement.record_outcome(&self.directory, at, outcome, self.now);
+        if let (Some(arrived), Some(began)) = (attempt.arrived, attempt.began) {
+            let class = (kind, self.scenario.classes[request.class].precedence);
+            placement.record_wait(&attempt.choice, class, began - arrived);
+        }
         match result {
             AttemptResult::Served(ran) => {
                 placement.record_run(at, kind, ran, BODY_BYTES, self.now);
--- a/crates/marigold-dispatch/tests/load/simulation/serving.rs
+++ b/crates/marigold-dispatch/tests/load/simulation/serving.rs
@@ -13,6 +13,7 @@
 impl Simulation {
     /// Handles the arrival of an attempt at its executor.
     pub(super) fn attempt(&mut self, number: usize) {
+        self.attempts[number].arrived = Some(self.now);
         let attempt = self.attempts[number];
         let request = &self.requests[attempt.request];
         let class = &self.scenario.classes[request.class];
--- a/crates/marigold-dispatch/tests/placement.rs
+++ b/crates/marigold-dispatch/tests/placement.rs
@@ -61,6 +61,7 @@
         let request = PlacementRequest {
             service: &service("desk"),
             kind: &kind("read"),
+            precedence: marigold_dispatch::Precedence::default(),
             rank,
             idempotent: false,
             objective: ms(200),
--- a/crates/marigold-sidecar/src/ingress/mesh.rs
+++ b/crates/marigold-sidecar/src/ingress/mesh.rs
@@ -7,9 +7,9 @@
 use std::time::Duration;
 
 use marigold_dispatch::{
-    AttemptOutcome, CallKind, CallerReturn, CallerReturns, Directory, ExecutorChoice, LinkSelector,
-    Placement, PlacementRequest, Reached, RefusedAttempt, RequestMark, RetryBudget, RetryRequest,
-    SiteReport, SlackShare, VersionGate, select_trial_executor,
+    AttemptOutcome, CallKind, CallerReturn, CallerReturns, Decisions, Directory, ExecutorChoice,
+    LinkSelector, Placement, PlacementRequest, Precedence, Reached, RefusedAttempt, RequestMark,
+    RetryBudget, RetryRequest, SiteReport, SlackShare, VersionGate, select_trial_executor,
 };
 use marigold_request::quarantine::Fingerprint;
 use marigold_types::{DataCentre, ServiceName};
@@ -45,6 +45,8 @@
     /// Cost of sending one KiB between data centres, as a fraction of the value of a response of the most
     /// urgent rank.
     pub byte_cost: f64,
+    /// The ways in which executors are compared.
+    pub decisions: Decisions,
     /// Retries allowed per request for a service.
     pub retry_ratio: f64,
     /// Retries allowed in addition, for all daemons together in one window.
@@ -96,7 +98,8 @@
         crashes: Rc<CrashTracker>,
         events: Rc<EventLog>,
     ) -> Rc<Self> {
-        let placement = Placement::new(options.data_centre.clone(), options.tuning.byte_cost);
+        let mut placement = Placement::new(options.data_centre.clone(), options.tuning.byte_cost);
+        placement.set_decisions(options.tuning.decisions);
         let link_selector = LinkSelector::new(options.address, options.data_centre.clone());
         Rc::new_cyclic(|myself: &Weak<Self>| Self {
             crashes,
@@ -129,7 +132,10 @@
     /// Applies changed settings. Requests and retries counted so far remain counted.
     pub fn tune(&self, tuning: Tuning) {
         let previous = self.tuning.replace(tuning);
-        self.placement.borrow_mut().set_byte_cost(tuning.byte_cost);
+        let mut placement = self.placement.borrow_mut();
+        placement.set_byte_cost(tuning.byte_cost);
+        placement.set_decisions(tuning.decisions);
+        drop(placement);
         self.slack_share
             .borrow_mut()
             .set_window(tuning.retry_window);
@@ -264,11 +270,7 @@
                 && is_admitted(address)
         };
         let address = select_trial_executor(&directory, service, fingerprint, is_eligible)?;
-        Some(ExecutorChoice {
-            address,
-            wait: Duration::ZERO,
-            is_remote: false,
-        })
+        Some(ExecutorChoice::regardless_of_load(address))
     }
 
     /// Returns whether at least half of the executors of `service` take calls. Otherwise those that do say little about
@@ -328,6 +330,16 @@
         }
     }
 
+    /// Records how long a request of `class` waited at the executor of `choice` until it had a slot.
+    pub fn record_wait(
+        &self,
+        choice: &ExecutorChoice,
+        class: (&CallKind, Precedence),
+        wait: Duration,
+    ) {
+        self.with_placement(|placement| placement.record_wait(choice, class, wait));
+    }
+
     /// Counts a request for `service`, which earns retries for its budget. Returns its earlier attempts, if this daemon has
     /// seen them.
     pub fn count_request(
--- a/crates/marigold-sidecar/src/ingress/request_handler.rs
+++ b/crates/marigold-sidecar/src/ingress/request_handler.rs
@@ -17,9 +17,9 @@
 use std::time::Duration;
 
 use marigold_dispatch::{
-    CallKind, CallerLimits, CallerTimeouts, ExecutorChoice, PlacementRequest, Progress,
-    RefusedAttempt, RequestMark, RoutePolicy, RouteTable, Shutdown, ShutdownStage, VersionFilter,
-    WeightedRoundRobin,
+    AttemptOutcome, CallKind, CallerLimits, CallerTimeouts, ExecutorChoice, PlacementRequest,
+    Progress, RefusedAttempt, RequestMark, RoutePolicy, RouteTable, Shutdown, ShutdownStage,
+    VersionFilter, WeightedRoundRobin,
 };
 use marigold_request::RefusalReason;
 use marigold_request::quarantine::QuarantineStatus;
@@ -38,7 +38,7 @@
 use crate::HeaderNames;
 use crate::events::EventLog;
 use crate::http1::{Request, Response};
-use crate::link::{CallOutcome, CallResult};
+use crate::link::{CallOutcome, CallResult, Reply};
 
 /// Timeout of callers whose request states none.
 const DEFAULT_CALLER_TIMEOUT: Duration = Duration::from_secs(10);
@@ -339,9 +339,7 @@
             };
             trace.waited = reply.waited;
             trace.ran = reply.ran;
-            let outcome = reply.outcome.attempt_outcome();
-            self.mesh
-                .record_outcome(address, &route.kind, outcome, &reply);
+            self.record_reply(context, &choice, address, &reply);
             match reply.outcome.clone() {
                 CallOutcome::Answered { status, fields } => {
                     trace.steps.push(format!("answered {status}"));
@@ -390,6 +388,24 @@
         }
     }
 
+    /// Updates what is known of the executor at `address` from its reply to an attempt that `choice` began.
+    fn record_reply(
+        &self,
+        context: &RequestContext<'_>,
+        choice: &ExecutorChoice,
+        address: SocketAddr,
+        reply: &Reply,
+    ) {
+        let kind = &context.route.kind;
+        let outcome = reply.outcome.attempt_outcome();
+        self.mesh.record_outcome(address, kind, outcome, reply);
+        // Another executor may have answered a second attempt.
+        if address == choice.address && outcome != AttemptOutcome::Refused {
+            self.mesh
+                .record_wait(choice, context.wait_class(), reply.waited);
+        }
+    }
+
     fn choose_executor(
         &self,
         context: &RequestContext<'_>,
@@ -401,6 +417,7 @@
         self.mesh.choose(&PlacementRequest {
             service: context.service,
             kind: &context.route.kind,
+            precedence: context.precedence(),
             rank: context.route.rank,
             idempotent: context.route.idempotent,
             objective: context.objective.saturating_sub(passed),
--- a/crates/marigold-sidecar/src/ingress/request_handler/request_context.rs
+++ b/crates/marigold-sidecar/src/ingress/request_handler/request_context.rs
@@ -4,7 +4,7 @@
 use std::sync::Arc;
 use std::time::Duration;
 
-use marigold_dispatch::{RetryRequest, RoutePolicy, RouteTable, Workspace};
+use marigold_dispatch::{CallKind, Precedence, RetryRequest, RoutePolicy, RouteTable, Workspace};
 use marigold_request::quarantine::Fingerprint;
 use marigold_types::ServiceName;
 use tokio::time::Instant;
@@ -45,6 +45,18 @@
         })
     }
 
+    /// Returns the precedence of the caller's workspace.
+    pub fn precedence(&self) -> Precedence {
+        self.workspace
+            .map(|workspace| workspace.precedence)
+            .unwrap_or_default()
+    }
+
+    /// Returns what the wait for a slot depends on.
+    pub fn wait_class(&self) -> (&CallKind, Precedence) {
+        (&self.route.kind, self.precedence())
+    }
+
     /// Returns what the budget is asked for when the request is retried.
     pub fn retry_request(&self) -> RetryRequest {
         RetryRequest {
@@ -65,10 +77,7 @@
             origin: self.origin.clone(),
             kind: self.route.kind.clone(),
             workspace: self.workspace.map(|workspace| workspace.name.clone()),
-            precedence: self
-                .workspace
-                .map(|workspace| workspace.precedence)
-                .unwrap_or_default(),
+            precedence: self.precedence(),
             rank: self.route.rank,
             idempotent: self.route.idempotent,
             objective: self.objective.saturating_sub(passed),
--- a/crates/marigold-sidecar/src/ingress/rollout_routing.rs
+++ b/crates/marigold-sidecar/src/ingress/rollout_routing.rs
@@ -2,7 +2,6 @@
 
 use std::net::SocketAddr;
 use std::rc::Rc;
-use std::time::Duration;
 
 use marigold_dispatch::{
     CanaryWindow, ExecutorChoice, RolloutOrder, RolloutStatus, Site, VersionCounts, VersionRule,
@@ -88,12 +87,8 @@
         let address = order.into_iter().find(has_room)?;
         metrics::counter!("marigold_canary_requests_total", "service" => service.to_string())
             .increment(1);
-        let site = directory.get(address)?;
-        Some(ExecutorChoice {
-            address,
-            wait: Duration::ZERO,
-            is_remote: site.data_centre != self.data_centre,
-        })
+        directory.get(address)?;
+        Some(ExecutorChoice::regardless_of_load(address))
     }
 
     pub(super) fn handle_rollouts(&self, update: &RolloutUpdate) {
--- a/crates/marigold-sidecar/src/settings.rs
+++ b/crates/marigold-sidecar/src/settings.rs
@@ -6,7 +6,7 @@
 use std::sync::Arc;
 use std::time::Duration;
 
-use marigold_dispatch::LinkRate;
+use marigold_dispatch::{Decisions, LinkRate};
 use marigold_ini::{Document, Faults, Section};
 use marigold_types::{ByteSize, DataCentre, ServiceName};
 
@@ -91,6 +91,8 @@
     pub store: SocketAddr,
     /// Selection of executors.
     pub routing: RoutingSettings,
+    /// The ways in which executors are compared.
+    pub decisions: Decisions,
     /// Limits set by the operators of the platform.
     pub bounds: BoundSettings,
 }
@@ -137,6 +139,7 @@
     let byte_cost = routing
         .filter(|section| section.find("byte_cost").is_some())
         .and_then(|section| required_number(section, "byte_cost", faults));
+    let decisions = read_decisions(document, faults);
     let grace = required_number(bounds, "grace", faults);
     let retry_ratio = required_number(bounds, "retry_ratio", faults);
     let retry_slack = required_number(bounds, "retry_slack", faults);
@@ -162,6 +165,7 @@
         routing: RoutingSettings {
             byte_cost: byte_cost.unwrap_or(RoutingSettings::default().byte_cost),
         },
+        decisions,
         bounds: BoundSettings {
             grace: Duration::from_secs_f64(grace?),
             retry_ratio: retry_ratio?,
@@ -172,6 +176,20 @@
     })
 }
 
+/// Reads the `[decisions]` section. What it leaves out is decided as by default.
+fn read_decisions(document: &Document, faults: &mut Faults) -> Decisions {
+    let default = Decisions::default();
+    let Some(section) = document.sections.iter().find(|s| &*s.kind == "decisions") else {
+        return default;
+    };
+    Decisions {
+        wait: section.optional("wait", faults).unwrap_or(default.wait),
+        loss_cost: section
+            .optional("loss_cost", faults)
+            .unwrap_or(default.loss_cost),
+    }
+}
+
 /// Reads how old a configuration may be that requests with keys run by, if the platform bounds that.
 fn read_revocation(bounds: &Section, faults: &mut Faults) -> Option<Duration> {
     let is_strict: bool = bounds.optional("strict_revocation", faults)?;
--- a/crates/marigold-sidecar/src/sidecar.rs
+++ b/crates/marigold-sidecar/src/sidecar.rs
@@ -126,6 +126,8 @@
                 "data_centre",
                 settings.instance.data_centre.to_string().into(),
             ),
+            ("wait", settings.decisions.wait.to_string().into()),
+            ("loss_cost", settings.decisions.loss_cost.to_string().into()),
         ],
     );
     let components = start(&settings, &adapter, &events, run_id, metrics)?;
@@ -293,6 +295,7 @@
 fn mesh_tuning(settings: &Settings) -> Tuning {
     Tuning {
         byte_cost: settings.routing.byte_cost,
+        decisions: settings.decisions,
         retry_ratio: settings.bounds.retry_ratio,
         retry_slack: settings.bounds.retry_slack,
         retry_window: settings.bounds.retry_window,
--- a/crates/marigold-sidecar/tests/common/test_mesh.rs
+++ b/crates/marigold-sidecar/tests/common/test_mesh.rs
@@ -95,6 +95,7 @@
             data_centre: "here".parse().expect("a name"),
             tuning: Tuning {
                 byte_cost: 0.0,
+                decisions: marigold_dispatch::Decisions::default(),
                 // The share of the slack grows from nothing; each request earns more retries than it may use.
                 retry_ratio: 10.0,
                 retry_slack: 0.0,
--- a/crates/marigold-sidecar/tests/crashing_requests.rs
+++ b/crates/marigold-sidecar/tests/crashing_requests.rs
@@ -347,7 +347,8 @@
 async fn fall_silent_on_first_request(socket: TcpListener) {
     let (mut stream, _) = socket.accept().await.expect("a connection");
     let mut buffer = [0; 1024];
-    stream.read(&mut buffer).await.expect("a request");
+    let read = stream.read(&mut buffer).await.expect("a request");
+    assert!(read > 0);
     drop(stream);
     let mut open = Vec::new();
     loop {
@@ -382,6 +383,7 @@
             data_centre: data_centre.parse().expect("a name"),
             tuning: Tuning {
                 byte_cost: 0.0,
+                decisions: marigold_dispatch::Decisions::default(),
                 retry_ratio: 0.0,
                 retry_slack: 0.0,
                 retry_window: Duration::from_secs(10),
--- a/crates/marigold-sidecar/tests/quotas.rs
+++ b/crates/marigold-sidecar/tests/quotas.rs
@@ -61,6 +61,7 @@
         data_centre: "here".parse().expect("a name"),
         tuning: Tuning {
             byte_cost: 0.0,
+            decisions: marigold_dispatch::Decisions::default(),
             retry_ratio: 0.0,
             retry_slack: 0.0,
             retry_window: Duration::from_secs(10),
--- a/crates/marigold-sidecar/tests/rollouts/fixture.rs
+++ b/crates/marigold-sidecar/tests/rollouts/fixture.rs
@@ -352,6 +352,7 @@
         data_centre: "here".parse().expect("a name"),
         tuning: Tuning {
             byte_cost: 0.0,
+            decisions: marigold_dispatch::Decisions::default(),
             retry_ratio: 1.0,
             retry_slack: 0.0,
             retry_window: Duration::from_secs(10),
--- a/crates/marigold-sidecar/tests/whole_path.rs
+++ b/crates/marigold-sidecar/tests/whole_path.rs
@@ -122,6 +122,7 @@
         let mesh = TestMesh::new(&[BackendBehaviour::Fail, BackendBehaviour::Fail]).await;
         mesh.ingress.mesh.tune(Tuning {
             byte_cost: 0.0,
+            decisions: marigold_dispatch::Decisions::default(),
             retry_ratio: 0.0,
             retry_slack: 0.0,
             retry_window: Duration::from_secs(10),
