Decisions: waits by the queue and the plain cost of a loss are the defaults again

Conclusion: the earlier ways stay the defaults, and the others can be selected where a deployment's own figures speak for them.

--- a/crates/marigold-dispatch/src/decisions.rs
+++ b/crates/marigold-dispatch/src/decisions.rs
@@ -41,9 +41,9 @@
     /// How long a request is expected to wait at an executor.
     WaitSource, "source of waits", "queue or learnt" {
         /// As long as the queue takes in the order of arrival.
+        #[default]
         Queue => "queue",
         /// As long as requests of its kind have waited where executors seemed as full.
-        #[default]
         Learnt => "learnt",
     }
 }
@@ -52,9 +52,9 @@
     /// What it costs to lose a request that may run once, whose run nobody can repeat.
     LossCost, "cost of a lost request", "value or double" {
         /// The value of its response.
+        #[default]
         Value => "value",
         /// The value of its response, and as much for the caller that is left without an answer.
-        #[default]
         Double => "double",
     }
 }
--- a/crates/marigold-sidecar/tests/decisions.rs
+++ b/crates/marigold-sidecar/tests/decisions.rs
@@ -27,9 +27,9 @@
 }
 
 decision_tests! {
-    defaults_differ_without_the_section: "" => Learnt, Double;
-    way_is_ignored: "[decisions]\nwait = queue\n" => Queue, Double;
-    second_way_is_ignored: "[decisions]\nwait = learnt\nloss_cost = value\n" => Learnt, Value;
+    defaults_differ_without_the_section: "" => Queue, Value;
+    way_is_ignored: "[decisions]\nwait = learnt\n" => Learnt, Value;
+    second_way_is_ignored: "[decisions]\nwait = queue\nloss_cost = double\n" => Queue, Double;
 }
 
 #[test]
