Executor: exchanges that break during the health check of an earlier break are checked as well

Cause: read in the code: a break while the health check was pending started no check, so that the end of its backend server was left to the overdue runs.

--- a/crates/marigold-sidecar/src/executor/crash_check.rs
+++ b/crates/marigold-sidecar/src/executor/crash_check.rs
@@ -29,9 +29,9 @@
         !self.is_running.replace(true)
     }
 
-    /// Waits until no exchange breaks any more; returns when the last one did at the latest, or `None` if no process accepts
-    /// connections at the address of the backend server.
-    pub async fn settle(&self, pool: &BackendPool) -> Option<Instant> {
+    /// Waits until no exchange breaks any more; returns when the last one did at the latest and how many have, or `None` if no
+    /// process accepts connections at the address of the backend server.
+    pub async fn settle(&self, pool: &BackendPool) -> Option<(Instant, u64)> {
         loop {
             let breaks = self.breaks.get();
             let checked_at = Instant::now();
@@ -40,11 +40,16 @@
                 return None;
             }
             if self.breaks.get() == breaks {
-                return Some(checked_at);
+                return Some((checked_at, breaks));
             }
         }
     }
 
+    /// Returns the number of exchanges that have broken.
+    pub fn breaks(&self) -> u64 {
+        self.breaks.get()
+    }
+
     /// Ends the check.
     pub fn end(&self) {
         self.is_running.set(false);
--- a/crates/marigold-sidecar/src/executor/health_probes.rs
+++ b/crates/marigold-sidecar/src/executor/health_probes.rs
@@ -54,20 +54,26 @@
 /// Finds out whether the backend server has outlived an exchange that broke without a response: its end may close the
 /// connection of the request that caused it and leave the others open.
 pub async fn probe_after_break(executor: Rc<LocalExecutor>) {
+    let check = &executor.backend().crash_check;
+    // Exchanges may break while the health check is pending.
+    while let Some(outlived) = count_outlived_breaks(&executor).await
+        && outlived < check.breaks()
+    {}
+    check.end();
+}
+
+/// Returns how many broken exchanges the backend server has outlived, or `None` if it has ended or fallen silent, which is
+/// recorded.
+async fn count_outlived_breaks(executor: &LocalExecutor) -> Option<u64> {
     let backend = executor.backend();
-    let Some(pool) = backend.pool() else {
-        return;
-    };
-    let check = &backend.crash_check;
-    let settled = check.settle(&pool).await;
+    let pool = backend.pool()?;
+    let settled = backend.crash_check.settle(&pool).await;
     if !backend.is_current(&pool) {
-        check.end();
-        return;
+        return None;
     }
-    let Some(broken_at) = settled else {
+    let Some((broken_at, breaks)) = settled else {
         executor.record_crash();
-        check.end();
-        return;
+        return None;
     };
     let event = executor.latest_event();
     let sent_at = Instant::now();
@@ -77,16 +83,16 @@
         // Without a health check, nothing tells a broken connection from a silent end.
         is_alive = answer.unwrap_or(Some(false)).unwrap_or(true);
     }
-    check.end();
     if !backend.is_current(&pool) {
-        return;
+        return None;
     }
     if is_alive || backend.silence.heard_since(sent_at) {
         executor.record_alive(event);
-    } else {
-        backend.silence.record_failed_probe(sent_at);
-        executor.check_silence();
+        return Some(breaks);
     }
+    backend.silence.record_failed_probe(sent_at);
+    executor.check_silence();
+    None
 }
 
 /// Asks a backend server that served before this daemon started for its limit of requests. It runs one request at a
--- a/crates/marigold-sidecar/src/ingress/rollout_routing.rs
+++ b/crates/marigold-sidecar/src/ingress/rollout_routing.rs
@@ -87,7 +87,6 @@
         let address = order.into_iter().find(has_room)?;
         metrics::counter!("marigold_canary_requests_total", "service" => service.to_string())
             .increment(1);
-        directory.get(address)?;
         Some(ExecutorChoice::regardless_of_load(address))
     }
 
