--- a/review/lib/standins.py
+++ b/review/lib/standins.py
@@ -523,13 +523,13 @@
     """The case could not be brought about."""
 
 
-def main(folder, case):
+def main(folder, case, limit_s=110):
     """Runs a case: it returns a list of the ways in which the rule was broken."""
 
     async def run():
         deployment = Deployment(folder)
         try:
-            broken = await asyncio.wait_for(case(deployment), 110)
+            broken = await asyncio.wait_for(case(deployment), limit_s)
         except (CannotRun, asyncio.TimeoutError) as error:
             deployment.record.line(f"the case could not run: {error}")
             print(f"could not run: {error}")
