--- a/review/2/case.py
+++ b/review/2/case.py
@@ -1,34 +1,30 @@
-"""The store comes back from a copy some seconds old; a key that the operator withdraws then stays in use."""
+"""A daemon is stopped while its worker drains: it breaks off the requests at which that worker is at work."""
 
 import asyncio
 import os
 import sys
+import time
 
 FOLDER = os.path.dirname(os.path.abspath(__file__))
 sys.path.insert(0, os.path.join(FOLDER, "..", "lib"))
-from standins import TROUBLE, Client, Worker, main, route
+from standins import TROUBLE, CannotRun, Client, Worker, main, route
 
-MACHINES = [(11, "desk", "ibadan"), (12, "ledger", "ibadan"), (13, "ledger", "ikeja")]
-CONFIG_APPLY_S = 2.5
-MAX_STRETCH_S = 5
-STABILITY_WINDOW_S = 3
-AWAY_S = 2
-KEPT, WITHDRAWN = "key-of-the-club", "key-that-leaked"
-
-
-def tenants(*keys):
-    return {"club": {"name": "club", "api_keys": list(keys), "priority": 0}}
+# The clients are on machine 12, whose worker is of the service that they ask for.
+MACHINES = [(11, "desk", "depot"), (12, "ledger", "depot"), (13, "ledger", "yard")]
+STOPPED = 12
+DRAIN_S, GRACE_S = 2, 6
+WORK_S = 2.6
+ORDERS = 6
 
 
 async def case(mesh):
     record = mesh.record
     await mesh.store.listen(mesh.ip(250), mesh.port("store"))
-    services = ["desk", "ledger"]
-    routes = {"r-order": route("/order/", "ledger", "non_idempotent", 2)}
-    await mesh.put_config(routes, services, tenants(KEPT))
-    bounds = {"strict_revocation": "false", "revocation_s": 5}
+    routes = {"r-ticket": route("/ticket/", "ledger", "non_idempotent", 8)}
+    await mesh.put_config(routes, ["desk", "ledger"])
+    workers = {}
     for machine, service, zone in MACHINES:
-        mesh.write_settings(machine, service, zone, extra=bounds)
+        mesh.write_settings(machine, service, zone)
         await mesh.start_daemon(machine)
         worker = Worker(
             record,
@@ -38,46 +34,43 @@
             mesh.address(machine, "control"),
             zone,
         )
+        worker.run_s = lambda path: WORK_S if "order" not in path and "warm" not in path else 0.02
         await worker.start()
-    machines = [machine for machine, _, _ in MACHINES]
-    await mesh.wait_ready(machines)
+        workers[machine] = worker
+    await mesh.wait_ready([machine for machine, _, _ in MACHINES])
     await asyncio.sleep(4)
-    clients = [Client(record, mesh.address(machine, "outbound")) for machine in machines]
-
-    copy = mesh.store.copy()
-    await mesh.put_config(routes, services, tenants(KEPT, WITHDRAWN), "(adds a key)")
-    await asyncio.sleep(1)
-    routes["r-order"]["timeout_s"] = 2.2
-    again = await mesh.put_config(routes, services, tenants(KEPT, WITHDRAWN), "(a time-out)")
-    await asyncio.sleep(CONFIG_APPLY_S)
-    for client in clients:
-        _, status, _, _ = await client.send("POST", "/order/1", 2000, fields=[("Key", WITHDRAWN)])
-        if status != 200:
-            return []
+    client = Client(record, mesh.address(STOPPED, "outbound"))
+    for _ in range(6):
+        await client.send("POST", "/ticket/warm", 8000, quiet=True)
+    tasks = [asyncio.create_task(client.send("POST", "/ticket/1", 8000)) for _ in range(ORDERS)]
+    await asyncio.sleep(0.5)
+    worker = workers[STOPPED]
+    worker.state = "draining"
+    if await worker.beat_once() != 200:
+        raise CannotRun("the heartbeat of the draining worker isn't acknowledged")
+    record.line(f"worker {STOPPED} drains, which is acknowledged; it goes on with what it has")
+    await asyncio.sleep(0.3)
+    stopped_at = time.monotonic()
+    if TROUBLE:
+        mesh.signal(STOPPED, "SIGTERM")
+    answers = await asyncio.gather(*tasks)
+    took = time.monotonic() - stopped_at
+    await asyncio.sleep(WORK_S)
     if TROUBLE:
-        record.line(f"the store goes away, for {AWAY_S} s")
-        views = await mesh.store.go_down()
-        await asyncio.sleep(AWAY_S)
-        # The copy holds what was there before the last two versions; what the system wrote since is gone.
-        mesh.store.topics = copy
-        mesh.store.era += 1
-        await mesh.store.come_back(views)
-        record.line("the store is back, from a copy that lacks the last two versions")
-        offset = mesh.store.append("keyed.op", "config", again)
-        record.line(f"the operator writes the newest version again, at offset {offset}")
-    await mesh.put_config(routes, services, tenants(KEPT), "(withdraws a key)")
-    await asyncio.sleep(max(CONFIG_APPLY_S + MAX_STRETCH_S, STABILITY_WINDOW_S) + 1)
+        try:
+            await asyncio.wait_for(mesh.processes[STOPPED].wait(), GRACE_S)
+        except asyncio.TimeoutError:
+            pass
+        record.line(f"daemon {STOPPED} has ended: {mesh.processes[STOPPED].returncode is not None}")
 
-    # CONFIG: a request sent later than config_apply_s after the acknowledgement of a version runs with a dropped key. The
-    # store has had no disruption for longer than the bounds with all stretches; the machines have had none at all.
+    # LOST: around a SIGTERM, a request that was passed on to a worker is broken off, and the daemon gives an answer of its
+    # own in its place, although the worker is at work and neither the deadline nor the grace period is over.
+    ran = {request: machine for machine, worker in workers.items() for request, _, _ in worker.runs}
     broken = []
-    for round in range(3):
-        for machine, client in zip(machines, clients):
-            sent = await client.send("POST", f"/order/{round}", 2000, fields=[("Key", WITHDRAWN)])
-            if sent[1] == 200:
-                text = f"CONFIG: machine {machine} lets {sent[0]} run with a key that was withdrawn"
-                broken.append(text)
-        await asyncio.sleep(5)
+    for request, status, fields, _ in answers:
+        if request in ran and "response-signature" not in fields and took < GRACE_S * 5 / 6:
+            text = f"LOST: {request}, at which worker {ran[request]} was at work, was answered {status} by the daemon"
+            broken.append(text)
     return broken
 
 
--- /dev/null
+++ b/review/3/run.sh
@@ -0,0 +1,2 @@
+#!/bin/sh
+exec python3 "$(dirname "$0")/case.py"
--- a/review/lib/standins.py
+++ b/review/lib/standins.py
@@ -201,21 +201,24 @@
         self.server = await asyncio.start_server(self.serve, self.host, self.port, limit=1 << 27)
         self.tasks.append(asyncio.create_task(self.beat()))
 
-    async def beat_once(self):
+    def heartbeat(self):
+        """Returns the body of the next heartbeat."""
         self.sequence += 1
-        body = json.dumps(
-            {
-                "service": self.service,
-                "address": f"{self.host}:{self.port}",
-                "zone": self.zone,
-                "version": "v1",
-                "capacity": self.capacity,
-                "state": self.state,
-                "cold_remaining_s": 0,
-                "seq": self.sequence,
-            }
-        ).encode()
-        return await post(self.control, f"/marigoldproxy/Instances.Heartbeat/{self.identity}", body)
+        body = {
+            "service": self.service,
+            "address": f"{self.host}:{self.port}",
+            "zone": self.zone,
+            "version": "v1",
+            "capacity": self.capacity,
+            "state": self.state,
+            "cold_remaining_s": 0,
+            "seq": self.sequence,
+        }
+        return json.dumps(body).encode()
+
+    async def beat_once(self):
+        path = f"/marigoldproxy/Instances.Heartbeat/{self.identity}"
+        return await post(self.control, path, self.heartbeat())
 
     async def beat(self):
         while True:
