--- a/review/2/case.py
+++ b/review/2/case.py
@@ -51,6 +51,8 @@
     record.line(f"worker {STOPPED} drains, which is acknowledged; it goes on with what it has")
     await asyncio.sleep(0.3)
     stopped_at = time.monotonic()
+    if not any("warm" not in path for _, _, path in worker.runs):
+        raise CannotRun(f"no request runs on machine {STOPPED}")
     if TROUBLE:
         mesh.signal(STOPPED, "SIGTERM")
     answers = await asyncio.gather(*tasks)
--- a/review/3/case.py
+++ b/review/3/case.py
@@ -6,7 +6,7 @@
 
 FOLDER = os.path.dirname(os.path.abspath(__file__))
 sys.path.insert(0, os.path.join(FOLDER, "..", "lib"))
-from standins import TROUBLE, Client, Worker, main, route
+from standins import TROUBLE, CannotRun, Client, Worker, main, route
 
 MACHINES = [(11, "desk", "ibadan"), (12, "ledger", "ibadan"), (13, "ledger", "ikeja")]
 CONFIG_APPLY_S = 2.5
@@ -53,7 +53,7 @@
     for client in clients:
         _, status, _, _ = await client.send("POST", "/order/1", 2000, fields=[("Key", WITHDRAWN)])
         if status != 200:
-            return []
+            raise CannotRun(f"a request with the new key is answered {status}")
     if TROUBLE:
         record.line(f"the store goes away, for {AWAY_S} s")
         views = await mesh.store.go_down()
--- a/review/lib/standins.py
+++ b/review/lib/standins.py
@@ -18,7 +18,7 @@
 import time
 import urllib.parse
 
-ROOT = os.path.abspath(os.path.join(os.path.dirname(__file__), "..", ".."))
+ROOT = os.path.abspath(os.path.join(os.path.dirname(os.path.abspath(__file__)), "..", ".."))
 TROUBLE = os.environ.get("TROUBLE", "1") != "0"
 
 
@@ -531,11 +531,15 @@
 
     async def run():
         deployment = Deployment(folder)
+        if not os.path.exists(os.path.join(ROOT, "target", "release", "marigold-sidecar")):
+            print("could not run: the program is not built")
+            return 2
         try:
             broken = await asyncio.wait_for(case(deployment), limit_s)
-        except (CannotRun, asyncio.TimeoutError) as error:
-            deployment.record.line(f"the case could not run: {error}")
-            print(f"could not run: {error}")
+        except Exception as error:
+            text = f"could not run: {type(error).__name__} {error}"
+            deployment.record.line(text)
+            print(text)
             return 2
         finally:
             await deployment.close()
