Links: calls that are open when a daemon's record is deleted still end with their outcome

Callers saw: 502 for requests at a leaving backend server, 0.4 s after the SIGTERM of the daemon beside it, while the backend server went on and answered them.

Cause: a daemon whose backend server had left deleted its record at once when it was stopped. Every daemon that read the deletion, itself included, closed its link, and a closed link ended its open calls as unreachable.

A stopped daemon deletes its record last, and only if its backend server accepts no connections.

--- a/crates/marigold-sidecar/src/control/site_publisher.rs
+++ b/crates/marigold-sidecar/src/control/site_publisher.rs
@@ -127,11 +127,13 @@
         known.or_else(|| self.mesh.with_directory(recorded))
     }
 
-    /// Deletes the record; for a backend server that has left for good.
-    pub async fn withdraw(&self) {
-        if let Err(error) = self.put(None).await {
+    /// Deletes the record of a backend server that has left and ended; returns whether the store confirmed it.
+    pub async fn withdraw(&self) -> bool {
+        let result = self.put(None).await;
+        if let Err(error) = &result {
             self.log_failure(&error.to_string());
         }
+        result.is_ok()
     }
 
     async fn put(&self, value: Option<Bytes>) -> Result<(), marigold_log::LogError> {
--- a/crates/marigold-sidecar/src/ingress/mesh.rs
+++ b/crates/marigold-sidecar/src/ingress/mesh.rs
@@ -148,7 +148,8 @@
         }
     }
 
-    /// Changes the directory and closes links to executors that are no longer in it.
+    /// Changes the directory and closes links to executors that are no longer in it. Calls that are open there still end
+    /// with their outcome.
     pub fn update_directory(&self, change: impl FnOnce(&mut Directory)) {
         let mut directory = self.directory.borrow_mut();
         let before = directory.generation();
--- a/crates/marigold-sidecar/src/link/client.rs
+++ b/crates/marigold-sidecar/src/link/client.rs
@@ -184,13 +184,20 @@
         self.shared.wake.notify_one();
     }
 
-    /// Ends the session. Open calls that were sent end as [`CallResult::Unreachable`].
+    /// Ends the session once its open calls have ended: the executor may still be at work on them.
     pub fn close(&self) {
         self.shared.closed.set(true);
         self.shared.wake.notify_one();
     }
 }
 
+impl Shared {
+    /// Returns whether the session is closed and has no open calls.
+    fn has_ended(&self) -> bool {
+        self.closed.get() && self.state.borrow().open_calls.is_empty()
+    }
+}
+
 impl State {
     fn push(&mut self, packet: Packet) {
         self.queued_bytes += packet.body.len();
@@ -281,7 +288,7 @@
                 frame: Frame::Cancel(self.id),
                 body: Bytes::new(),
             });
-            self.shared.wake.notify_one();
         }
+        self.shared.wake.notify_one();
     }
 }
--- a/crates/marigold-sidecar/src/link/client/connection.rs
+++ b/crates/marigold-sidecar/src/link/client/connection.rs
@@ -30,14 +30,14 @@
 const UNACKED_TIMEOUT: Duration = Duration::from_secs(2);
 const READ_BUFFER_BYTES: usize = 16 << 10;
 
-/// Connects and reconnects until the session is closed.
+/// Connects and reconnects until the session is closed and its open calls have ended.
 pub(super) async fn run(shared: Rc<Shared>) {
     let mut backoff = MIN_BACKOFF;
     // An executor that has not been reached yet, or whose connection has ended, is retried until it is
     // reached, even without calls. If its last report said that it accepts no calls, none would be sent to it,
     // and its recovery would go unnoticed.
     let mut is_down = true;
-    while !shared.closed.get() {
+    while !shared.has_ended() {
         if shared.state.borrow().open_calls.is_empty() {
             shared.state.borrow_mut().clear_queues();
             if !is_down {
@@ -65,18 +65,6 @@
         sleep(backoff).await;
         backoff = (backoff * 2).min(MAX_BACKOFF);
     }
-    let mut state = shared.state.borrow_mut();
-    state
-        .open_calls
-        .resolve_all(|sent| Some(closed_result(sent)));
-}
-
-fn closed_result(sent: bool) -> CallResult {
-    if sent {
-        CallResult::Unreachable
-    } else {
-        CallResult::NotSent
-    }
 }
 
 /// Resolves calls after a failed attempt to connect.
@@ -170,13 +158,13 @@
                 }
                 KeepaliveAction::Reconnect => return Err(io::ErrorKind::TimedOut.into()),
             }
-            if shared.closed.get() {
-                return Ok(());
-            }
             if !out.is_empty() {
                 writer.write_all(&out).await?;
                 out.clear();
             }
+            if shared.has_ended() {
+                return Ok(());
+            }
             if !shared.state.borrow().bulk.is_empty() {
                 continue;
             }
@@ -264,4 +252,8 @@
     state
         .open_calls
         .resolve(reply.id, CallResult::Replied(Box::new(reply)));
+    drop(state);
+    if shared.closed.get() {
+        shared.wake.notify_one();
+    }
 }
--- a/crates/marigold-sidecar/src/sidecar.rs
+++ b/crates/marigold-sidecar/src/sidecar.rs
@@ -12,7 +12,7 @@
 use metrics_exporter_prometheus::PrometheusHandle;
 use rand::SeedableRng;
 use rand::rngs::SmallRng;
-use tokio::net::{TcpListener, TcpSocket};
+use tokio::net::{TcpListener, TcpSocket, TcpStream};
 use tokio::signal::unix::{SignalKind, signal};
 use tokio::time::{Instant, sleep, timeout};
 
@@ -142,7 +142,7 @@
         };
         reload_settings(&path, &mut current, cause, &components, &events);
     }
-    shut_down(&components, &events).await;
+    shut_down(&components, &current, &events).await;
     Ok(())
 }
 
@@ -396,16 +396,10 @@
     }
 }
 
-async fn shut_down(components: &Components, events: &EventLog) {
+async fn shut_down(components: &Components, settings: &Settings, events: &EventLog) {
     events.emit("stopping", Severity::Info, &[]);
-    let backend_has_left = components.executor.serving().is_none();
     components.ingress.begin_shutdown();
     let began = Instant::now();
-    if backend_has_left {
-        timeout(WITHDRAW_TIMEOUT, components.publisher.withdraw())
-            .await
-            .ok();
-    }
     loop {
         match components.ingress.stage(components.executor.in_flight()) {
             // Requests are still accepted until callers have switched to other daemons: if only the
@@ -416,6 +410,9 @@
         }
         sleep(SHUTDOWN_POLL_INTERVAL).await;
     }
+    let time_left = settings.bounds.grace.saturating_sub(began.elapsed());
+    let withdrawal = withdraw_record(components, settings.instance.backend_server);
+    let withdrawal = timeout(time_left.min(WITHDRAW_TIMEOUT), withdrawal).await;
     let took_ms = u64::try_from(began.elapsed().as_millis()).unwrap_or(u64::MAX);
     events.emit(
         "stopped",
@@ -424,6 +421,22 @@
             ("took_ms", took_ms.into()),
             ("open_requests", components.ingress.in_flight().into()),
             ("open_calls", components.executor.in_flight().into()),
+            ("record_deleted", withdrawal.unwrap_or(false).into()),
         ],
     );
 }
+
+/// Deletes this daemon's record if its backend server has left and ended; returns whether it did.
+///
+/// The record of one that is still at work stays: it tells a daemon that starts again that this backend server leaves, and
+/// other daemons that calls to it may be running.
+async fn withdraw_record(components: &Components, backend_server: SocketAddr) -> bool {
+    let executor = &components.executor;
+    let has_left = executor.leaving().is_some() || !executor.knows_backend();
+    if !has_left || executor.in_flight() > 0 {
+        return false;
+    }
+    let result = TcpStream::connect(backend_server).await;
+    let has_ended = result.is_err_and(|error| error.kind() == io::ErrorKind::ConnectionRefused);
+    has_ended && components.publisher.withdraw().await
+}
--- a/crates/marigold-sidecar/tests/links.rs
+++ b/crates/marigold-sidecar/tests/links.rs
@@ -378,4 +378,50 @@
         proxy.disconnect_all();
         wait_until(|| reports.get() == 2).await;
     }
+
+    // Guards against a LOST response: a daemon's record was deleted while a call to it was running.
+    closing_a_link_cuts_off_its_open_calls {
+        let handler = Rc::new(HoldingHandler::default());
+        let (address, _task) = serve(1, handler.clone()).await;
+        let ended = Rc::new(Cell::new(false));
+        let is_ended = ended.clone();
+        let listener = move |_, event| {
+            if matches!(event, LinkEvent::Disconnected) {
+                is_ended.set(true);
+            }
+        };
+        let link = LinkClient::start(address, Rc::new(listener));
+        let first = link.call(call_with_body("r1", 10)).expect("room in the send queue");
+        wait_until(|| handler.started.get() == 1).await;
+        let cancelled = link.call(call_with_body("r2", 10)).expect("room in the send queue");
+        wait_until(|| handler.started.get() == 2).await;
+        link.close();
+        // A cancellation that arrives after the close shows that the connection is still served.
+        drop(cancelled);
+        wait_until(|| handler.calls.borrow()[1].2.is_cancelled()).await;
+        handler.answer_next();
+        let CallResult::Replied(_) = result(first).await else {
+            panic!("no reply");
+        };
+        wait_until(|| ended.get()).await;
+    }
+
+    // Guards against links that stay open for calls that nobody waits for.
+    closed_link_stays_open_after_its_last_call {
+        let handler = Rc::new(HoldingHandler::default());
+        let (address, _task) = serve(1, handler.clone()).await;
+        let ended = Rc::new(Cell::new(false));
+        let is_ended = ended.clone();
+        let listener = move |_, event| {
+            if matches!(event, LinkEvent::Disconnected) {
+                is_ended.set(true);
+            }
+        };
+        let link = LinkClient::start(address, Rc::new(listener));
+        let open = link.call(call_with_body("r1", 10)).expect("room in the send queue");
+        wait_until(|| handler.started.get() == 1).await;
+        link.close();
+        drop(open);
+        wait_until(|| ended.get()).await;
+    }
 }
