Store: a position belongs to one history of the store, and what a drill loses is written again

Callers saw: requests that may run once run with a key that had been withdrawn, until the next change of the configuration; dropped routes in use, new ones unknown.

Cause: when the store comes back from an older copy it gives offsets out again. Readers went on from the offset at which they stood, whose records were others'. Store-Era was not read.

Change: StorePosition is an offset and a history; the client fails a read or a conditional write whose position is of another one, and ends reads that wait. All readers (configuration, records of daemons, states of roll-outs) then take the whole table. Daemons read on only from positions of their own. Orders that are written again keep their state under another number; lost states and records are written again under a condition. Nothing on the wire has changed.

--- a/crates/marigold-dispatch/src/membership/relay_selector.rs
+++ b/crates/marigold-dispatch/src/membership/relay_selector.rs
@@ -52,6 +52,12 @@
         self.own
     }
 
+    /// Returns the data centre of this daemon.
+    #[must_use]
+    pub fn data_centre(&self) -> &DataCentre {
+        &self.data_centre
+    }
+
     /// Excludes a daemon that fell behind from selection for a few seconds.
     pub fn exclude(&mut self, address: SocketAddr, now: Instant) {
         self.excluded_until.insert(address, now + EXCLUSION_TIME);
--- a/crates/marigold-dispatch/src/rollout/rollout_judge.rs
+++ b/crates/marigold-dispatch/src/rollout/rollout_judge.rs
@@ -3,6 +3,7 @@
 use std::net::SocketAddr;
 use std::time::Duration;
 
+use marigold_types::LogOffset;
 use tokio::time::Instant;
 
 use super::{
@@ -58,6 +59,11 @@
         &self.order
     }
 
+    /// Changes the id of the order, which the store has lost and taken again.
+    pub fn set_order_id(&mut self, id: LogOffset) {
+        self.order.id = id;
+    }
+
     /// Corrects the time of the order, of which this decider may have heard late.
     pub fn set_ordered_at(&mut self, ordered_at: Instant) {
         self.ordered_at = ordered_at;
--- a/crates/marigold-dispatch/src/rollout/rollout_order.rs
+++ b/crates/marigold-dispatch/src/rollout/rollout_order.rs
@@ -19,3 +19,12 @@
     /// The time within which the roll-out has to be decided.
     pub duration: Duration,
 }
+
+impl RolloutOrder {
+    /// Returns whether the orders are the same but for their ids.
+    #[must_use]
+    pub fn has_terms_of(&self, other: &Self) -> bool {
+        (&self.service, &self.target, self.duration)
+            == (&other.service, &other.target, other.duration)
+    }
+}
--- a/crates/marigold-log/src/error.rs
+++ b/crates/marigold-log/src/error.rs
@@ -4,6 +4,8 @@
 
 use marigold_types::LogOffset;
 
+use crate::StoreEra;
+
 /// A failed request to the log.
 #[derive(Debug, Clone, PartialEq, Eq, thiserror::Error)]
 #[error("{step} at the platform log {peer}: {failure}")]
@@ -16,6 +18,17 @@
     pub failure: LogFailure,
 }
 
+impl LogError {
+    /// Returns whether the position of a reader is of no use any more, so that it has to read the whole table.
+    #[must_use]
+    pub fn invalidates_position(&self) -> bool {
+        matches!(
+            self.failure,
+            LogFailure::Trimmed { .. } | LogFailure::Replaced { .. }
+        )
+    }
+}
+
 /// The kind of failure of a request to the log, by its effect on the log.
 #[derive(Debug, Clone, PartialEq, Eq, thiserror::Error)]
 pub enum LogFailure {
@@ -37,6 +50,13 @@
         /// Lowest offset that the log still stores.
         earliest: LogOffset,
     },
+    /// The store has come back from an older copy, so that positions of its earlier history mean nothing. A conditional write
+    /// may have taken effect.
+    #[error("the store came back from a copy, with history {era}")]
+    Replaced {
+        /// The present history.
+        era: StoreEra,
+    },
     /// The log rejected the request as malformed or too large.
     #[error("refused: {reason}")]
     Refused {
--- a/crates/marigold-log/src/keyed_store.rs
+++ b/crates/marigold-log/src/keyed_store.rs
@@ -8,7 +8,7 @@
 use bytes::Bytes;
 use marigold_types::LogOffset;
 
-use crate::LogError;
+use crate::{LogError, StorePosition};
 
 /// The name of a table in the platform's store.
 #[derive(Debug, Clone, PartialEq, Eq, Hash)]
@@ -31,13 +31,13 @@
     pub value: Option<Bytes>,
 }
 
-/// Records of a table and the offset at which to continue.
+/// Records of a table and the position at which to continue.
 #[derive(Debug, Clone, Default, PartialEq, Eq)]
 pub struct KeyedBatch {
     /// The records in the order of the table.
     pub records: Vec<KeyedRecord>,
-    /// Offset from which to read the following changes.
-    pub next: LogOffset,
+    /// Position from which to read the following changes.
+    pub next: StorePosition,
 }
 
 /// A store with tables that keep the latest record of each key and the recent changes.
@@ -54,12 +54,13 @@
     ///
     /// # Errors
     ///
-    /// [`LogFailure::Trimmed`](crate::LogFailure::Trimmed) if some of the changes are no longer
-    /// stored, in which case the caller takes a new [`snapshot`](Self::snapshot).
+    /// [`LogFailure::Trimmed`](crate::LogFailure::Trimmed) if some of the changes are no longer stored, or
+    /// [`LogFailure::Replaced`](crate::LogFailure::Replaced) if the store has another history than `from`, in which cases the
+    /// caller takes a new [`snapshot`](Self::snapshot).
     async fn changes(
         &self,
         table: &TableName,
-        from: LogOffset,
+        from: StorePosition,
         wait: Duration,
     ) -> Result<KeyedBatch, LogError>;
 
@@ -67,11 +68,11 @@
     ///
     /// # Errors
     ///
-    /// If the store does not respond.
+    /// As [`changes`](Self::changes).
     async fn latest_change(
         &self,
         table: &TableName,
-        from: LogOffset,
+        from: StorePosition,
     ) -> Result<KeyedBatch, LogError>;
 
     /// Writes a record; `None` deletes the key.
@@ -86,12 +87,13 @@
     ///
     /// # Errors
     ///
-    /// If the store does not respond, in which case the record may have been written, or may be later.
+    /// If the store does not respond, in which case the record may have been written, or may be later, or has another
+    /// history than `end`.
     async fn put_if(
         &self,
         table: &TableName,
         key: &str,
         value: Bytes,
-        end: LogOffset,
+        end: StorePosition,
     ) -> Result<bool, LogError>;
 }
--- a/crates/marigold-log/src/lib.rs
+++ b/crates/marigold-log/src/lib.rs
@@ -8,6 +8,7 @@
 mod keyed_store;
 mod platform_log;
 mod record;
+mod store_position;
 mod stream_name;
 
 pub use error::{LogError, LogFailure};
@@ -15,4 +16,5 @@
 pub use keyed_store::{KeyedBatch, KeyedRecord, KeyedStore, TableName};
 pub use platform_log::{Appended, Batch, PlatformLog};
 pub use record::StoredRecord;
+pub use store_position::{StoreEra, StorePosition};
 pub use stream_name::StreamName;
--- a/crates/marigold-sidecar/src/control.rs
+++ b/crates/marigold-sidecar/src/control.rs
@@ -4,6 +4,7 @@
 mod backend_discovery;
 mod config_history;
 mod control_server;
+mod lost_sites;
 mod protocol;
 mod relay;
 mod rollout_format;
@@ -11,6 +12,7 @@
 mod site_publisher;
 mod site_table;
 mod store_health;
+mod store_history;
 
 pub use backend_discovery::BackendDiscovery;
 pub use config_history::ConfigHistory;
--- a/crates/marigold-sidecar/src/control/config_history.rs
+++ b/crates/marigold-sidecar/src/control/config_history.rs
@@ -8,6 +8,7 @@
 use flate2::Compression;
 use flate2::read::DeflateDecoder;
 use flate2::write::DeflateEncoder;
+use marigold_log::StorePosition;
 use marigold_types::{Digest, LogOffset, Version};
 
 use crate::link::ConfigChange;
@@ -33,7 +34,11 @@
 pub struct ConfigHistory {
     /// Oldest first.
     configs: VecDeque<StoredConfig>,
-    next_offset: Option<LogOffset>,
+    /// Where this daemon reads on.
+    position: Option<StorePosition>,
+    /// The offset after the newest configuration, for daemons that take it over from this one. It may be one of another daemon's
+    /// history of the store, so this daemon does not read on from it.
+    relayed_offset: Option<LogOffset>,
 }
 
 impl ConfigHistory {
@@ -43,21 +48,27 @@
         self.configs.back().map(|config| config.version)
     }
 
-    /// Returns the offset to read the store's next change from, or `None` if the table must be read as a
+    /// Returns the position to read the store's next change from, or `None` if the table must be read as a
     /// whole.
     #[must_use]
-    pub fn next_offset(&self) -> Option<LogOffset> {
-        self.next_offset
+    pub fn position(&self) -> Option<StorePosition> {
+        self.position
     }
 
-    /// Sets the offset to read the store's next change from.
-    pub fn set_next_offset(&mut self, offset: LogOffset) {
-        self.next_offset = Some(offset);
+    /// Sets the position to read the store's next change from, after a read of this daemon.
+    pub fn set_position(&mut self, position: StorePosition) {
+        self.position = Some(position);
+        self.relayed_offset = Some(position.offset);
     }
 
-    /// Clears the offset, so that the table is read as a whole next time.
-    pub fn clear_next_offset(&mut self) {
-        self.next_offset = None;
+    /// Sets the offset that another daemon stated with its configuration.
+    pub fn set_relayed_offset(&mut self, offset: LogOffset) {
+        self.relayed_offset = Some(offset);
+    }
+
+    /// Clears the position, so that the table is read as a whole next time.
+    pub fn clear_position(&mut self) {
+        self.position = None;
     }
 
     /// Adds a newer version and evicts the oldest if the history is full.
@@ -89,7 +100,7 @@
         let change = ConfigChange {
             base: old.map(|old| old.version),
             digest: Digest::of(&newest.bytes),
-            next: self.next_offset?,
+            next: self.relayed_offset?,
         };
         Some((change, compress(&delta)?))
     }
--- a/crates/marigold-sidecar/src/control/relay.rs
+++ b/crates/marigold-sidecar/src/control/relay.rs
@@ -13,8 +13,10 @@
 
 use bytes::Bytes;
 use marigold_dispatch::{FirstContact, PollTimer, RelaySelector, UpdateSource};
-use marigold_log::{KeyedBatch, KeyedRecord, KeyedStore, LogError, LogFailure, TableName};
-use marigold_types::{LogOffset, Version};
+use marigold_log::{
+    KeyedBatch, KeyedRecord, KeyedStore, LogError, LogFailure, StorePosition, TableName,
+};
+use marigold_types::Version;
 use tokio::time::{Instant, sleep};
 
 use super::config_history::ConfigHistory;
@@ -22,6 +24,7 @@
 use super::rollouts::Rollouts;
 use super::site_table::SiteTable;
 use super::store_health::StoreHealth;
+use super::store_history::StoreHistory;
 use crate::events::{EventLog, Severity};
 use crate::ingress::{Ingress, Mesh};
 use crate::link::{Follow, LinkServer};
@@ -93,6 +96,8 @@
     /// Whether the orders of roll-outs have been read since the start.
     orders_read: Cell<bool>,
     site_table: SiteTable,
+    /// The history of the store in which lost records of daemons have been written again.
+    restored_history: Cell<Option<StoreHistory>>,
     /// When the directory was last known to be complete.
     sites_confirmed_at: Cell<Option<Instant>>,
     first_contact: Cell<FirstContact>,
@@ -114,6 +119,7 @@
             configs: RefCell::default(),
             orders_read: Cell::new(false),
             site_table,
+            restored_history: Cell::new(None),
             sites_confirmed_at: Cell::new(None),
             first_contact: Cell::default(),
             last_source: Cell::new(None),
@@ -215,8 +221,11 @@
             let is_stale = self
                 .config_confirmed_at()
                 .is_none_or(|at| elapsed(at) >= MAX_CONFIG_AGE);
+            let is_in_doubt = self.parts.rollouts.has_doubtful_order();
             let is_overdue = behind_since.is_some_and(|since| elapsed(since) >= CATCH_UP_TIMEOUT);
-            if (is_stale || is_overdue) && elapsed(last_read) >= FALLBACK_READ_INTERVAL {
+            if (is_stale || is_overdue || is_in_doubt)
+                && elapsed(last_read) >= FALLBACK_READ_INTERVAL
+            {
                 last_read = now;
                 if let (true, UpdateSource::Daemon(reader)) = (is_stale, self.source()) {
                     self.selector.borrow_mut().exclude(reader, now);
@@ -297,17 +306,19 @@
 
     /// Returns where to continue reading, or `None` to read the whole table: a configuration that other daemons sent says
     /// nothing of the orders of roll-outs before it.
-    fn next_read(&self) -> Option<LogOffset> {
-        let next = self.configs.borrow().next_offset();
+    fn next_read(&self) -> Option<StorePosition> {
+        let next = self.configs.borrow().position();
         next.filter(|_| self.orders_read.get())
     }
 
     /// Applies a batch read from the store; returns whether the configuration has changed.
     fn apply_batch(&self, batch: &KeyedBatch, is_whole: bool) -> bool {
         self.parts.ingress.freshness.confirm(Some(Instant::now()));
-        self.configs.borrow_mut().set_next_offset(batch.next);
+        self.configs.borrow_mut().set_position(batch.next);
         self.orders_read.set(self.orders_read.get() || is_whole);
-        self.parts.rollouts.apply_orders(&batch.records, is_whole);
+        self.parts
+            .rollouts
+            .apply_orders(&batch.records, batch.next.era, is_whole);
         let is_config = |record: &&KeyedRecord| *record.key == *self.parts.config_source.key();
         let newest = batch.records.iter().rev().find(is_config);
         // If the record was deleted, the current configuration stays in force.
@@ -403,10 +414,13 @@
             }
             Err(error) => error,
         };
-        if matches!(error.failure, LogFailure::Trimmed { .. }) {
+        if let LogFailure::Replaced { era } = error.failure {
+            health.record_replacement(era);
+        }
+        if error.invalidates_position() {
             // The store no longer has some of the changes, so the table is read as a whole.
             match health.table() {
-                CONFIG => self.configs.borrow_mut().clear_next_offset(),
+                CONFIG => self.configs.borrow_mut().clear_position(),
                 _ => self.site_table.restart(),
             }
         } else {
--- a/crates/marigold-sidecar/src/control/relay/store_updates.rs
+++ b/crates/marigold-sidecar/src/control/relay/store_updates.rs
@@ -59,7 +59,7 @@
             ];
             self.parts.events.emit(event, severity, &fields);
             if let Some(bytes) = config {
-                self.configs.borrow_mut().set_next_offset(change.next);
+                self.configs.borrow_mut().set_relayed_offset(change.next);
                 self.install(bytes);
             }
         }
--- a/crates/marigold-sidecar/src/control/rollouts.rs
+++ b/crates/marigold-sidecar/src/control/rollouts.rs
@@ -3,6 +3,7 @@
 
 mod decider;
 mod known_rollout;
+mod known_rollouts;
 mod status_reader;
 
 use std::cell::{Cell, RefCell};
@@ -12,12 +13,14 @@
 use std::time::{Duration, SystemTime, UNIX_EPOCH};
 
 use marigold_dispatch::{RolloutJudge, RolloutOrder, RolloutStatus, VersionCounts};
-use marigold_log::{KeyedRecord, KeyedStore};
-use marigold_types::{LogOffset, ServiceName};
+use marigold_log::{KeyedRecord, KeyedStore, StoreEra, StorePosition};
+use marigold_types::ServiceName;
 use tokio::time::Instant;
 
 use self::known_rollout::KnownRollout;
+use self::known_rollouts::{KnownRollouts, OrderChange, OrderSource};
 use super::rollout_format::RolloutFormat;
+use super::store_history::StoreHistory;
 use crate::events::{EventLog, Severity};
 use crate::ingress::{Mesh, RolloutListener};
 use crate::link::{LinkServer, RolloutEntry, RolloutUpdate};
@@ -41,9 +44,13 @@
 /// The latest roll-out of each service.
 pub struct Rollouts {
     parts: RolloutParts,
-    known: RefCell<BTreeMap<ServiceName, KnownRollout>>,
-    /// Offset of the next change of the states, or `None` before the first read.
-    next_offset: Cell<Option<LogOffset>>,
+    known: RefCell<KnownRollouts>,
+    /// Position of the next change of the states, or `None` to read all of them.
+    position: Cell<Option<StorePosition>>,
+    /// Whether the store may have lost states that are known here.
+    has_lost_states: Cell<bool>,
+    /// Whether another daemon has told of an order that only a read of the store can judge.
+    has_doubtful_order: Cell<bool>,
     /// When the states were last known to be the newest.
     confirmed_at: Cell<Option<Instant>>,
     /// Whether this daemon reads the store for its data centre.
@@ -61,7 +68,9 @@
         Rc::new_cyclic(|myself| Self {
             parts,
             known: RefCell::default(),
-            next_offset: Cell::new(None),
+            position: Cell::new(None),
+            has_lost_states: Cell::new(false),
+            has_doubtful_order: Cell::new(false),
             confirmed_at: Cell::new(None),
             is_reader: Cell::new(false),
             judges: RefCell::default(),
@@ -82,10 +91,25 @@
         self.is_reader.set(is_reader);
     }
 
-    /// Applies orders among records of the configuration's table. `is_first` says that this daemon has just started, so
-    /// that the orders may be old.
-    pub fn apply_orders(&self, records: &[KeyedRecord], is_first: bool) {
+    /// Returns whether the store has to be read to judge an order that another daemon told of.
+    #[must_use]
+    pub fn has_doubtful_order(&self) -> bool {
+        self.has_doubtful_order.get()
+    }
+
+    /// Applies orders among records of the configuration's table, in the history `era` of the store. `is_whole` says that
+    /// the whole table was read, so that the orders may be old.
+    pub fn apply_orders(&self, records: &[KeyedRecord], era: Option<StoreEra>, is_whole: bool) {
         let mut has_changed = false;
+        self.has_doubtful_order.set(false);
+        if self.known.borrow_mut().set_history(StoreHistory(era)) {
+            self.has_lost_states.set(true);
+        }
+        let source = if is_whole {
+            OrderSource::Table
+        } else {
+            OrderSource::Changes
+        };
         for record in records {
             let Some(value) = &record.value else {
                 continue;
@@ -101,7 +125,7 @@
                         target: terms.target,
                         duration: terms.duration,
                     };
-                    has_changed |= self.apply_order(&order, Instant::now(), !is_first);
+                    has_changed |= self.apply_order(&order, Instant::now(), !is_whole, source);
                 }
                 Err(error) => {
                     let fields = [
@@ -118,36 +142,45 @@
         }
     }
 
-    /// Applies an order; returns whether it is new. `is_exact` says that `ordered_at` is not just the time at which this
-    /// daemon heard of it.
-    fn apply_order(&self, order: &RolloutOrder, ordered_at: Instant, is_exact: bool) -> bool {
+    /// Applies an order; returns whether anything has changed. `is_exact` says that `ordered_at` is not just the time at which
+    /// this daemon heard of it.
+    fn apply_order(
+        &self,
+        order: &RolloutOrder,
+        ordered_at: Instant,
+        is_exact: bool,
+        source: OrderSource,
+    ) -> bool {
         let mut known = self.known.borrow_mut();
-        let is_new = match known.get_mut(&order.service) {
-            Some(rollout) if rollout.order.id > order.id => return false,
-            Some(rollout) if rollout.order.id == order.id => {
-                rollout.ordered_at = rollout.ordered_at.min(ordered_at);
-                rollout.is_exact |= is_exact;
-                false
+        let change = known.apply_order(order, ordered_at, is_exact, source);
+        drop(known);
+        let event = match change {
+            OrderChange::None => {
+                self.update_gate(&order.service);
+                return false;
+            }
+            OrderChange::Doubtful => {
+                self.has_doubtful_order.set(true);
+                return false;
             }
-            _ => {
-                let rollout = KnownRollout::new(order.clone(), ordered_at, is_exact);
-                known.insert(order.service.clone(), rollout);
-                true
+            OrderChange::New => "rollout_ordered",
+            OrderChange::Renumbered => {
+                if let Some(judge) = self.judges.borrow_mut().get_mut(&order.service) {
+                    judge.set_order_id(order.id);
+                }
+                self.has_lost_states.set(true);
+                "rollout_renumbered"
             }
         };
-        drop(known);
-        if is_new {
-            let fields = [
-                ("service", order.service.to_string().into()),
-                ("target", order.target.to_string().into()),
-                ("order", order.id.0.into()),
-                ("duration_s", order.duration.as_secs_f64().into()),
-            ];
-            let event = "rollout_ordered";
-            self.parts.events.emit(event, Severity::Info, &fields);
-        }
+        let fields = [
+            ("service", order.service.to_string().into()),
+            ("target", order.target.to_string().into()),
+            ("order", order.id.0.into()),
+            ("duration_s", order.duration.as_secs_f64().into()),
+        ];
+        self.parts.events.emit(event, Severity::Info, &fields);
         self.update_gate(&order.service);
-        is_new
+        true
     }
 
     /// Applies a status; returns whether it is new.
@@ -173,7 +206,12 @@
 
     fn confirm(&self, at: Option<Instant>) {
         self.confirmed_at.set(self.confirmed_at.get().max(at));
-        let services: Vec<_> = self.known.borrow().keys().cloned().collect();
+        let known = self.known.borrow();
+        let services: Vec<_> = known
+            .all()
+            .map(|rollout| rollout.order.service.clone())
+            .collect();
+        drop(known);
         for service in services {
             self.update_gate(&service);
         }
@@ -191,14 +229,14 @@
 
     /// Returns whether any roll-out is not decided.
     fn is_any_open(&self) -> bool {
-        self.known.borrow().values().any(KnownRollout::is_open)
+        self.known.borrow().all().any(KnownRollout::is_open)
     }
 
     /// Returns the roll-outs for a follower: all of them, or none if all are decided.
     #[must_use]
     pub fn update(&self, all: bool) -> Option<RolloutUpdate> {
         let known = self.known.borrow();
-        if known.is_empty() || !(all || known.values().any(KnownRollout::is_open)) {
+        if known.is_empty() || !(all || known.all().any(KnownRollout::is_open)) {
             return None;
         }
         let entry = |rollout: &KnownRollout| RolloutEntry {
@@ -207,7 +245,7 @@
             status: rollout.status.clone(),
         };
         Some(RolloutUpdate {
-            rollouts: known.values().map(entry).collect(),
+            rollouts: known.all().map(entry).collect(),
             status_age: self.confirmed_at.get().map(|at| at.elapsed()),
         })
     }
@@ -226,7 +264,7 @@
         let mut has_changed = false;
         for entry in &update.rollouts {
             let ordered_at = now.checked_sub(entry.age).unwrap_or(now);
-            has_changed |= self.apply_order(&entry.order, ordered_at, true);
+            has_changed |= self.apply_order(&entry.order, ordered_at, true, OrderSource::Daemon);
             if let Some(status) = &entry.status {
                 has_changed |= self.apply_status(&entry.order.service, status);
             }
--- a/crates/marigold-sidecar/src/control/rollouts/decider.rs
+++ b/crates/marigold-sidecar/src/control/rollouts/decider.rs
@@ -5,7 +5,7 @@
 use std::time::Duration;
 
 use marigold_dispatch::{Directory, RolloutJudge, RolloutState, RolloutStatus, RolloutStep, Site};
-use marigold_log::{LogError, LogFailure};
+use marigold_log::LogError;
 use marigold_types::{Digest, ServiceName};
 use tokio::time::{Instant, sleep};
 
@@ -46,7 +46,7 @@
             let open: Vec<_> = {
                 let known = self.known.borrow();
                 known
-                    .values()
+                    .all()
                     .filter(|rollout| rollout.is_open())
                     .cloned()
                     .collect()
@@ -111,7 +111,7 @@
     /// Returns whether this daemon decides on any open roll-out.
     pub(super) fn is_any_decider(&self) -> bool {
         let known = self.known.borrow();
-        let mut open = known.values().filter(|rollout| rollout.is_open());
+        let mut open = known.all().filter(|rollout| rollout.is_open());
         open.any(|rollout| self.rank(&rollout.order.service).is_some())
     }
 
@@ -160,8 +160,8 @@
         let (written, cause) = match result {
             Ok(written) => (written, String::new()),
             Err(error) => {
-                if matches!(error.failure, LogFailure::Trimmed { .. }) {
-                    self.next_offset.set(None);
+                if error.invalidates_position() {
+                    self.position.set(None);
                 }
                 (false, error.to_string())
             }
@@ -204,7 +204,7 @@
         let is_unchanged = self.known.borrow().get(service).is_some_and(|current| {
             current.order == rollout.order && current.status == rollout.status
         });
-        let Some(end) = self.next_offset.get().filter(|_| is_unchanged) else {
+        let Some(end) = self.position.get().filter(|_| is_unchanged) else {
             return Ok(false);
         };
         let age = u64::try_from(rollout.ordered_at.elapsed().as_millis()).unwrap_or(u64::MAX);
--- a/crates/marigold-sidecar/src/control/rollouts/known_rollout.rs
+++ b/crates/marigold-sidecar/src/control/rollouts/known_rollout.rs
@@ -3,6 +3,7 @@
 use std::time::Duration;
 
 use marigold_dispatch::{RolloutOrder, RolloutState, RolloutStatus};
+use marigold_types::LogOffset;
 use tokio::time::Instant;
 
 /// A roll-out as far as this daemon knows it.
@@ -15,6 +16,8 @@
     pub is_exact: bool,
     /// The status of this order.
     pub status: Option<RolloutStatus>,
+    /// Whether the store has been replaced by a copy since, and has not been seen to have this order.
+    pub is_carried: bool,
 }
 
 impl KnownRollout {
@@ -25,9 +28,28 @@
             ordered_at,
             is_exact,
             status: None,
+            is_carried: false,
         }
     }
 
+    /// Gives the order the number that it has in another history of the store, and its status as well.
+    pub fn renumber(&mut self, id: LogOffset) {
+        self.order.id = id;
+        self.is_carried = false;
+        if let Some(status) = &mut self.status {
+            status.order = Some(id);
+        }
+    }
+
+    /// Returns whether `status`, which the store has, is of this roll-out and at least as far, or of a later one.
+    pub fn is_recorded_by(&self, status: &RolloutStatus) -> bool {
+        if !status.is_of(&self.order) {
+            let began_ms = self.status.as_ref().and_then(|status| status.began_ms);
+            return status.began_ms > began_ms;
+        }
+        Some(progress(status.state)) >= self.state().map(progress)
+    }
+
     /// Returns whether it is not decided.
     pub fn is_open(&self) -> bool {
         !self.state().is_some_and(RolloutState::is_final)
--- a/crates/marigold-sidecar/src/control/rollouts/status_reader.rs
+++ b/crates/marigold-sidecar/src/control/rollouts/status_reader.rs
@@ -7,6 +7,7 @@
 use tokio::time::{Instant, sleep};
 
 use super::Rollouts;
+use super::known_rollout::KnownRollout;
 use crate::control::store_health::StoreHealth;
 use crate::events::Severity;
 
@@ -26,7 +27,11 @@
     pub(super) async fn read_states(self: Rc<Self>) {
         let mut health = StoreHealth::new(ROLLOUTS, self.parts.events.clone());
         loop {
-            let is_needed = self.is_any_open();
+            let has_lost_states = self.is_reader.get() && self.has_lost_states.get();
+            if has_lost_states {
+                self.position.set(None);
+            }
+            let is_needed = self.is_any_open() || has_lost_states;
             let is_source = self.is_reader.get() || self.is_any_decider();
             let age = self.confirmed_at.get().map(|at| at.elapsed());
             let is_stale = age.is_none_or(|age| age >= MAX_AGE);
@@ -41,8 +46,12 @@
             };
             match self.read(wait).await {
                 Ok(()) => health.record_success(),
-                Err(error) if matches!(error.failure, LogFailure::Trimmed { .. }) => {
-                    self.next_offset.set(None);
+                Err(error) if error.invalidates_position() => {
+                    if let LogFailure::Replaced { era } = error.failure {
+                        health.record_replacement(era);
+                        self.has_lost_states.set(true);
+                    }
+                    self.position.set(None);
                 }
                 Err(error) => health.record_failure(&error).await,
             }
@@ -56,7 +65,8 @@
     pub(super) async fn read(&self, wait: Duration) -> Result<(), LogError> {
         let table = self.parts.format.status_table();
         let began = Instant::now();
-        let batch = match self.next_offset.get() {
+        let position = self.position.get();
+        let batch = match position {
             None => self.parts.store.snapshot(&table).await?,
             Some(from) => self.parts.store.changes(&table, from, wait).await?,
         };
@@ -64,13 +74,60 @@
         // The answer to a long poll without changes is as new as its end.
         let is_empty = batch.records.is_empty();
         self.confirm(Some(if is_empty { Instant::now() } else { began }));
+        if position.is_none() && self.is_reader.get() && self.has_lost_states.get() {
+            self.restore_states(&batch).await?;
+        }
+        Ok(())
+    }
+
+    /// Writes the states again that are missing from a read of the whole table, so that operators and daemons that start read
+    /// what has been decided. If another state is written meanwhile, the next read begins anew.
+    async fn restore_states(&self, batch: &KeyedBatch) -> Result<(), LogError> {
+        let format = &self.parts.format;
+        let table = format.status_table();
+        let is_recorded = |rollout: &KnownRollout| {
+            let key = format.status_key(&rollout.order.service);
+            let record = batch.records.iter().find(|record| *record.key == *key);
+            let value = record.and_then(|record| record.value.as_ref());
+            let status = value.and_then(|value| format.decode_status(&key, value).ok().flatten());
+            status.is_some_and(|(_, status)| rollout.is_recorded_by(&status))
+        };
+        // An order that the store has lost will have another number once it is there again.
+        let is_lost = |rollout: &&KnownRollout| !rollout.is_carried && !is_recorded(rollout);
+        let lost: Vec<_> = self.known.borrow().all().filter(is_lost).cloned().collect();
+        let mut end = batch.next;
+        for rollout in lost {
+            let Some(status) = rollout.status else {
+                continue;
+            };
+            let service = &rollout.order.service;
+            let (key, value) = (format.status_key(service), format.encode_status(&status));
+            if !self.parts.store.put_if(&table, &key, value, end).await? {
+                return Ok(());
+            }
+            end = end.next();
+            self.position.set(Some(end));
+            let fields = [
+                ("service", service.to_string().into()),
+                ("target", status.target.to_string().into()),
+                ("state", status.state.to_string().into()),
+            ];
+            let event = "rollout_state_restored";
+            self.parts.events.emit(event, Severity::Info, &fields);
+        }
+        self.has_lost_states.set(false);
         Ok(())
     }
 
     fn apply_states(&self, batch: &KeyedBatch) {
         // Another read may have got further meanwhile.
-        self.next_offset
-            .set(self.next_offset.get().max(Some(batch.next)));
+        let position = self.position.get();
+        let is_further = position.is_some_and(|position| {
+            position.era == batch.next.era && position.offset > batch.next.offset
+        });
+        if !is_further {
+            self.position.set(Some(batch.next));
+        }
         let mut has_changed = false;
         for record in &batch.records {
             let Some(value) = &record.value else {
--- a/crates/marigold-sidecar/src/control/store_health.rs
+++ b/crates/marigold-sidecar/src/control/store_health.rs
@@ -3,7 +3,7 @@
 use std::rc::Rc;
 use std::time::Duration;
 
-use marigold_log::LogError;
+use marigold_log::{LogError, StoreEra};
 use tokio::time::{Instant, sleep};
 
 use crate::events::{EventLog, Severity};
@@ -51,6 +51,13 @@
         }
     }
 
+    /// Records that the store has come back from an older copy.
+    pub fn record_replacement(&self, era: StoreEra) {
+        let fields = [("table", self.table.into()), ("era", era.0.into())];
+        self.events.emit("store_replaced", Severity::Warn, &fields);
+        metrics::counter!("marigold_store_replacements_total", "table" => self.table).increment(1);
+    }
+
     /// Records a failed request and sleeps for the backoff time.
     pub async fn record_failure(&mut self, error: &LogError) {
         count_request("failed");
--- a/crates/marigold-sidecar/tests/config_deltas.rs
+++ b/crates/marigold-sidecar/tests/config_deltas.rs
@@ -7,7 +7,7 @@
 
 fn history(versions: &[(u64, &str)]) -> ConfigHistory {
     let mut history = ConfigHistory::default();
-    history.set_next_offset(LogOffset(9));
+    history.set_relayed_offset(LogOffset(9));
     for (version, text) in versions {
         history.push(Version(*version), Bytes::from((*text).to_owned()));
     }
--- a/crates/marigold-sidecar/tests/rollouts.rs
+++ b/crates/marigold-sidecar/tests/rollouts.rs
@@ -53,6 +53,64 @@
         fixture.expect_final(RolledBack);
     }
 
+    // Guards against a decision that operators no longer find, and that daemons which start take for open.
+    final_state_stays_lost_after_a_drill |fixture| {
+        fixture.order("v2", "12");
+        fixture.play(12 * SECOND, 0.0).await;
+        fixture.expect_final(Completed);
+        fixture.store.come_back(1);
+        fixture.reread_order(7);
+        fixture.play(2 * SECOND, 0.0).await;
+        fixture.expect_final(Completed);
+        assert_eq!(fixture.store.written(), 2, "it is written once");
+    }
+
+    // Guards against a second roll-out, which moves traffic that has already been moved.
+    order_that_is_written_again_after_a_drill_is_rolled_out_again |fixture| {
+        fixture.order("v2", "12");
+        fixture.play(12 * SECOND, 0.0).await;
+        fixture.store.come_back(0);
+        fixture.reread_order(3);
+        fixture.play(12 * SECOND, 0.9).await;
+        assert_eq!(fixture.store.written(), 1, "nothing is decided again");
+        assert!(fixture.store.last_status().starts_with("completed v2 3 "), "{}", fixture.store.last_status());
+    }
+
+    running_roll_out_ends_in_a_drill |fixture| {
+        fixture.order("v2", "12");
+        fixture.play(2 * SECOND, 0.0).await;
+        assert_eq!(fixture.store.state(), Some(Canary));
+        fixture.store.come_back(0);
+        fixture.reread_order(2);
+        fixture.play(10 * SECOND, 0.0).await;
+        assert!(fixture.store.last_status().starts_with("completed v2 2 "), "{}", fixture.store.last_status());
+    }
+
+    drill_that_loses_nothing_writes_a_state_again |fixture| {
+        fixture.order("v2", "12");
+        fixture.play(12 * SECOND, 0.0).await;
+        let written = fixture.store.written();
+        for _ in 0..3 {
+            fixture.store.come_back(written);
+            fixture.reread_order(7);
+            fixture.play(2 * SECOND, 0.0).await;
+        }
+        assert_eq!(fixture.store.written(), written);
+    }
+
+    // Guards against an order that another daemon has from a later history of the store, at a lower offset.
+    order_with_a_lower_number_is_passed_over |fixture| {
+        fixture.order("v2", "12");
+        fixture.hear_of_order(7);
+        assert!(!fixture.is_in_doubt());
+        fixture.hear_of_order(3);
+        assert!(fixture.is_in_doubt(), "the store is read");
+        fixture.reread_order(3);
+        assert!(!fixture.is_in_doubt());
+        fixture.hear_of_order(7);
+        assert!(fixture.is_in_doubt(), "the other daemon may be behind");
+    }
+
     decision_waits_for_the_store |fixture| {
         fixture.order("v2", "12");
         fixture.play(SECOND, 0.0).await;
--- a/crates/marigold-sidecar/tests/rollouts/fixture.rs
+++ b/crates/marigold-sidecar/tests/rollouts/fixture.rs
@@ -9,13 +9,16 @@
 use async_trait::async_trait;
 use bytes::Bytes;
 use marigold_dispatch::{
-    CallKind, KindCounts, LinkRate, RolloutState, RolloutStatus, Site, VersionCounts,
+    CallKind, KindCounts, LinkRate, RolloutOrder, RolloutState, RolloutStatus, Site, VersionCounts,
+};
+use marigold_log::{
+    KeyedBatch, KeyedRecord, KeyedStore, LogError, LogFailure, StoreEra, StorePosition, TableName,
 };
-use marigold_log::{KeyedBatch, KeyedRecord, KeyedStore, LogError, LogFailure, TableName};
 use marigold_sidecar::CrashTracker;
 use marigold_sidecar::control::{DecodeError, OrderTerms, RolloutFormat, RolloutParts, Rollouts};
 use marigold_sidecar::events::EventLog;
 use marigold_sidecar::ingress::{Mesh, MeshOptions, RolloutListener, Tuning};
+use marigold_sidecar::link::{RolloutEntry, RolloutUpdate};
 use marigold_types::{LogOffset, ServiceName, SlotCount};
 use rand::SeedableRng;
 use rand::rngs::SmallRng;
@@ -45,6 +48,7 @@
 #[derive(Default)]
 pub struct MemoryStore {
     pub fault: Cell<Fault>,
+    era: Cell<Option<StoreEra>>,
     states: RefCell<Vec<Bytes>>,
 }
 
@@ -65,6 +69,28 @@
         Some(status.state)
     }
 
+    /// Comes back from a copy that has the first `kept` states.
+    pub fn come_back(&self, kept: usize) {
+        let era = self.era.get().map_or(1, |era| era.0 + 1);
+        self.era.set(Some(StoreEra(era)));
+        self.states.borrow_mut().truncate(kept);
+    }
+
+    /// Returns the number of states that have been written.
+    pub fn written(&self) -> usize {
+        self.states.borrow().len()
+    }
+
+    fn check(&self, position: StorePosition) -> Result<(), LogError> {
+        match self.era.get() {
+            Some(era) if position.era != Some(era) => Err(LogError {
+                failure: LogFailure::Replaced { era },
+                ..failure()
+            }),
+            _ => Ok(()),
+        }
+    }
+
     /// Rewrites the latest status as if the roll-out had begun this long ago.
     pub fn set_began(&self, age: Duration) {
         let began = unix_now().saturating_sub(age);
@@ -90,7 +116,10 @@
         };
         Ok(KeyedBatch {
             records: numbered.map(record).collect(),
-            next: LogOffset(states.len() as u64),
+            next: StorePosition {
+                era: self.era.get(),
+                offset: LogOffset(states.len() as u64),
+            },
         })
     }
 }
@@ -117,12 +146,13 @@
     async fn changes(
         &self,
         _table: &TableName,
-        from: LogOffset,
+        from: StorePosition,
         wait: Duration,
     ) -> Result<KeyedBatch, LogError> {
         let until = Instant::now() + wait;
         loop {
-            let batch = self.read(from.0)?;
+            let batch = self.read(from.offset.0)?;
+            self.check(from)?;
             if !batch.records.is_empty() || Instant::now() >= until {
                 return Ok(batch);
             }
@@ -133,7 +163,7 @@
     async fn latest_change(
         &self,
         table: &TableName,
-        from: LogOffset,
+        from: StorePosition,
     ) -> Result<KeyedBatch, LogError> {
         self.changes(table, from, Duration::ZERO).await
     }
@@ -147,12 +177,13 @@
         _table: &TableName,
         _key: &str,
         value: Bytes,
-        end: LogOffset,
+        end: StorePosition,
     ) -> Result<bool, LogError> {
         if self.fault.get() == Fault::Away {
             return Err(failure());
         }
-        let is_end = self.states.borrow().len() as u64 == end.0;
+        self.check(end)?;
+        let is_end = self.states.borrow().len() as u64 == end.offset.0;
         if is_end {
             self.states.borrow_mut().push(value);
         }
@@ -273,11 +304,49 @@
             value: Some(Bytes::from(format!("{target} {seconds}"))),
         };
         for daemon in &self.daemons {
-            daemon.apply_orders(std::slice::from_ref(&record), false);
+            daemon.apply_orders(std::slice::from_ref(&record), self.store.era.get(), false);
         }
         self.orders.push(record);
     }
 
+    /// Reads the last order again from a store that came back from a copy, at another offset if it was lost meanwhile.
+    pub fn reread_order(&mut self, offset: u64) {
+        let last = self.orders.last_mut().expect("an order");
+        last.offset = LogOffset(offset);
+        for daemon in &self.daemons {
+            daemon.apply_orders(std::slice::from_ref(last), self.store.era.get(), true);
+        }
+    }
+
+    /// Passes the roll-outs of another daemon on, whose order has this offset.
+    pub fn hear_of_order(&self, offset: u64) {
+        let last = self.orders.last().expect("an order");
+        let value = last.value.as_deref().expect("an order");
+        let terms = TextFormat.decode_order(KEY, value).expect("an order");
+        let entry = RolloutEntry {
+            order: RolloutOrder {
+                id: LogOffset(offset),
+                service: terms.service,
+                target: terms.target,
+                duration: terms.duration,
+            },
+            age: Duration::ZERO,
+            status: None,
+        };
+        let update = RolloutUpdate {
+            rollouts: vec![entry],
+            status_age: None,
+        };
+        for daemon in &self.daemons {
+            daemon.on_rollouts(&update);
+        }
+    }
+
+    /// Returns whether the daemon has to read the store to judge an order.
+    pub fn is_in_doubt(&self) -> bool {
+        self.daemons[0].has_doubtful_order()
+    }
+
     /// Replaces all backend servers by new ones.
     pub fn renew_servers(&mut self) {
         for (_, counts) in &mut self.counts {
@@ -291,7 +360,7 @@
         self.tasks = tokio::task::LocalSet::new();
         let daemon = start(&self.store, &self.tasks);
         let last = self.orders.len() - 1;
-        daemon.apply_orders(&self.orders[last..], true);
+        daemon.apply_orders(&self.orders[last..], self.store.era.get(), true);
         self.daemons = vec![daemon];
     }
 
