Sessions: the outcome of a call is known until its ingress no longer waits for it

Callers saw: orders that ran behind a cut of 4.2 s ran again on another backend server, or were answered 503 although they had run.

Cause: an executor dropped outcomes after 3 s, or when the responses of a session exceeded 1 MiB, received or not, and a call without an outcome is taken as one that never arrived.

Change: outcomes are kept until the ingress has received them or the deadline of the call and 1 s have passed; responses for 10 s and up to 1 MiB. A response that was dropped leaves a lost one, which may have run. The messages are the same.

--- a/crates/marigold-sidecar/src/link/server.rs
+++ b/crates/marigold-sidecar/src/link/server.rs
@@ -35,7 +35,7 @@
 const ORPHAN_TIMEOUT: Duration = Duration::from_millis(1_500);
 /// Interval at which sessions without a connection are checked.
 const SWEEP_INTERVAL: Duration = Duration::from_millis(250);
-/// A session without a connection and running calls is removed after this time.
+/// A session without a connection, running calls and awaited outcomes is removed after this time.
 const SESSION_TTL: Duration = Duration::from_secs(30);
 /// The connection fails once sent bytes have been unacknowledged for this long.
 const UNACKED_TIMEOUT: Duration = Duration::from_secs(5);
@@ -193,6 +193,7 @@
             sleep(SWEEP_INTERVAL).await;
             let now = Instant::now();
             self.sessions.borrow_mut().retain(|_, session| {
+                let has_outcomes = session.expire_outcomes(now);
                 let Some(since) = session.detached_since() else {
                     return true;
                 };
@@ -200,7 +201,7 @@
                 if elapsed >= ORPHAN_TIMEOUT {
                     session.cancel_all();
                 }
-                elapsed < SESSION_TTL || session.is_running()
+                elapsed < SESSION_TTL || session.is_running() || has_outcomes
             });
         }
     }
@@ -343,7 +344,9 @@
         mut call: Call,
         body: Option<(Bytes, BodyReservation)>,
     ) {
-        let Some((mut reply, token)) = session.open(call.id, call.floor, Instant::now()) else {
+        let Some((mut reply, token)) =
+            session.open(call.id, call.floor, call.timeout, Instant::now())
+        else {
             return;
         };
         if let Some((body, reservation)) = body {
--- a/crates/marigold-sidecar/src/link/session.rs
+++ b/crates/marigold-sidecar/src/link/session.rs
@@ -12,16 +12,26 @@
 use tokio_util::sync::CancellationToken;
 
 use super::frame_codec::{MAX_BODY_PART_BYTES, Packet};
-use super::{BodyReservation, CallId, Frame, Hello, Reply, StoreUpdate};
+use super::{BodyReservation, CallId, CallOutcome, Frame, Hello, Reply, StoreUpdate};
 
-/// Outcomes are kept for this long, since the ingress may not have received them.
-const OUTCOME_TTL: Duration = Duration::from_secs(3);
-/// Limit on the response bodies kept in one session. The oldest outcomes are dropped first.
+/// Responses are kept for this long, since the ingress may not have received them. That they were given is known for
+/// longer: see [`Ended::until`].
+const RESPONSE_TTL: Duration = Duration::from_secs(10);
+/// Limit on the response bodies kept in one session. The oldest responses are dropped first.
 const MAX_KEPT_BODY_BYTES: usize = 1 << 20;
+/// Time after the deadline of a call for which its outcome is known, for calls that were delayed on their way.
+const OUTCOME_MARGIN: Duration = Duration::from_secs(1);
+
+struct Running {
+    token: CancellationToken,
+    deadline: Instant,
+}
 
 struct Ended {
     reply: Reply,
-    at: Instant,
+    /// When the ingress no longer waits for the outcome. Until then a call without one would pass for a call that was never
+    /// received, which the ingress may send elsewhere.
+    until: Instant,
 }
 
 /// Running and ended calls of one ingress, and the queue of messages to it.
@@ -32,8 +42,10 @@
 
 struct State {
     epoch: u32,
-    running: BTreeMap<CallId, CancellationToken>,
+    running: BTreeMap<CallId, Running>,
     ended: BTreeMap<CallId, Ended>,
+    /// The ended calls whose responses are kept, in the order of their ends.
+    responses: VecDeque<(CallId, Instant)>,
     kept_body_bytes: usize,
     queue: VecDeque<Packet>,
     /// Since when the session has had no connection, if it has none.
@@ -52,6 +64,7 @@
                 epoch: 0,
                 running: BTreeMap::new(),
                 ended: BTreeMap::new(),
+                responses: VecDeque::new(),
                 kept_body_bytes: 0,
                 queue: VecDeque::new(),
                 detached_since: Some(now),
@@ -112,21 +125,46 @@
         !self.state.borrow().running.is_empty()
     }
 
-    /// Registers a call as running, or returns `None` if it was registered before. Outcomes of calls below
-    /// `floor` are dropped.
+    /// Removes the outcomes that no ingress waits for any more; returns whether any are left.
+    pub fn expire_outcomes(&self, now: Instant) -> bool {
+        let mut state = self.state.borrow_mut();
+        state.drop_responses(now);
+        let State {
+            ended,
+            kept_body_bytes,
+            ..
+        } = &mut *state;
+        ended.retain(|_, ended| {
+            let is_awaited = ended.until > now;
+            if !is_awaited {
+                *kept_body_bytes -= ended.reply.body.len();
+            }
+            is_awaited
+        });
+        !ended.is_empty()
+    }
+
+    /// Registers a call as running, or returns `None` if it was registered before. `timeout` is how long its ingress waits.
+    /// Outcomes of calls below `floor` are dropped.
     pub fn open(
         self: &Rc<Self>,
         id: CallId,
         floor: CallId,
+        timeout: Duration,
         now: Instant,
     ) -> Option<(ReplyHandle, CancellationToken)> {
         let mut state = self.state.borrow_mut();
-        state.drop_outcomes(floor, now);
+        state.drop_received(floor);
+        state.drop_responses(now);
         if state.running.contains_key(&id) || state.ended.contains_key(&id) {
             return None;
         }
         let token = CancellationToken::new();
-        state.running.insert(id, token.clone());
+        let running = Running {
+            token: token.clone(),
+            deadline: now + timeout,
+        };
+        state.running.insert(id, running);
         let handle = ReplyHandle {
             id,
             body: None,
@@ -137,15 +175,15 @@
 
     /// Cancels a call, if it is running.
     pub fn cancel(&self, id: CallId) {
-        if let Some(token) = self.state.borrow().running.get(&id) {
-            token.cancel();
+        if let Some(call) = self.state.borrow().running.get(&id) {
+            call.token.cancel();
         }
     }
 
     /// Cancels all running calls.
     pub fn cancel_all(&self) {
-        for token in self.state.borrow().running.values() {
-            token.cancel();
+        for call in self.state.borrow().running.values() {
+            call.token.cancel();
         }
     }
 
@@ -206,15 +244,16 @@
 
     fn end_call(&self, reply: Reply) {
         let mut state = self.state.borrow_mut();
-        state.running.remove(&reply.id);
+        let now = Instant::now();
+        let deadline = state.running.remove(&reply.id).map(|call| call.deadline);
         state.kept_body_bytes += reply.body.len();
-        let at = Instant::now();
         let ended = Ended {
             reply: reply.clone(),
-            at,
+            until: deadline.unwrap_or(now).max(now) + OUTCOME_MARGIN,
         };
         state.ended.insert(reply.id, ended);
-        state.drop_outcomes(CallId(0), at);
+        state.responses.push_back((reply.id, now));
+        state.drop_responses(now);
         if state.detached_since.is_none() {
             state.send(reply);
         }
@@ -237,17 +276,32 @@
         self.queue.push_back(Packet { frame, body });
     }
 
-    /// Drops outcomes of calls below `floor`, expired ones, and the oldest ones while the bodies exceed their
-    /// limit.
-    fn drop_outcomes(&mut self, floor: CallId, now: Instant) {
-        while let Some((id, first)) = self.ended.first_key_value() {
-            let is_expired = now.saturating_duration_since(first.at) >= OUTCOME_TTL;
-            if *id >= floor && !is_expired && self.kept_body_bytes <= MAX_KEPT_BODY_BYTES {
+    /// Drops the outcomes of calls below `floor`, which the ingress has received.
+    fn drop_received(&mut self, floor: CallId) {
+        while let Some(first) = self.ended.first_entry() {
+            if *first.key() >= floor {
+                return;
+            }
+            self.kept_body_bytes -= first.remove().reply.body.len();
+        }
+    }
+
+    /// Drops expired responses, and the oldest ones while the bodies exceed their limit. What remains of them is that the
+    /// backend server has run the request.
+    fn drop_responses(&mut self, now: Instant) {
+        while let Some((id, at)) = self.responses.front() {
+            let is_expired = now.saturating_duration_since(*at) >= RESPONSE_TTL;
+            if !is_expired && self.kept_body_bytes <= MAX_KEPT_BODY_BYTES {
                 return;
             }
-            if let Some((_, ended)) = self.ended.pop_first() {
-                self.kept_body_bytes -= ended.reply.body.len();
+            if let Some(Ended { reply, .. }) = self.ended.get_mut(id) {
+                self.kept_body_bytes -= reply.body.len();
+                reply.body = Bytes::new();
+                if matches!(reply.outcome, CallOutcome::Answered { .. }) {
+                    reply.outcome = CallOutcome::Lost { broken: true };
+                }
             }
+            self.responses.pop_front();
         }
     }
 }
