Departures: the store has a departure before it is acknowledged

Callers saw: requests sent to a backend server after its departure had been acknowledged, up to 16 s later, where its daemon was stopped or killed in between and a heartbeat of the server arrived late.

Cause: the successor of a daemon knows of a departure from its record.

Change: an acknowledgement waits for the store for at most 700 ms, an announcement to a daemon that has just started as long for the records.

--- a/crates/marigold-dispatch/src/backend/backend_state.rs
+++ b/crates/marigold-dispatch/src/backend/backend_state.rs
@@ -134,10 +134,16 @@
         (previous != limit).then_some(previous)
     }
 
-    /// Returns the current instance if it has said that it leaves.
+    /// Returns the current instance if it has said that it leaves, or the last one that has if none is current.
     #[must_use]
     pub fn leaving(&self) -> Option<Departure> {
-        let instance = self.current.as_ref()?;
+        let Some(instance) = self.current.as_ref() else {
+            let (identity, started_ms) = self.departed.back()?.clone();
+            return Some(Departure {
+                identity,
+                started_ms,
+            });
+        };
         instance.draining_since?;
         Some(Departure {
             identity: instance.identity.clone(),
--- a/crates/marigold-sidecar/src/control/backend_discovery.rs
+++ b/crates/marigold-sidecar/src/control/backend_discovery.rs
@@ -7,7 +7,8 @@
 
 use marigold_dispatch::{Announcement, ServingState};
 use marigold_types::ServiceName;
-use tokio::time::sleep;
+use tokio::sync::watch;
+use tokio::time::{sleep, timeout};
 
 use crate::HeaderNames;
 use crate::events::{EventLog, Severity};
@@ -16,6 +17,8 @@
 
 /// Interval at which the preconditions for a probe are checked.
 const POLL_INTERVAL: Duration = Duration::from_millis(20);
+/// How long an announcement waits for the record of this daemon. Its acknowledgement has to arrive within a second.
+const RECORD_TIMEOUT: Duration = Duration::from_millis(700);
 /// Delay after a probe that failed or found no healthy backend server.
 const PROBE_RETRY_DELAY: Duration = Duration::from_millis(400);
 /// The backend server announces itself within two seconds anyway, so further probes gain nothing.
@@ -41,13 +44,27 @@
     pub executor: Rc<LocalExecutor>,
     /// Log of the discovery's outcome.
     pub events: Rc<EventLog>,
+    /// Returns whether the records of all daemons are known.
+    pub knows_sites: Rc<dyn Fn() -> bool>,
+    /// Whether a departure in the record of this daemon has been restored, or there is none.
+    pub checked: watch::Sender<bool>,
 }
 
 impl BackendDiscovery {
+    /// Waits until it is known which instance of the backend server has left, for a limited time: the records may be
+    /// unavailable. A delayed announcement does not tell.
+    pub async fn departure_checked(&self) {
+        let mut checked = self.checked.subscribe();
+        timeout(RECORD_TIMEOUT, checked.wait_for(|checked| *checked))
+            .await
+            .ok();
+    }
+
     /// Probes until the backend server is known or the probes are used up.
-    pub async fn run(self) {
+    pub async fn run(self: Rc<Self>) {
         let mut probes = 0;
         self.restore_departure().await;
+        self.checked.send_replace(true);
         while !self.executor.knows_backend() && probes < MAX_PROBES {
             sleep(POLL_INTERVAL).await;
             let Some((path, announcement)) = self.probe_parameters() else {
@@ -81,7 +98,7 @@
         }
     }
 
-    /// Waits for the record of this daemon or the first announcement, and restores the departure in the record.
+    /// Waits for the record of this daemon, or until there is none, and restores the departure in it.
     async fn restore_departure(&self) {
         loop {
             let record = (self.ingress.mesh)
@@ -93,7 +110,7 @@
                     .emit("departure_restored", Severity::Info, &fields);
                 self.executor.restore_departure(departure);
             }
-            if record.is_some() || self.executor.knows_backend() {
+            if record.is_some() || (self.knows_sites)() {
                 return;
             }
             sleep(POLL_INTERVAL).await;
--- a/crates/marigold-sidecar/src/control/control_server.rs
+++ b/crates/marigold-sidecar/src/control/control_server.rs
@@ -17,7 +17,9 @@
 use tokio::net::{TcpListener, TcpStream};
 use tokio::time::sleep;
 
+use super::backend_discovery::BackendDiscovery;
 use super::protocol::{ControlCall, ControlProtocol};
+use super::site_publisher::SitePublisher;
 use crate::events::{EventLog, Severity};
 use crate::executor::LocalExecutor;
 
@@ -31,33 +33,33 @@
 
 /// Returns whether the daemon is ready to accept requests from callers.
 pub type ReadinessCheck = Rc<dyn Fn() -> bool>;
+/// Dependencies of a [`ControlServer`].
+pub struct ControlParts {
+    /// Receives what is announced of the backend server.
+    pub executor: Rc<LocalExecutor>,
+    /// Records departures of the backend server.
+    pub publisher: Rc<SitePublisher>,
+    /// Restores a departure that an earlier run of the daemon has recorded.
+    pub discovery: Rc<BackendDiscovery>,
+    /// Log of state changes.
+    pub events: Rc<EventLog>,
+    /// Decides readiness checks.
+    pub is_ready: ReadinessCheck,
+    /// Renders metrics.
+    pub metrics: PrometheusHandle,
+}
 
 /// Serves requests addressed to the daemon itself.
 pub struct ControlServer {
     protocol: Rc<dyn ControlProtocol>,
-    executor: Rc<LocalExecutor>,
-    events: Rc<EventLog>,
-    is_ready: ReadinessCheck,
-    metrics: PrometheusHandle,
+    parts: ControlParts,
 }
 
 impl ControlServer {
-    /// Creates a server that answers readiness checks with the result of `is_ready`.
+    /// Creates a server that decodes requests by `protocol`.
     #[must_use]
-    pub fn new(
-        protocol: Rc<dyn ControlProtocol>,
-        executor: Rc<LocalExecutor>,
-        events: Rc<EventLog>,
-        is_ready: ReadinessCheck,
-        metrics: PrometheusHandle,
-    ) -> Rc<Self> {
-        Rc::new(Self {
-            protocol,
-            executor,
-            events,
-            is_ready,
-            metrics,
-        })
+    pub fn new(protocol: Rc<dyn ControlProtocol>, parts: ControlParts) -> Rc<Self> {
+        Rc::new(Self { protocol, parts })
     }
 
     /// Accepts connections until the task is dropped.
@@ -97,7 +99,7 @@
         if method == hyper::Method::GET && path == METRICS_PATH {
             return response(
                 StatusCode::OK,
-                Bytes::from(self.metrics.render()),
+                Bytes::from(self.parts.metrics.render()),
                 "text/plain",
             );
         }
@@ -109,35 +111,46 @@
             Err(error) => return error_response(StatusCode::BAD_REQUEST, error.to_string()),
         };
         match self.protocol.decode(method.as_str(), &path, &body) {
-            Ok(ControlCall::Readiness) if (self.is_ready)() => {
+            Ok(ControlCall::Readiness) if (self.parts.is_ready)() => {
                 response(StatusCode::OK, Bytes::new(), "text/plain")
             }
             Ok(ControlCall::Readiness) => {
                 error_response(StatusCode::SERVICE_UNAVAILABLE, "not ready".to_owned())
             }
             Ok(ControlCall::Announce(announcement)) => {
-                let outcome = self.executor.apply_announcement(&announcement);
+                self.parts.discovery.departure_checked().await;
+                let outcome = self.parts.executor.apply_announcement(&announcement);
+                if outcome == AnnouncementOutcome::Draining {
+                    self.parts.publisher.record_departure().await;
+                }
                 self.log_announcement(outcome, &announcement.identity, announcement.sequence);
                 let (body, content_type) = self.protocol.acknowledgement();
                 response(StatusCode::OK, body, content_type)
             }
             Ok(ControlCall::Leave { identity }) => {
-                let outcome = self.executor.mark_departed(&identity);
+                self.parts.discovery.departure_checked().await;
+                let outcome = self.parts.executor.mark_departed(&identity);
+                let departure = self.parts.executor.leaving();
+                if departure.is_some_and(|departure| departure.identity == identity) {
+                    self.parts.publisher.record_departure().await;
+                }
                 self.log_announcement(outcome, &identity, 0);
                 let (body, content_type) = self.protocol.acknowledgement();
                 response(StatusCode::OK, body, content_type)
             }
-            Err(error) => {
-                self.events.emit(
-                    "control_call_refused",
-                    Severity::Warn,
-                    &[("path", path.into()), ("cause", error.to_string().into())],
-                );
-                error_response(StatusCode::BAD_REQUEST, error.to_string())
-            }
+            Err(error) => self.refuse(path, error.to_string()),
         }
     }
 
+    fn refuse(&self, path: String, cause: String) -> Response<Full<Bytes>> {
+        self.parts.events.emit(
+            "control_call_refused",
+            Severity::Warn,
+            &[("path", path.into()), ("cause", cause.clone().into())],
+        );
+        error_response(StatusCode::BAD_REQUEST, cause)
+    }
+
     fn log_announcement(&self, outcome: AnnouncementOutcome, identity: &str, sequence: u64) {
         let result = match outcome {
             AnnouncementOutcome::NewInstance => "new",
@@ -145,7 +158,7 @@
             AnnouncementOutcome::Stale => "stale",
             AnnouncementOutcome::Unchanged => return,
         };
-        self.events.emit(
+        self.parts.events.emit(
             "backend_announced",
             Severity::Info,
             &[
--- a/crates/marigold-sidecar/src/control/site_publisher.rs
+++ b/crates/marigold-sidecar/src/control/site_publisher.rs
@@ -5,10 +5,11 @@
 use std::time::Duration;
 
 use bytes::Bytes;
-use marigold_dispatch::{Directory, LinkRate, ServerVersion, Site};
+use marigold_dispatch::{Departure, Directory, LinkRate, ServerVersion, Site};
 use marigold_log::{KeyedStore, TableName};
 use marigold_types::{DataCentre, ServiceName};
-use tokio::time::sleep;
+use tokio::sync::{Notify, watch};
+use tokio::time::{sleep, timeout};
 
 use crate::events::{EventLog, Severity};
 use crate::executor::LocalExecutor;
@@ -16,6 +17,8 @@
 
 /// Interval at which the published record is compared with the current state.
 const CHECK_INTERVAL: Duration = Duration::from_millis(250);
+/// How long the acknowledgement of a departure waits for the store. It has to arrive within a second.
+const DEPARTURE_TIMEOUT: Duration = Duration::from_millis(700);
 /// Delay after a failed write.
 const RETRY_DELAY: Duration = Duration::from_millis(500);
 
@@ -38,6 +41,10 @@
     executor: Rc<LocalExecutor>,
     mesh: Rc<Mesh>,
     events: Rc<EventLog>,
+    /// Wakes the task that publishes.
+    changed: Notify,
+    /// The departure in the latest record that the store has confirmed.
+    recorded: watch::Sender<Option<Departure>>,
 }
 
 impl SitePublisher {
@@ -58,6 +65,22 @@
             executor,
             mesh,
             events,
+            changed: Notify::new(),
+            recorded: watch::Sender::new(None),
+        }
+    }
+
+    /// Waits until the store has the departure of the backend server, so that a daemon that starts again knows of it, for a
+    /// limited time: the store may be away.
+    pub async fn record_departure(&self) {
+        let mut recorded = self.recorded.subscribe();
+        self.changed.notify_one();
+        let is_recorded = |departure: &Option<Departure>| {
+            departure.is_some() && *departure == self.executor.leaving()
+        };
+        let wait = timeout(DEPARTURE_TIMEOUT, recorded.wait_for(is_recorded));
+        if self.record().is_some() && wait.await.is_err() {
+            self.log_failure("the departure was acknowledged before the store had it");
         }
     }
 
@@ -67,13 +90,15 @@
     /// their links, and across restarts of the daemon.
     pub async fn run(self: Rc<Self>) {
         loop {
-            sleep(CHECK_INTERVAL).await;
+            // The timeout is the usual case: most changes are found by comparing.
+            timeout(CHECK_INTERVAL, self.changed.notified()).await.ok();
             let Some(site) = self.record() else {
                 continue;
             };
             let is_published =
                 |directory: &Directory| directory.get(self.location.address) == Some(&site);
             if self.mesh.with_directory(is_published) {
+                self.recorded.send_replace(site.leaving);
                 continue;
             }
             let value = match serde_json::to_vec(&site) {
@@ -91,6 +116,7 @@
                 self.log_failure(&error.to_string());
                 sleep(RETRY_DELAY).await;
             }
+            self.recorded.send_replace(site.leaving);
         }
     }
 
--- a/crates/marigold-sidecar/src/sidecar.rs
+++ b/crates/marigold-sidecar/src/sidecar.rs
@@ -14,11 +14,12 @@
 use rand::rngs::SmallRng;
 use tokio::net::{TcpListener, TcpSocket, TcpStream};
 use tokio::signal::unix::{SignalKind, signal};
+use tokio::sync::watch;
 use tokio::time::{Instant, sleep, timeout};
 
 use crate::control::{
-    BackendDiscovery, ConfigSource, ControlProtocol, ControlServer, DaemonLocation, Relay,
-    RelayParts, RolloutFormat, RolloutParts, Rollouts, SitePublisher,
+    BackendDiscovery, ConfigSource, ControlParts, ControlProtocol, ControlServer, DaemonLocation,
+    ReadinessCheck, Relay, RelayParts, RolloutFormat, RolloutParts, Rollouts, SitePublisher,
 };
 use crate::events::{EventLog, Severity};
 use crate::executor::{ExecutorOptions, LocalExecutor};
@@ -233,22 +234,7 @@
         mesh,
         events.clone(),
     ));
-    let is_ready = {
-        let (ingress, relay) = (ingress.clone(), relay.clone());
-        Rc::new(move || {
-            let is_synced = ingress.table().is_some() && relay.knows_sites();
-            is_synced && ingress.stage(0) == ShutdownStage::Serving
-        })
-    };
-    let control = ControlServer::new(
-        adapter.protocol.clone(),
-        executor.clone(),
-        events.clone(),
-        is_ready,
-        metrics,
-    );
-
-    let discovery = BackendDiscovery {
+    let discovery = Rc::new(BackendDiscovery {
         backend_address: settings.instance.backend_server,
         own_address: settings.listen.daemons,
         service: settings.instance.service.clone(),
@@ -256,7 +242,23 @@
         ingress: ingress.clone(),
         executor: executor.clone(),
         events: events.clone(),
-    };
+        knows_sites: {
+            let relay = relay.clone();
+            Rc::new(move || relay.knows_sites())
+        },
+        checked: watch::Sender::new(false),
+    });
+    let control = ControlServer::new(
+        adapter.protocol.clone(),
+        ControlParts {
+            executor: executor.clone(),
+            publisher: publisher.clone(),
+            discovery: discovery.clone(),
+            events: events.clone(),
+            is_ready: readiness_check(&ingress, &relay),
+            metrics,
+        },
+    );
 
     relay.start();
     rollouts.start();
@@ -277,6 +279,14 @@
     })
 }
 
+fn readiness_check(ingress: &Rc<Ingress>, relay: &Rc<Relay>) -> ReadinessCheck {
+    let (ingress, relay) = (ingress.clone(), relay.clone());
+    Rc::new(move || {
+        let is_synced = ingress.table().is_some() && relay.knows_sites();
+        is_synced && ingress.stage(0) == ShutdownStage::Serving
+    })
+}
+
 fn build_mesh(
     settings: &Settings,
     run_id: u64,
--- a/crates/marigold-sidecar/tests/restarted_daemon.rs
+++ b/crates/marigold-sidecar/tests/restarted_daemon.rs
@@ -15,6 +15,7 @@
 use marigold_sidecar::events::EventLog;
 use marigold_sidecar::executor::{ExecutorOptions, LocalExecutor};
 use marigold_types::Version;
+use tokio::sync::watch;
 
 /// Limit on the bodies that the executor holds.
 const MEMORY_BYTES: u64 = 16 << 20;
@@ -45,8 +46,10 @@
         ingress: mesh.ingress.clone(),
         executor: executor.clone(),
         events,
+        knows_sites: Rc::new(|| false),
+        checked: watch::Sender::new(false),
     };
-    discovery.run().await;
+    Rc::new(discovery).run().await;
     executor
 }
 
