Announcements: a service that nothing names is refused, and a silent replacement gives way

Callers saw: 503 for every request, for good, after one heartbeat of another writer at each daemon, although all backend servers were sound.

Cause: any announcement that could be read was taken for that of the next instance, and the replaced one counted as departed.

Change: announcements of services that neither the configuration nor the settings name are refused with 400. An instance that was replaced without having left serves again if it goes on announcing itself while its replacement is silent for 6 s.

--- a/crates/marigold-dispatch/src/backend/backend_state.rs
+++ b/crates/marigold-dispatch/src/backend/backend_state.rs
@@ -3,6 +3,7 @@
 use std::collections::VecDeque;
 use std::net::SocketAddr;
 use std::sync::Arc;
+use std::time::Duration;
 
 use marigold_types::{ServiceName, SlotCount};
 use tokio::time::Instant;
@@ -11,6 +12,9 @@
 
 /// The number of departed instances to remember, so that a delayed announcement does not revive one.
 const MAX_DEPARTED: usize = 64;
+/// An instance that was replaced without having left serves again if it goes on announcing itself while its replacement has
+/// been silent for this long, several times the interval of announcements.
+const REPLACEMENT_SILENCE: Duration = Duration::from_secs(6);
 /// The sequence number of an instance's first announcement. One that is announced with a later number first has served
 /// before.
 const FIRST_SEQUENCE: u64 = 1;
@@ -81,7 +85,16 @@
 #[derive(Debug, Clone, Default)]
 pub struct BackendState {
     current: Option<BackendInstance>,
-    departed: VecDeque<(Arc<str>, Option<u64>)>,
+    departed: VecDeque<DepartedInstance>,
+}
+
+#[derive(Debug, Clone)]
+struct DepartedInstance {
+    identity: Arc<str>,
+    started_ms: Option<u64>,
+    /// The sequence number of its latest announcement, if it was replaced without having said that it leaves: its replacement
+    /// may be an earlier instance whose announcement was delayed.
+    replaced_at: Option<u64>,
 }
 
 impl BackendState {
@@ -105,6 +118,12 @@
         announcement: &Announcement,
         now: Instant,
     ) -> AnnouncementOutcome {
+        if self.outlives_replacement(announcement, now) {
+            self.departed
+                .retain(|departed| departed.identity != announcement.identity);
+            self.replace(announcement, now);
+            return AnnouncementOutcome::NewInstance;
+        }
         if self.has_departed(&announcement.identity, announcement.started_ms) {
             return AnnouncementOutcome::Stale;
         }
@@ -138,10 +157,10 @@
     #[must_use]
     pub fn leaving(&self) -> Option<Departure> {
         let Some(instance) = self.current.as_ref() else {
-            let (identity, started_ms) = self.departed.back()?.clone();
+            let last = self.departed.back()?;
             return Some(Departure {
-                identity,
-                started_ms,
+                identity: last.identity.clone(),
+                started_ms: last.started_ms,
             });
         };
         instance.draining_since?;
@@ -204,7 +223,12 @@
 
     fn replace(&mut self, announcement: &Announcement, now: Instant) {
         if let Some(old) = self.current.take() {
-            self.remember_departed(old.identity, old.started_ms);
+            let replaced_at = old.draining_since.is_none().then_some(old.sequence);
+            self.remember(DepartedInstance {
+                identity: old.identity,
+                started_ms: old.started_ms,
+                replaced_at,
+            });
         }
         self.current = Some(BackendInstance {
             identity: announcement.identity.clone(),
@@ -225,18 +249,51 @@
     }
 
     fn has_departed(&self, identity: &str, started_ms: Option<u64>) -> bool {
-        self.departed.iter().any(|(other, other_started_ms)| {
-            let is_later =
-                matches!((started_ms, other_started_ms), (Some(new), Some(old)) if new > *old);
-            **other == *identity && !is_later
+        self.departed.iter().any(|departed| {
+            let is_later = matches!(
+                (started_ms, departed.started_ms),
+                (Some(new), Some(old)) if new > old
+            );
+            *departed.identity == *identity && !is_later
         })
     }
 
+    /// Returns whether an announcement is of an instance that was replaced without having left, and goes on while its
+    /// replacement is silent.
+    fn outlives_replacement(&self, announcement: &Announcement, now: Instant) -> bool {
+        let is_silent = self.current.as_ref().is_some_and(|current| {
+            now.saturating_duration_since(current.last_announced) >= REPLACEMENT_SILENCE
+        });
+        let mut entries = self
+            .departed
+            .iter()
+            .filter(|departed| departed.identity == announcement.identity)
+            .peekable();
+        let is_replaced = |departed: &DepartedInstance| {
+            departed.started_ms == announcement.started_ms
+                && departed
+                    .replaced_at
+                    .is_some_and(|sequence| announcement.sequence > sequence)
+        };
+        is_silent
+            && announcement.state == ServingState::Ready
+            && entries.peek().is_some()
+            && entries.all(is_replaced)
+    }
+
     fn remember_departed(&mut self, identity: Arc<str>, started_ms: Option<u64>) {
+        self.remember(DepartedInstance {
+            identity,
+            started_ms,
+            replaced_at: None,
+        });
+    }
+
+    fn remember(&mut self, departed: DepartedInstance) {
         if self.departed.len() == MAX_DEPARTED {
             self.departed.pop_front();
         }
-        self.departed.push_back((identity, started_ms));
+        self.departed.push_back(departed);
     }
 }
 
--- a/crates/marigold-dispatch/tests/backend_state.rs
+++ b/crates/marigold-dispatch/tests/backend_state.rs
@@ -78,3 +78,45 @@
     assert_eq!(outcome, AnnouncementOutcome::Stale);
     assert!(state.serving().is_none());
 }
+
+/// Applies announcements `a` 1, then `b`, and then those of `a` with these numbers, each after `pause`. Returns the identity that
+/// serves at the end; `b` goes on as well if `is_alive`.
+async fn serving_after(pause: u64, is_alive: bool, numbers: &[u64]) -> String {
+    let mut state = BackendState::default();
+    let unborn = |identity, sequence| Announcement {
+        started_ms: None,
+        ..announcement(identity, 0, sequence)
+    };
+    state.apply_announcement(&unborn("a", 1), Instant::now());
+    state.apply_announcement(&unborn("b", 1), Instant::now());
+    for number in numbers {
+        tokio::time::advance(ms(pause)).await;
+        if is_alive {
+            state.apply_announcement(&unborn("b", number + 1), Instant::now());
+        }
+        state.apply_announcement(&unborn("a", *number), Instant::now());
+    }
+    let serving = state.serving().expect("a serving instance");
+    serving.identity.to_string()
+}
+
+// Guards against a worker that stays out of use, since a delayed announcement of another instance has replaced it.
+#[tokio::test(start_paused = true)]
+async fn announcement_of_a_gone_instance_replaces_the_real_one_for_good() {
+    assert_eq!(serving_after(2_000, false, &[2, 3, 4]).await, "a");
+    assert_eq!(serving_after(2_000, false, &[2, 3]).await, "b");
+    assert_eq!(serving_after(2_000, true, &[2, 3, 4, 5]).await, "b");
+    // A late announcement is older than the last one before the replacement.
+    assert_eq!(serving_after(8_000, false, &[1]).await, "b");
+}
+
+#[tokio::test(start_paused = true)]
+async fn instance_that_has_left_outlives_its_replacement() {
+    let mut state = BackendState::default();
+    state.apply_announcement(&announcement("a", 1, 1), Instant::now());
+    state.mark_departed("a", Instant::now());
+    state.apply_announcement(&announcement("b", 2, 1), Instant::now());
+    tokio::time::advance(ms(20_000)).await;
+    let outcome = state.apply_announcement(&announcement("a", 1, 9), Instant::now());
+    assert_eq!(outcome, AnnouncementOutcome::Stale);
+}
--- a/crates/marigold-sidecar/src/control.rs
+++ b/crates/marigold-sidecar/src/control.rs
@@ -16,7 +16,7 @@
 
 pub use backend_discovery::BackendDiscovery;
 pub use config_history::ConfigHistory;
-pub use control_server::{ControlParts, ControlServer, ReadinessCheck};
+pub use control_server::{ControlParts, ControlServer, ReadinessCheck, ServiceCheck};
 pub use protocol::{
     ConfigSource, ControlCall, ControlProtocol, DecodeError, DecodedConfig, UnknownPart,
 };
--- a/crates/marigold-sidecar/src/control/control_server.rs
+++ b/crates/marigold-sidecar/src/control/control_server.rs
@@ -13,6 +13,7 @@
 use hyper::{Request, Response, StatusCode};
 use hyper_util::rt::{TokioIo, TokioTimer};
 use marigold_dispatch::AnnouncementOutcome;
+use marigold_types::ServiceName;
 use metrics_exporter_prometheus::PrometheusHandle;
 use tokio::net::{TcpListener, TcpStream};
 use tokio::time::sleep;
@@ -33,6 +34,9 @@
 
 /// Returns whether the daemon is ready to accept requests from callers.
 pub type ReadinessCheck = Rc<dyn Fn() -> bool>;
+/// Returns whether the configuration or the settings name a service.
+pub type ServiceCheck = Rc<dyn Fn(&ServiceName) -> bool>;
+
 /// Dependencies of a [`ControlServer`].
 pub struct ControlParts {
     /// Receives what is announced of the backend server.
@@ -45,6 +49,8 @@
     pub events: Rc<EventLog>,
     /// Decides readiness checks.
     pub is_ready: ReadinessCheck,
+    /// Decides whether an announcement is of a service here.
+    pub is_named: ServiceCheck,
     /// Renders metrics.
     pub metrics: PrometheusHandle,
 }
@@ -117,6 +123,15 @@
             Ok(ControlCall::Readiness) => {
                 error_response(StatusCode::SERVICE_UNAVAILABLE, "not ready".to_owned())
             }
+            Ok(ControlCall::Announce(announcement))
+                if !(self.parts.is_named)(&announcement.service) =>
+            {
+                let cause = format!(
+                    "no configuration names the service {}",
+                    announcement.service
+                );
+                self.refuse(path, cause)
+            }
             Ok(ControlCall::Announce(announcement)) => {
                 self.parts.discovery.departure_checked().await;
                 let outcome = self.parts.executor.apply_announcement(&announcement);
--- a/crates/marigold-sidecar/src/sidecar.rs
+++ b/crates/marigold-sidecar/src/sidecar.rs
@@ -9,6 +9,7 @@
 
 use marigold_dispatch::{RelaySelector, ShutdownStage};
 use marigold_log::{KeyedStore, TableName};
+use marigold_types::ServiceName;
 use metrics_exporter_prometheus::PrometheusHandle;
 use rand::SeedableRng;
 use rand::rngs::SmallRng;
@@ -19,7 +20,8 @@
 
 use crate::control::{
     BackendDiscovery, ConfigSource, ControlParts, ControlProtocol, ControlServer, DaemonLocation,
-    ReadinessCheck, Relay, RelayParts, RolloutFormat, RolloutParts, Rollouts, SitePublisher,
+    ReadinessCheck, Relay, RelayParts, RolloutFormat, RolloutParts, Rollouts, ServiceCheck,
+    SitePublisher,
 };
 use crate::events::{EventLog, Severity};
 use crate::executor::{ExecutorOptions, LocalExecutor};
@@ -256,6 +258,7 @@
             discovery: discovery.clone(),
             events: events.clone(),
             is_ready: readiness_check(&ingress, &relay),
+            is_named: service_check(&ingress, &settings.instance.service),
             metrics,
         },
     );
@@ -287,6 +290,17 @@
     })
 }
 
+fn service_check(ingress: &Rc<Ingress>, own: &ServiceName) -> ServiceCheck {
+    let (ingress, own) = (ingress.clone(), own.clone());
+    Rc::new(move |service| {
+        let is_configured = || {
+            let table = ingress.table();
+            table.is_some_and(|table| table.service(service).is_some())
+        };
+        *service == own || is_configured()
+    })
+}
+
 fn build_mesh(
     settings: &Settings,
     run_id: u64,
