Store: a daemon takes over offsets from one that reads the present history

Cause: since positions belong to a history, followers no longer took over the offset that a reader states. A follower that became the reader in a storm of configurations read all of those in between, 194 KB each, from its own last read on.

Change: a reader states its offset only while it reads the store; a follower adopts it if the reader has read 3 s later than the follower first read the present history, so that it can't be of an earlier one. Daemons of earlier versions that are told offset 0 read everything.

--- a/crates/marigold-sidecar/src/control/config_history.rs
+++ b/crates/marigold-sidecar/src/control/config_history.rs
@@ -2,14 +2,16 @@
 
 use std::collections::VecDeque;
 use std::io::{Read, Write};
+use std::time::Duration;
 
 use bytes::Bytes;
 use fast_rsync::{Signature, SignatureOptions, apply_limited, diff};
 use flate2::Compression;
 use flate2::read::DeflateDecoder;
 use flate2::write::DeflateEncoder;
-use marigold_log::StorePosition;
+use marigold_log::{StoreEra, StorePosition};
 use marigold_types::{Digest, LogOffset, Version};
+use tokio::time::Instant;
 
 use crate::link::ConfigChange;
 
@@ -20,6 +22,8 @@
 const BLOCK_BYTES: u32 = 192;
 /// Hash size of a signature block. Collisions are caught by the digest of the whole configuration.
 const BLOCK_HASH_BYTES: u32 = 8;
+/// Longer than a read of the store and the pause to the next one take.
+const READ_TIME: Duration = Duration::from_secs(3);
 /// Limit on the size of a configuration after decompression.
 const MAX_CONFIG_BYTES: usize = 16 << 20;
 
@@ -36,9 +40,11 @@
     configs: VecDeque<StoredConfig>,
     /// Where this daemon reads on.
     position: Option<StorePosition>,
-    /// The offset after the newest configuration, for daemons that take it over from this one. It may be one of another daemon's
-    /// history of the store, so this daemon does not read on from it.
-    relayed_offset: Option<LogOffset>,
+    /// When this daemon last read the store.
+    read_at: Option<Instant>,
+    /// When it first read the history of its position.
+    era_since: Option<Instant>,
+    era: Option<StoreEra>,
 }
 
 impl ConfigHistory {
@@ -55,15 +61,31 @@
         self.position
     }
 
-    /// Sets the position to read the store's next change from, after a read of this daemon.
-    pub fn set_position(&mut self, position: StorePosition) {
+    /// Sets the position to read the store's next change from, after a read of this daemon that ended at `now`.
+    pub fn set_position(&mut self, position: StorePosition, now: Instant) {
+        if self.era_since.is_none() || self.era != position.era {
+            self.era = position.era;
+            self.era_since = Some(now);
+        }
         self.position = Some(position);
-        self.relayed_offset = Some(position.offset);
+        self.read_at = Some(now);
     }
 
-    /// Sets the offset that another daemon stated with its configuration.
-    pub fn set_relayed_offset(&mut self, offset: LogOffset) {
-        self.relayed_offset = Some(offset);
+    /// Takes over the offset that another daemon stated with its configuration, which it had last read from the store at
+    /// `confirmed_at`, so that this daemon need not read what it has been told.
+    ///
+    /// An offset may be of a history of the store that has ended, unless the other daemon has read since this one knows of the
+    /// present history. If this daemon does not know of the present one yet, its next read fails as it would have anyway.
+    pub fn adopt_offset(&mut self, offset: LogOffset, confirmed_at: Option<Instant>) {
+        let is_of_era = matches!(
+            (confirmed_at, self.era_since),
+            (Some(at), Some(since)) if at >= since + READ_TIME
+        );
+        if let Some(position) = &mut self.position
+            && is_of_era
+        {
+            position.offset = position.offset.max(offset);
+        }
     }
 
     /// Clears the position, so that the table is read as a whole next time.
@@ -100,11 +122,19 @@
         let change = ConfigChange {
             base: old.map(|old| old.version),
             digest: Digest::of(&newest.bytes),
-            next: self.relayed_offset?,
+            next: self.stated_offset(),
         };
         Some((change, compress(&delta)?))
     }
 
+    /// Returns the offset to state to another daemon: that of this daemon if it is reading the store, or one that means
+    /// nothing, from which daemons of earlier versions read everything.
+    fn stated_offset(&self) -> LogOffset {
+        let is_reading = self.read_at.is_some_and(|at| at.elapsed() < READ_TIME);
+        let position = self.position.filter(|_| is_reading);
+        position.map_or(LogOffset(0), |position| position.offset)
+    }
+
     /// Applies a change and returns the resulting configuration.
     ///
     /// Returns `None` if its base is not in the history, or the result does not match the digest.
--- a/crates/marigold-sidecar/src/control/relay.rs
+++ b/crates/marigold-sidecar/src/control/relay.rs
@@ -201,7 +201,15 @@
             let is_reader = self.source() == UpdateSource::Store;
             if !has_config || is_reader {
                 let began = Instant::now();
-                let wait = poll_timer.wait(began.saturating_duration_since(polled_at));
+                let since = began.saturating_duration_since(polled_at);
+                if has_config && since >= MAX_CONFIG_AGE {
+                    // After a time in which others have read, the changes in between may be many and large.
+                    polled_at = began;
+                    let result = self.read_latest_config().await;
+                    self.record_result(result, &mut health).await;
+                    continue;
+                }
+                let wait = poll_timer.wait(since);
                 let result = self.read_config(wait).await;
                 polled_at = Instant::now();
                 if matches!(result, Ok(false)) {
@@ -314,7 +322,9 @@
     /// Applies a batch read from the store; returns whether the configuration has changed.
     fn apply_batch(&self, batch: &KeyedBatch, is_whole: bool) -> bool {
         self.parts.ingress.freshness.confirm(Some(Instant::now()));
-        self.configs.borrow_mut().set_position(batch.next);
+        self.configs
+            .borrow_mut()
+            .set_position(batch.next, Instant::now());
         self.orders_read.set(self.orders_read.get() || is_whole);
         self.parts
             .rollouts
--- a/crates/marigold-sidecar/src/control/relay/store_updates.rs
+++ b/crates/marigold-sidecar/src/control/relay/store_updates.rs
@@ -59,7 +59,10 @@
             ];
             self.parts.events.emit(event, severity, &fields);
             if let Some(bytes) = config {
-                self.configs.borrow_mut().set_relayed_offset(change.next);
+                let confirmed_at = update.config_age.and_then(|age| now.checked_sub(age));
+                self.configs
+                    .borrow_mut()
+                    .adopt_offset(change.next, confirmed_at);
                 self.install(bytes);
             }
         }
