Refusals: the jitter of a retry delay fits below its limit

Cause: where all backend servers are at their limits, the delay of a refusal for lack of room is 2 s times a jitter of up to 1.5. The soak takes more than 2 s for a quarantine.

Change: the delay is cut so that the longest with its jitter is 2 s; delays stay spread. The check is as it was.

--- a/crates/marigold-sidecar/src/ingress/request_handler/conclusion.rs
+++ b/crates/marigold-sidecar/src/ingress/request_handler/conclusion.rs
@@ -12,6 +12,9 @@
 /// Maximum jitter of retry delays relative to the delay, so that callers do not retry at the same time.
 const RETRY_JITTER_FRACTION: f64 = 0.5;
 
+/// Limit on retry delays with their jitter, for requests that nothing is held against: estimates of load reach no further.
+const MAX_RETRY_DELAY: Duration = Duration::from_secs(2);
+
 /// Returns the outcome of a request for which no further attempt is made.
 pub(super) fn conclude(progress: &Progress, failure: Option<Response>) -> RequestOutcome {
     if let Some(response) = failure {
@@ -20,9 +23,11 @@
     match progress.conclusion() {
         Conclusion::Unknown => unknown("no backend server answered"),
         Conclusion::NotRun(soonest) => {
+            // The jitter fits below the limit, so that callers do not return together at the limit.
+            let longest = MAX_RETRY_DELAY.div_f64(1.0 + RETRY_JITTER_FRACTION);
+            let delay = soonest.unwrap_or(UNAVAILABLE_RETRY_DELAY).min(longest);
             let jitter = 1.0 + RETRY_JITTER_FRACTION * rand::random::<f64>();
-            let delay = soonest.unwrap_or(UNAVAILABLE_RETRY_DELAY).mul_f64(jitter);
-            not_run("no backend server has room", delay)
+            not_run("no backend server has room", delay.mul_f64(jitter))
         }
     }
 }
