Discovery: announcements wait for the records only just after a start

Cause: with the store away and no other daemon to ask, each announcement would have waited 700 ms for as long as it takes, near the second within which it must be acknowledged. Change: the wait ends 700 ms after the start of the daemon; a departure that is read later is still restored.

--- a/crates/marigold-sidecar/src/control/backend_discovery.rs
+++ b/crates/marigold-sidecar/src/control/backend_discovery.rs
@@ -8,7 +8,7 @@
 use marigold_dispatch::{Announcement, ServingState};
 use marigold_types::ServiceName;
 use tokio::sync::watch;
-use tokio::time::{sleep, timeout};
+use tokio::time::{Instant, sleep};
 
 use crate::HeaderNames;
 use crate::events::{EventLog, Severity};
@@ -17,7 +17,8 @@
 
 /// Interval at which the preconditions for a probe are checked.
 const POLL_INTERVAL: Duration = Duration::from_millis(20);
-/// How long an announcement waits for the record of this daemon. Its acknowledgement has to arrive within a second.
+/// How long announcements wait for the record of this daemon after its start. Their acknowledgement has to arrive within a
+/// second.
 const RECORD_TIMEOUT: Duration = Duration::from_millis(700);
 /// Delay after a probe that failed or found no healthy backend server.
 const PROBE_RETRY_DELAY: Duration = Duration::from_millis(400);
@@ -46,18 +47,17 @@
     pub events: Rc<EventLog>,
     /// Returns whether the records of all daemons are known.
     pub knows_sites: Rc<dyn Fn() -> bool>,
-    /// Whether a departure in the record of this daemon has been restored, or there is none.
+    /// Whether announcements need not wait for a departure in the record of this daemon any longer.
     pub checked: watch::Sender<bool>,
 }
 
 impl BackendDiscovery {
-    /// Waits until it is known which instance of the backend server has left, for a limited time: the records may be
-    /// unavailable. A delayed announcement does not tell.
+    /// Waits until it is known which instance of the backend server has left, as a delayed announcement does not tell. It ends
+    /// soon after the start of the daemon in any case: the records may be unavailable.
     pub async fn departure_checked(&self) {
         let mut checked = self.checked.subscribe();
-        timeout(RECORD_TIMEOUT, checked.wait_for(|checked| *checked))
-            .await
-            .ok();
+        // The sender is a field, so it is not dropped meanwhile.
+        checked.wait_for(|checked| *checked).await.ok();
     }
 
     /// Probes until the backend server is known or the probes are used up.
@@ -100,7 +100,11 @@
 
     /// Waits for the record of this daemon, or until there is none, and restores the departure in it.
     async fn restore_departure(&self) {
+        let began = Instant::now();
         loop {
+            if began.elapsed() >= RECORD_TIMEOUT {
+                self.checked.send_replace(true);
+            }
             let record = (self.ingress.mesh)
                 .with_directory(|directory| directory.get(self.own_address).cloned());
             if let Some(departure) = record.as_ref().and_then(|site| site.leaving.as_ref()) {
