--- a/crates/marigold-dispatch/tests/backend_state.rs
+++ b/crates/marigold-dispatch/tests/backend_state.rs
@@ -77,6 +77,11 @@
     let outcome = state.apply_announcement(&announcement("a", 1, 1), Instant::now());
     assert_eq!(outcome, AnnouncementOutcome::Stale);
     assert!(state.serving().is_none());
+    // The record of the daemon tells the next run of it.
+    let leaving = state.leaving().expect("a departure");
+    assert_eq!(&*leaving.identity, "a");
+    state.apply_announcement(&announcement("b", 2, 1), Instant::now());
+    assert_eq!(state.leaving(), None);
 }
 
 /// Applies announcements `a` 1, then `b`, and then those of `a` with these numbers, each after `pause`. Returns the identity that
--- a/crates/marigold-sidecar/tests/links.rs
+++ b/crates/marigold-sidecar/tests/links.rs
@@ -125,6 +125,16 @@
     })
 }
 
+/// Returns a listener that notes the end of a connection.
+fn note_end(ended: &Rc<Cell<bool>>) -> LinkListener {
+    let ended = ended.clone();
+    Rc::new(move |_, event| {
+        if matches!(event, LinkEvent::Disconnected) {
+            ended.set(true);
+        }
+    })
+}
+
 /// Waits until `done` returns true.
 async fn wait_until(done: impl Fn() -> bool) {
     let wait = async {
@@ -384,13 +394,7 @@
         let handler = Rc::new(HoldingHandler::default());
         let (address, _task) = serve(1, handler.clone()).await;
         let ended = Rc::new(Cell::new(false));
-        let is_ended = ended.clone();
-        let listener = move |_, event| {
-            if matches!(event, LinkEvent::Disconnected) {
-                is_ended.set(true);
-            }
-        };
-        let link = LinkClient::start(address, Rc::new(listener));
+        let link = LinkClient::start(address, note_end(&ended));
         let first = link.call(call_with_body("r1", 10)).expect("room in the send queue");
         wait_until(|| handler.started.get() == 1).await;
         let cancelled = link.call(call_with_body("r2", 10)).expect("room in the send queue");
@@ -411,13 +415,7 @@
         let handler = Rc::new(HoldingHandler::default());
         let (address, _task) = serve(1, handler.clone()).await;
         let ended = Rc::new(Cell::new(false));
-        let is_ended = ended.clone();
-        let listener = move |_, event| {
-            if matches!(event, LinkEvent::Disconnected) {
-                is_ended.set(true);
-            }
-        };
-        let link = LinkClient::start(address, Rc::new(listener));
+        let link = LinkClient::start(address, note_end(&ended));
         let open = link.call(call_with_body("r1", 10)).expect("room in the send queue");
         wait_until(|| handler.started.get() == 1).await;
         link.close();
