Shutdown: a stopping daemon accepts what ends while it stays, and tells callers when it is back

Cause: from 3 s after SIGTERM a daemon refused everything until its last run had ended, refused requests kept it for longer (0.3 s without any request were awaited), and callers were told to return after 200 ms, to the same daemon.

--- a/crates/marigold-dispatch/src/lib.rs
+++ b/crates/marigold-dispatch/src/lib.rs
@@ -53,4 +53,4 @@
     CallKind, CallerLimits, Precedence, Rank, RequestQuota, RoutePolicy, RouteTable, ServicePolicy,
     Target, WeightedRoundRobin, Workspace, WorkspaceTable,
 };
-pub use shutdown::{Shutdown, ShutdownStage};
+pub use shutdown::{NewRun, OpenWork, Shutdown, ShutdownStage};
--- a/crates/marigold-dispatch/src/placing/placement.rs
+++ b/crates/marigold-dispatch/src/placing/placement.rs
@@ -266,6 +266,12 @@
             .map_or(DEFAULT_RUN_TIME, |time| time.mean_or(DEFAULT_RUN_TIME))
     }
 
+    /// Returns the run time that few calls of `kind` exceed, or `None` before it is known.
+    #[must_use]
+    pub fn longest_run(&self, kind: &CallKind) -> Option<Duration> {
+        self.run_times.get(kind)?.overdue_after(0.0)
+    }
+
     /// Returns the time after which the response to a call of `kind` is most likely lost, or `None` while the run times of
     /// that kind are not known well enough.
     #[must_use]
@@ -275,7 +281,7 @@
         kind: &CallKind,
         now: Instant,
     ) -> Option<Duration> {
-        let limit = self.run_times.get(kind)?.overdue_after(0.0)?;
+        let limit = self.longest_run(kind)?;
         let slowness = self
             .executors
             .get(&choice.address)
--- a/crates/marigold-dispatch/tests/load/event_queue.rs
+++ b/crates/marigold-dispatch/tests/load/event_queue.rs
@@ -26,6 +26,10 @@
     },
     /// All executors remove expired requests from their queues.
     RemoveExpired,
+    /// A daemon that shuts down checks its stage.
+    PollShutdown(usize),
+    /// A daemon has started again.
+    Started(usize),
     /// A scheduled change takes effect.
     Change(Change),
 }
--- a/crates/marigold-dispatch/tests/load/fluid_bound.rs
+++ b/crates/marigold-dispatch/tests/load/fluid_bound.rs
@@ -32,7 +32,7 @@
                     Change::Slow(server, factor) => slowness[server] = factor,
                     Change::Leave(server) => usable[server] = 0.0,
                     Change::Fail(server, ratio) => usable[server] = 1.0 - ratio,
-                    Change::Reject(..) => {}
+                    Change::Reject(..) | Change::Restart(_) => {}
                 }
             }
         }
--- a/crates/marigold-dispatch/tests/load/main.rs
+++ b/crates/marigold-dispatch/tests/load/main.rs
@@ -3,6 +3,7 @@
 
 mod admission_scenarios;
 mod class_stats;
+mod daemon;
 mod event_queue;
 mod executor;
 mod fluid_bound;
@@ -10,6 +11,7 @@
 mod placement_scenarios;
 mod request;
 mod request_class;
+mod restart_scenarios;
 mod scenario;
 mod scenarios;
 mod shifted_scenarios;
--- a/crates/marigold-dispatch/tests/load/request.rs
+++ b/crates/marigold-dispatch/tests/load/request.rs
@@ -6,6 +6,8 @@
 
 use marigold_dispatch::{ExecutorChoice, Progress};
 
+use super::daemon::OpenHere;
+
 /// A request, including its retries by the caller, which keep its objective and deadline.
 #[derive(Debug, Clone)]
 pub struct Request {
@@ -33,6 +35,10 @@
     pub seen_at: Instant,
     /// The time of the last arrival.
     pub arrived_at: Instant,
+    /// What its daemon counts as open, once it has accepted it.
+    pub open: Option<OpenHere>,
+    /// Whether its caller has its outcome.
+    pub is_over: bool,
 }
 
 /// An attempt to execute a request on one executor.
@@ -48,4 +54,6 @@
     pub permit: Option<marigold_dispatch::Permit>,
     /// Whether its run has ended.
     pub is_over: bool,
+    /// What the daemon of its executor counts as open, once it has accepted it.
+    pub open: Option<OpenHere>,
 }
--- a/crates/marigold-dispatch/tests/load/scenario.rs
+++ b/crates/marigold-dispatch/tests/load/scenario.rs
@@ -32,6 +32,8 @@
     Fail(usize, f64),
     /// Removes a server permanently.
     Leave(usize),
+    /// Stops the daemon beside a server, which starts again.
+    Restart(usize),
 }
 
 /// The retry behaviour of callers.
--- a/crates/marigold-dispatch/tests/load/simulation.rs
+++ b/crates/marigold-dispatch/tests/load/simulation.rs
@@ -1,5 +1,6 @@
 //! The discrete-event simulation of a load scenario.
 
+mod restarts;
 mod routing;
 mod serving;
 mod shares;
@@ -16,6 +17,7 @@
 use tokio::time::Instant;
 
 use super::class_stats::ClassStats;
+use super::daemon::Daemon;
 use super::event_queue::{AttemptResult, Event, EventQueue};
 use super::executor::Executor;
 use super::ingress::{Ingress, data_centre_name};
@@ -43,6 +45,8 @@
 const MIN_TIME_LEFT_RATIO: f64 = 0.6;
 /// The number of retries allowed beyond the ratio, for all ingresses together.
 pub const RETRY_SLACK: f64 = 60.0;
+/// The grace period of daemons.
+const GRACE: Duration = Duration::from_secs(10);
 /// The size of request and response bodies.
 const BODY_BYTES: usize = 2_500;
 
@@ -55,6 +59,10 @@
     pub requests: u32,
     /// The number of arrivals at backend servers beyond the first of each request.
     pub retries: u32,
+    /// The number of planned stops, the time that they took together, and the requests and calls cut off by them.
+    pub stops: u32,
+    pub stop_time: Duration,
+    pub cut: u32,
 }
 
 /// The state of a simulation.
@@ -66,6 +74,7 @@
     directory: Directory,
     executors: Vec<Executor>,
     ingresses: Vec<Ingress>,
+    daemons: Vec<Daemon>,
     requests: Vec<Request>,
     attempts: Vec<Attempt>,
     loads: Vec<f64>,
@@ -112,6 +121,7 @@
             directory: Directory::default(),
             executors: scenario.servers.iter().map(Executor::new).collect(),
             ingresses: Vec::new(),
+            daemons: vec![Daemon::new(GRACE); scenario.servers.len()],
             requests: Vec::new(),
             attempts: Vec::new(),
             loads: vec![1.0; scenario.data_centres],
@@ -170,6 +180,8 @@
                     self.publish();
                     self.remove_all_expired();
                 }
+                Event::PollShutdown(daemon) => self.poll_shutdown(daemon),
+                Event::Started(daemon) => self.started(daemon),
                 Event::Change(change) => self.change(&change),
             }
         }
@@ -204,9 +216,14 @@
 
     fn arrival(&mut self, class: usize, data_centre: usize) {
         self.next_arrival(class, data_centre);
-        let candidates: Vec<_> = (0..self.ingresses.len())
+        let mut candidates: Vec<_> = (0..self.ingresses.len())
             .filter(|number| self.ingresses[*number].data_centre == data_centre)
             .collect();
+        let is_in = |number: &usize| self.daemons[*number].is_in(self.now);
+        // Callers have no other way in while fewer than half are ready.
+        if 2 * candidates.iter().filter(|number| is_in(number)).count() >= candidates.len() {
+            candidates.retain(is_in);
+        }
         let ingress = candidates[self.rng.random_range(0..candidates.len())];
         self.results.stats[class].requests += 1;
         let max_retries = self.scenario.callers.max_retries;
@@ -239,12 +256,18 @@
             objective: Duration::ZERO,
             arrived_at: self.now,
             seen_at: self.now,
+            open: None,
+            is_over: false,
         });
         self.request(request);
     }
 
     /// Handles the arrival of a request or of a caller's retry.
     fn request(&mut self, number: usize) {
+        if let Some(retry_after) = self.refusal(number) {
+            return self.refused(number, retry_after);
+        }
+        self.open_request(number);
         let request = &mut self.requests[number];
         let class = &self.scenario.classes[request.class];
         let ingress = &mut self.ingresses[request.ingress];
@@ -280,6 +303,7 @@
     }
 
     fn refused(&mut self, number: usize, retry_after: Duration) {
+        self.close_request(number);
         let retries_at_once =
             self.rng.random::<f64>() < self.scenario.callers.immediate_retry_ratio;
         let request = &mut self.requests[number];
@@ -314,7 +338,9 @@
     }
 
     fn failed(&mut self, number: usize) {
-        let request = &self.requests[number];
+        self.close_request(number);
+        let request = &mut self.requests[number];
+        request.is_over = true;
         match request.parent {
             Some(parent) => self.call_ended(parent, false),
             None => self.results.stats[request.class].failed += 1,
@@ -322,6 +348,7 @@
     }
 
     fn served(&mut self, number: usize) {
+        self.close_request(number);
         let request = &self.requests[number];
         if let Some(parent) = request.parent {
             return self.call_ended(parent, true);
@@ -344,6 +371,7 @@
             Change::Reject(server, ratio) => self.executors[server].reject_ratio = ratio,
             Change::Fail(server, ratio) => self.executors[server].fail_ratio = ratio,
             Change::Leave(server) => self.leave(server),
+            Change::Restart(server) => self.restart(server),
         }
     }
 }
--- a/crates/marigold-dispatch/tests/load/simulation/routing.rs
+++ b/crates/marigold-dispatch/tests/load/simulation/routing.rs
@@ -78,12 +78,16 @@
             began: None,
             permit: None,
             is_over: false,
+            open: None,
         });
         self.after(delay, Event::Attempt(self.attempts.len() - 1));
     }
 
     pub(super) fn reply(&mut self, number: usize, result: AttemptResult) {
         let attempt = self.attempts[number];
+        if self.requests[attempt.request].is_over {
+            return;
+        }
         let request = &mut self.requests[attempt.request];
         let kind = &self.scenario.classes[request.class].kind;
         let idempotent = self.scenario.classes[request.class].idempotent;
--- a/crates/marigold-dispatch/tests/load/simulation/serving.rs
+++ b/crates/marigold-dispatch/tests/load/simulation/serving.rs
@@ -7,7 +7,7 @@
 
 use super::{
     AttemptResult, DEFAULT_RETRY_AFTER, EXPIRY_INTERVAL, Event, LOCAL_DELAY, REMOTE_DELAY,
-    Simulation, address,
+    Simulation,
 };
 
 impl Simulation {
@@ -15,12 +15,14 @@
     pub(super) fn attempt(&mut self, number: usize) {
         self.attempts[number].arrived = Some(self.now);
         let attempt = self.attempts[number];
+        let has_left = self.executors[attempt.executor].has_left;
+        if has_left || !self.daemons[attempt.executor].is_up {
+            return self.answer(number, AttemptResult::Refused(DEFAULT_RETRY_AFTER));
+        }
+        self.open_attempt(number);
         let request = &self.requests[attempt.request];
         let class = &self.scenario.classes[request.class];
         let executor = &mut self.executors[attempt.executor];
-        if executor.has_left {
-            return self.answer(number, AttemptResult::Refused(DEFAULT_RETRY_AFTER));
-        }
         let elapsed = self.now.saturating_duration_since(request.arrived_at);
         let slot_request = SlotRequest {
             workspace: class.workspace.clone(),
@@ -126,6 +128,7 @@
     }
 
     pub(super) fn answer(&mut self, attempt: usize, result: AttemptResult) {
+        self.close_attempt(attempt);
         let executor_data_centre = self.executors[self.attempts[attempt].executor].data_centre;
         let request = &self.requests[self.attempts[attempt].request];
         let ingress_data_centre = self.ingresses[request.ingress].data_centre;
@@ -175,10 +178,6 @@
             self.executors[number].admission.cancel(ticket);
             self.answer(attempt, AttemptResult::Refused(DEFAULT_RETRY_AFTER));
         }
-        let report = self.executors[number].report();
-        for ingress in &mut self.ingresses {
-            let state = ingress.placement.executor_mut(address(number), self.now);
-            state.apply_report(report.clone(), self.now);
-        }
+        self.report_to_all(number);
     }
 }
--- a/crates/marigold-sidecar/src/executor/executor_options.rs
+++ b/crates/marigold-sidecar/src/executor/executor_options.rs
@@ -1,11 +1,13 @@
 //! Options and dependencies of an executor.
 
+use std::rc::Rc;
 use std::sync::Arc;
+use std::time::Duration;
 
 use marigold_types::Version;
 use tokio::sync::Semaphore;
 
-use crate::HeaderNames;
+use crate::{HeaderNames, Lifecycle};
 
 /// The memory limit divided by this bounds a single response body.
 const BODY_MEMORY_DIVISOR: u64 = 16;
@@ -28,16 +30,19 @@
     pub max_response_body_bytes: u64,
     /// Permits for receiving large bodies from the backend server.
     pub large_bodies: Arc<Semaphore>,
+    /// The shutdown of the daemon.
+    pub lifecycle: Rc<Lifecycle>,
 }
 
 impl ExecutorOptions {
-    /// Returns the options for a daemon that may use `memory` bytes.
+    /// Returns the options for a daemon that may use `memory` bytes and is never told to stop.
     #[must_use]
     pub fn new(names: Arc<HeaderNames>, memory: u64) -> Self {
         Self {
             names,
             max_response_body_bytes: memory / BODY_MEMORY_DIVISOR,
             large_bodies: Arc::new(Semaphore::new(MAX_LARGE_BODIES)),
+            lifecycle: Lifecycle::new(Duration::ZERO),
         }
     }
 }
--- a/crates/marigold-sidecar/src/executor/local_executor/call_run.rs
+++ b/crates/marigold-sidecar/src/executor/local_executor/call_run.rs
@@ -74,17 +74,11 @@
         if let Some(delay) = self.crashes.refusal(&fingerprint) {
             return refused(RefusalReason::Quarantined, delay);
         }
-        let slot_request = SlotRequest {
-            kind: call.kind.clone(),
-            workspace: call.workspace.clone(),
-            precedence: call.precedence,
-            rank: call.rank,
-            objective: arrived_at + call.objective,
-            deadline,
-        };
+        let slot_request = slot_request(call, arrived_at);
         let expected_run = self
             .queue
             .read(|controller| controller.expected_run(&slot_request, arrived_at));
+        let _work = self.options.lifecycle.open_work(expected_run);
         let slot_result = self.queue.acquire(slot_request).await;
         progress.waited = arrived_at.elapsed();
         let mut slot = match slot_result {
@@ -236,3 +230,14 @@
         ))
     }
 }
+
+fn slot_request(call: &Call, arrived_at: Instant) -> SlotRequest {
+    SlotRequest {
+        kind: call.kind.clone(),
+        workspace: call.workspace.clone(),
+        precedence: call.precedence,
+        rank: call.rank,
+        objective: arrived_at + call.objective,
+        deadline: arrived_at + call.timeout,
+    }
+}
--- a/crates/marigold-sidecar/src/ingress/connection.rs
+++ b/crates/marigold-sidecar/src/ingress/connection.rs
@@ -103,7 +103,7 @@
         // A closing connection is still read, to detect when the caller disconnects.
         let can_read = closing.is_some()
             || may_start(&ingress, responses.len())
-            || (ingress.is_stopping() && input.len() < MAX_UNPARSED_BYTES);
+            || (ingress.lifecycle.is_stopping() && input.len() < MAX_UNPARSED_BYTES);
         let expires_at = match (reader.head_since(), responses.is_empty()) {
             (Some(since), _) => Some(since + limits.head_timeout),
             (None, true) => Some(idle_since + limits.idle_timeout),
@@ -116,7 +116,7 @@
                     return Err(io::Error::other("response without a matching request"));
                 };
                 // Requests that were started get their responses before the connection is closed.
-                let closes = mode.close || (ingress.is_stopping() && responses.is_empty());
+                let closes = mode.close || (ingress.lifecycle.is_stopping() && responses.is_empty());
                 let extra = if closes { "Connection: close\r\n" } else { "" };
                 encode_response(&mut output, &response, extra, mode.bodiless);
                 timeout(WRITE_TIMEOUT, stream.write_all(&output)).await??;
@@ -153,7 +153,7 @@
 /// While the ingress is stopping, none is started behind a pending one: it would have to be answered before the
 /// process ends, but its response cannot be sent before the one ahead. Unread, the caller sends it elsewhere.
 fn may_start(ingress: &Ingress, pending: usize) -> bool {
-    pending < MAX_PIPELINED_REQUESTS && !(ingress.is_stopping() && pending > 0)
+    pending < MAX_PIPELINED_REQUESTS && !(ingress.lifecycle.is_stopping() && pending > 0)
 }
 
 fn start_request(ingress: &Rc<Ingress>, request: Request) -> PendingResponse {
--- a/crates/marigold-sidecar/src/ingress/request_handler.rs
+++ b/crates/marigold-sidecar/src/ingress/request_handler.rs
@@ -17,34 +17,38 @@
 use std::time::Duration;
 
 use marigold_dispatch::{
-    AttemptOutcome, CallKind, CallerLimits, CallerTimeouts, ExecutorChoice, PlacementRequest,
-    Progress, RefusedAttempt, RequestMark, RoutePolicy, RouteTable, Shutdown, ShutdownStage,
+    AttemptOutcome, CallKind, CallerLimits, CallerTimeouts, ExecutorChoice, NewRun,
+    PlacementRequest, Progress, RefusedAttempt, RequestMark, RoutePolicy, RouteTable,
     VersionFilter, WeightedRoundRobin,
 };
 use marigold_request::RefusalReason;
 use marigold_request::quarantine::QuarantineStatus;
 use marigold_types::{ServiceName, Version};
 use tokio::sync::watch;
-use tokio::time::{Instant, sleep_until, timeout_at};
-use tokio_util::sync::CancellationToken;
+use tokio::time::{Instant, timeout_at};
 
-use self::conclusion::{conclude, conclude_quarantined, invalid, not_run, refuse_caller, unknown};
+use self::conclusion::{
+    conclude, conclude_quarantined, invalid, leaving_delay, not_run, refuse_caller, unknown,
+};
 use self::in_flight_request::InFlightRequest;
 use self::request_context::RequestContext;
 use super::config_freshness::ConfigFreshness;
 use super::mesh::Mesh;
 use super::request_outcome::RequestOutcome;
 use super::request_trace::RequestTrace;
-use crate::HeaderNames;
 use crate::events::EventLog;
 use crate::http1::{Request, Response};
 use crate::link::{CallOutcome, CallResult, Reply};
+use crate::{HeaderNames, Lifecycle};
 
 /// Timeout of callers whose request states none.
 const DEFAULT_CALLER_TIMEOUT: Duration = Duration::from_secs(10);
 /// Limit on the executors tried for one request, including those that refuse it.
 const MAX_EXECUTORS_TRIED: usize = 4;
-/// Retry delay while this daemon has no configuration, is overloaded, or is shutting down.
+/// Time after a start in which requests wait for the first configuration. Later there is no telling when it comes, and
+/// they are refused at once.
+const FIRST_TABLE_TIME: Duration = Duration::from_millis(500);
+/// Retry delay while this daemon has no configuration or is overloaded.
 const UNAVAILABLE_RETRY_DELAY: Duration = Duration::from_millis(200);
 /// Retry delay after a backend server rejected a request although it had a free slot. Such load shedding
 /// is random, so that an immediate retry is as likely to succeed as a later one.
@@ -59,7 +63,7 @@
     pub names: Arc<HeaderNames>,
     /// Service of the instance whose requests this ingress accepts.
     pub origin: ServiceName,
-    /// Initial grace period of a shutdown, see [`Ingress::set_grace`].
+    /// Initial grace period of a shutdown, see [`Lifecycle::set_grace`].
     pub grace: Duration,
     /// Limit on the total size of buffered request bodies; further requests are refused.
     pub body_budget_bytes: usize,
@@ -76,12 +80,12 @@
     /// Weighted round robin of each route, for one version of the configuration.
     target_cycles: RefCell<(Version, HashMap<CallKind, WeightedRoundRobin>)>,
     caller_timeouts: RefCell<CallerTimeouts>,
-    shutdown: RefCell<Shutdown>,
-    /// Triggered when a shutdown begins.
-    stopping: CancellationToken,
-    grace: Cell<Duration>,
+    /// Whether a route table is installed.
+    is_configured: watch::Sender<bool>,
+    started_at: Instant,
+    /// The shutdown of the daemon.
+    pub lifecycle: Rc<Lifecycle>,
     in_flight: Cell<usize>,
-    last_request_at: Cell<Instant>,
     buffered_body_bytes: Cell<usize>,
     /// When the configuration was last known to be the newest.
     pub freshness: ConfigFreshness,
@@ -94,17 +98,16 @@
     #[must_use]
     pub fn new(options: IngressOptions, mesh: Rc<Mesh>, events: Rc<EventLog>) -> Rc<Self> {
         Rc::new(Self {
-            grace: Cell::new(options.grace),
+            lifecycle: Lifecycle::new(options.grace),
+            is_configured: watch::Sender::new(false),
+            started_at: Instant::now(),
             options,
             mesh,
             events,
             table: RefCell::default(),
             target_cycles: RefCell::default(),
             caller_timeouts: RefCell::default(),
-            shutdown: RefCell::default(),
-            stopping: CancellationToken::new(),
             in_flight: Cell::new(0),
-            last_request_at: Cell::new(Instant::now()),
             buffered_body_bytes: Cell::new(0),
             freshness: ConfigFreshness::default(),
             newest_seen_version: watch::Sender::new(Version::default()),
@@ -120,6 +123,7 @@
         if is_newer {
             self.mesh.quotas.install(table.workspaces().cloned());
             *current = Some(table);
+            self.is_configured.send_replace(true);
         }
         is_newer
     }
@@ -130,6 +134,25 @@
         self.table.borrow().clone()
     }
 
+    /// Returns the current route table. A daemon that has just started waits for its first one, which comes within moments:
+    /// callers that return after a restart have no attempt left.
+    async fn first_table(&self) -> Option<Arc<RouteTable>> {
+        let table = self.table();
+        if table.is_some() {
+            return table;
+        }
+        let mut is_configured = self.is_configured.subscribe();
+        let until = self.started_at + FIRST_TABLE_TIME;
+        timeout_at(
+            until,
+            is_configured.wait_for(|is_configured| *is_configured),
+        )
+        .await
+        .ok()?
+        .ok()?;
+        self.table()
+    }
+
     /// Returns the limits on callers, or the defaults before the first configuration.
     #[must_use]
     pub fn limits(&self) -> CallerLimits {
@@ -140,39 +163,6 @@
             .unwrap_or_default()
     }
 
-    /// Sets the grace period of a shutdown.
-    pub fn set_grace(&self, grace: Duration) {
-        self.grace.set(grace);
-    }
-
-    /// Starts a graceful shutdown.
-    pub fn begin_shutdown(&self) {
-        self.shutdown.borrow_mut().begin(Instant::now());
-        self.stopping.cancel();
-    }
-
-    /// Waits until a shutdown requires that requests in flight end.
-    async fn concluding(&self) {
-        self.stopping.cancelled().await;
-        let concludes_at = self.shutdown.borrow().concludes_at(self.grace.get());
-        sleep_until(concludes_at.unwrap_or_else(Instant::now)).await;
-    }
-
-    /// Returns whether a shutdown has begun.
-    #[must_use]
-    pub fn is_stopping(&self) -> bool {
-        self.stopping.is_cancelled()
-    }
-
-    /// Returns the stage of the shutdown, given `other_in_flight` calls besides the requests of callers.
-    #[must_use]
-    pub fn stage(&self, other_in_flight: usize) -> ShutdownStage {
-        let in_flight = self.in_flight.get() + other_in_flight;
-        let last_request_at = self.last_request_at.get();
-        let shutdown = self.shutdown.borrow();
-        shutdown.stage(self.grace.get(), in_flight, last_request_at, Instant::now())
-    }
-
     /// Returns the number of requests in flight.
     #[must_use]
     pub fn in_flight(&self) -> usize {
@@ -182,7 +172,6 @@
     /// Processes one request of a caller; dropping the future cancels it.
     pub async fn serve(self: Rc<Self>, request: Request) -> Response {
         let began = Instant::now();
-        self.last_request_at.set(began);
         let _in_flight = InFlightRequest::new(&self, request.body.len());
         let mut trace = RequestTrace::default();
         let outcome = self.process(&request, began, &mut trace).await;
@@ -196,7 +185,7 @@
         began: Instant,
         trace: &mut RequestTrace,
     ) -> RequestOutcome {
-        let Some(table) = self.table() else {
+        let Some(table) = self.first_table().await else {
             return not_run("no configuration yet", UNAVAILABLE_RETRY_DELAY);
         };
         trace.version = table.version();
@@ -208,12 +197,12 @@
             Ok(workspace) => workspace.cloned(),
             Err(refusal) => return refuse_caller(refusal),
         };
-        if !matches!(
-            self.stage(0),
-            ShutdownStage::Serving | ShutdownStage::Draining
-        ) {
-            return not_run("this daemon is leaving", UNAVAILABLE_RETRY_DELAY);
+        if !self.lifecycle.admits(|| self.new_run(&route)) {
+            return not_run("this daemon is leaving", leaving_delay(&self.lifecycle));
         }
+        let expected_run =
+            (self.mesh).with_placement(|placement| placement.expected_run(&route.kind));
+        let _work = self.lifecycle.open_work(expected_run);
         let Some(id) = request.id.clone() else {
             return invalid(400, "the request has no id");
         };
@@ -245,6 +234,7 @@
             began,
             objective: route.objective.saturating_sub(began - first_at),
             deadline,
+            expected_run,
             returns,
             fingerprint: OnceCell::new(),
         };
@@ -253,7 +243,7 @@
         let (outcome, is_concluded) = tokio::select! {
             biased;
             outcome = timeout_at(deadline, attempts) => (outcome.ok(), false),
-            () = self.concluding() => (None, true),
+            () = self.lifecycle.concluding() => (None, true),
         };
         if let Some(RequestOutcome::NotRun { .. }) = &outcome {
             let refused = RefusedAttempt {
@@ -462,6 +452,15 @@
                 .try_spend_retry(context.service, context.retry_request())
     }
 
+    /// Returns what a shutdown has to know of a request on `route`.
+    fn new_run(&self, route: &RoutePolicy) -> NewRun {
+        self.mesh.with_placement(|placement| NewRun {
+            expected: placement.expected_run(&route.kind),
+            longest: placement.longest_run(&route.kind),
+            idempotent: route.idempotent,
+        })
+    }
+
     fn select_service(&self, table: &RouteTable, route: &RoutePolicy) -> Option<ServiceName> {
         let mut cycles = self.target_cycles.borrow_mut();
         if cycles.0 != table.version() {
--- a/crates/marigold-sidecar/src/ingress/request_handler/conclusion.rs
+++ b/crates/marigold-sidecar/src/ingress/request_handler/conclusion.rs
@@ -5,6 +5,7 @@
 use marigold_dispatch::{Conclusion, Progress};
 
 use super::UNAVAILABLE_RETRY_DELAY;
+use crate::Lifecycle;
 use crate::http1::Response;
 use crate::ingress::caller_check::CallerRefusal;
 use crate::ingress::request_outcome::RequestOutcome;
@@ -12,6 +13,9 @@
 /// Maximum jitter of retry delays relative to the delay, so that callers do not retry at the same time.
 const RETRY_JITTER_FRACTION: f64 = 0.5;
 
+/// Maximum jitter of the delay until a daemon is back, which is short of what callers wait for.
+const LEAVING_JITTER_FRACTION: f64 = 0.1;
+
 /// Limit on retry delays with their jitter, for requests that nothing is held against: estimates of load reach no further.
 const MAX_RETRY_DELAY: Duration = Duration::from_secs(2);
 
@@ -23,15 +27,25 @@
     match progress.conclusion() {
         Conclusion::Unknown => unknown("no backend server answered"),
         Conclusion::NotRun(soonest) => {
+            let delay = soonest.unwrap_or(UNAVAILABLE_RETRY_DELAY);
             // The jitter fits below the limit, so that callers do not return together at the limit.
             let longest = MAX_RETRY_DELAY.div_f64(1.0 + RETRY_JITTER_FRACTION);
-            let delay = soonest.unwrap_or(UNAVAILABLE_RETRY_DELAY).min(longest);
-            let jitter = 1.0 + RETRY_JITTER_FRACTION * rand::random::<f64>();
-            not_run("no backend server has room", delay.mul_f64(jitter))
+            let delay = with_jitter(delay.min(longest), RETRY_JITTER_FRACTION);
+            not_run("no backend server has room", delay)
         }
     }
 }
 
+/// Returns the retry delay of a request that this daemon refuses since it is shutting down: until it is back, since its
+/// callers have no other way in while too few others are ready.
+pub(super) fn leaving_delay(lifecycle: &Lifecycle) -> Duration {
+    with_jitter(lifecycle.back_after(), LEAVING_JITTER_FRACTION)
+}
+
+fn with_jitter(delay: Duration, fraction: f64) -> Duration {
+    delay.mul_f64(1.0 + fraction * rand::random::<f64>())
+}
+
 /// Returns the outcome of a request that may not run because it may crash a backend server.
 pub(super) fn conclude_quarantined(
     progress: &Progress,
--- a/crates/marigold-sidecar/src/ingress/request_handler/hedge.rs
+++ b/crates/marigold-sidecar/src/ingress/request_handler/hedge.rs
@@ -1,7 +1,8 @@
 //! A second attempt while the first one is still awaited.
 //!
 //! Load pattern: backend servers run requests but some responses never arrive. The first attempt is not given up, since it
-//! may only take long: whichever backend server responds first answers the request.
+//! may only take long: whichever backend server responds first answers the request. A daemon that is shutting down has less
+//! time than that, and sends the second attempt while it can still end.
 
 use std::net::SocketAddr;
 
@@ -42,6 +43,7 @@
             biased;
             ending = &mut first_attempt => return (first, ending),
             () = sleep(delay) => {}
+            () = self.lifecycle.second_attempt(context.expected_run) => {}
         }
         let Some(second) = self.choose_second(request, context, tried, trace, progress) else {
             return (first, first_attempt.await);
--- a/crates/marigold-sidecar/src/ingress/request_handler/request_context.rs
+++ b/crates/marigold-sidecar/src/ingress/request_handler/request_context.rs
@@ -25,6 +25,8 @@
     pub began: Instant,
     pub objective: Duration,
     pub deadline: Instant,
+    /// The mean run time of its kind when it arrived.
+    pub expected_run: Duration,
     /// How often the caller has come back after a refusal.
     pub returns: u8,
     /// Computed only if there are records of crashes.
--- a/crates/marigold-sidecar/src/lib.rs
+++ b/crates/marigold-sidecar/src/lib.rs
@@ -15,10 +15,12 @@
 mod boot_clock;
 mod crash_tracker;
 mod header_names;
+mod lifecycle;
 mod settings;
 mod sidecar;
 
 pub use crash_tracker::{CrashTracker, TrackedRun};
 pub use header_names::HeaderNames;
+pub use lifecycle::{Lifecycle, WorkGuard};
 pub use settings::{BoundSettings, InstanceSettings, ListenSettings, RoutingSettings, Settings};
 pub use sidecar::{Adapter, SidecarError, load_settings, run};
--- a/crates/marigold-sidecar/src/sidecar.rs
+++ b/crates/marigold-sidecar/src/sidecar.rs
@@ -286,7 +286,7 @@
     let (ingress, relay) = (ingress.clone(), relay.clone());
     Rc::new(move || {
         let is_synced = ingress.table().is_some() && relay.knows_sites();
-        is_synced && ingress.stage(0) == ShutdownStage::Serving
+        is_synced && !ingress.lifecycle.is_stopping()
     })
 }
 
@@ -350,7 +350,10 @@
     ingress: &Rc<Ingress>,
     events: &Rc<EventLog>,
 ) -> Rc<LocalExecutor> {
-    let options = ExecutorOptions::new(adapter.names.clone(), settings.instance.memory.0);
+    let options = ExecutorOptions {
+        lifecycle: ingress.lifecycle.clone(),
+        ..ExecutorOptions::new(adapter.names.clone(), settings.instance.memory.0)
+    };
     let executor = LocalExecutor::new(options, ingress.mesh.crashes.clone(), events.clone());
     let newest_seen_version = ingress.newest_seen_version.clone();
     executor.set_version_listener(Box::new(move |version| {
@@ -395,7 +398,10 @@
         Ok(settings) if settings == *current => {}
         Ok(settings) => {
             components.ingress.mesh.tune(mesh_tuning(&settings));
-            components.ingress.set_grace(settings.bounds.grace);
+            components
+                .ingress
+                .lifecycle
+                .set_grace(settings.bounds.grace);
             let freshness = &components.ingress.freshness;
             freshness.set_max_age(settings.bounds.revocation);
             let is_fully_applied = (&settings.instance, &settings.listen, settings.store)
@@ -422,14 +428,19 @@
 
 async fn shut_down(components: &Components, settings: &Settings, events: &EventLog) {
     events.emit("stopping", Severity::Info, &[]);
-    components.ingress.begin_shutdown();
+    let lifecycle = &components.ingress.lifecycle;
+    lifecycle.begin_shutdown();
     let began = Instant::now();
     loop {
-        match components.ingress.stage(components.executor.in_flight()) {
+        match lifecycle.stage() {
             // Requests are still accepted until callers have switched to other daemons: if only the
             // daemon restarts, the backend server keeps running.
             ShutdownStage::Serving | ShutdownStage::Draining => {}
-            ShutdownStage::Refusing | ShutdownStage::Concluding => components.executor.close(),
+            // Other daemons have other executors, while callers of this one may have no other ingress.
+            ShutdownStage::Finishing | ShutdownStage::Refusing | ShutdownStage::Concluding => {
+                components.executor.close();
+                lifecycle.record_closed();
+            }
             ShutdownStage::Ended => break,
         }
         sleep(SHUTDOWN_POLL_INTERVAL).await;
--- a/crates/marigold-sidecar/tests/graceful_shutdown.rs
+++ b/crates/marigold-sidecar/tests/graceful_shutdown.rs
@@ -24,7 +24,7 @@
     async fn new() -> Self {
         let behaviours = [BackendBehaviour::HangOnMark, BackendBehaviour::HangOnMark];
         let mesh = TestMesh::new(&behaviours).await;
-        mesh.ingress.set_grace(GRACE);
+        mesh.ingress.lifecycle.set_grace(GRACE);
         let stream = TcpStream::connect(mesh.callers).await.expect("the ingress");
         Self { mesh, stream }
     }
@@ -56,7 +56,7 @@
         let mut caller = PipeliningCaller::new().await;
         caller.send(&["/safe/hang", "/safe/ready"]).await;
         caller.wait_for_arrivals(2).await;
-        caller.mesh.ingress.begin_shutdown();
+        caller.mesh.ingress.lifecycle.begin_shutdown();
         let text = caller.receive().await;
         let first = text.find("HTTP/1.1 502").expect("an outcome of the first request");
         let second = text.find("/safe/ready for ledger").expect("the ready response");
@@ -68,7 +68,7 @@
         let mut caller = PipeliningCaller::new().await;
         caller.send(&["/once/hang"]).await;
         caller.wait_for_arrivals(1).await;
-        caller.mesh.ingress.begin_shutdown();
+        caller.mesh.ingress.lifecycle.begin_shutdown();
         let text = caller.receive().await;
         assert!(text.starts_with("HTTP/1.1 502"), "{text}");
         assert_eq!(caller.mesh.arrivals(), 1);
@@ -78,7 +78,7 @@
         let mut caller = PipeliningCaller::new().await;
         caller.send(&["/safe/first", "/safe/second", "/safe/third"]).await;
         until(|| caller.mesh.ingress.in_flight() == 3).await;
-        caller.mesh.ingress.begin_shutdown();
+        caller.mesh.ingress.lifecycle.begin_shutdown();
         let text = caller.receive().await;
         for path in ["/safe/first", "/safe/second", "/safe/third"] {
             assert!(text.contains(&format!("{path} for ledger")), "{path}: {text}");
@@ -90,7 +90,7 @@
         let mut caller = PipeliningCaller::new().await;
         caller.send(&["/safe/hang"]).await;
         caller.wait_for_arrivals(1).await;
-        caller.mesh.ingress.begin_shutdown();
+        caller.mesh.ingress.lifecycle.begin_shutdown();
         caller.send(&["/safe/behind"]).await;
         let text = caller.receive().await;
         assert_eq!(caller.mesh.arrivals(), 1, "{text}");
--- a/crates/marigold-sidecar/tests/whole_path.rs
+++ b/crates/marigold-sidecar/tests/whole_path.rs
@@ -145,7 +145,7 @@
 
     daemon_closes_callers_connections_during_shutdown {
         let mesh = TestMesh::new(&[BackendBehaviour::Succeed]).await;
-        mesh.ingress.begin_shutdown();
+        mesh.ingress.lifecycle.begin_shutdown();
         let response = mesh.send(&get("/safe/a", "")).await;
         assert!(response.starts_with("HTTP/1.1 200"), "{response}");
         assert!(response.contains("Connection: close"), "{response}");
