--- a/crates/marigold-sidecar/tests/restarts.rs
+++ b/crates/marigold-sidecar/tests/restarts.rs
@@ -6,8 +6,9 @@
 use std::sync::Arc;
 use std::time::Duration;
 
-use common::test_mesh::{BackendBehaviour, TestMesh, get, until};
+use common::test_mesh::{BackendBehaviour, TestMesh, get, route, until};
 use common::{TEST_TIMEOUT, listener, local_tests};
+use futures_util::future::{join, join_all};
 use marigold_dispatch::ShutdownStage;
 use marigold_sidecar::events::EventLog;
 use marigold_sidecar::ingress::{Ingress, listen};
@@ -17,6 +18,9 @@
 const CLOSE: &str = "Connection: close\r\n";
 /// Runs after which the longest run time of a kind is known.
 const KNOWN_RUNS: usize = 10;
+const LONG_RUN: Duration = Duration::from_secs(5);
+/// Requests at once, some of them at each of two backend servers.
+const CONCURRENT: usize = 6;
 /// Requests are accepted for half of it.
 const GRACE: Duration = Duration::from_secs(2);
 /// The restart of a daemon takes this long at least.
@@ -76,6 +80,29 @@
         assert!(retry_after(&response) >= RESTART_SECONDS, "{response}");
     }
 
+    request_in_flight_at_a_stop_has_no_second_attempt_in_time {
+        let mesh = TestMesh::new(&[BackendBehaviour::Hang, BackendBehaviour::Succeed]).await;
+        let kind = route("safe", true).kind;
+        // Of a kind with such runs, a response is overdue only after the grace period.
+        mesh.ingress.mesh.with_placement(|placement| {
+            for _ in 0..KNOWN_RUNS {
+                placement.record_run(mesh.addresses[1], &kind, LONG_RUN, 0, Instant::now());
+            }
+        });
+        mesh.ingress.lifecycle.set_grace(GRACE);
+        let request = get("/safe/a", CLOSE);
+        let stop = async {
+            until(|| mesh.arrivals() as usize >= CONCURRENT).await;
+            assert!(mesh.ingress.in_flight() > 0, "no request is at the server that hangs");
+            mesh.ingress.lifecycle.begin_shutdown();
+        };
+        let requests = join_all((0..CONCURRENT).map(|_| mesh.send(&request)));
+        let (responses, ()) = join(requests, stop).await;
+        for response in responses {
+            assert!(response.starts_with("HTTP/1.1 200"), "{response}");
+        }
+    }
+
     request_is_refused_moments_before_the_first_configuration {
         let mesh = TestMesh::new(&[BackendBehaviour::Succeed]).await;
         let events = Rc::new(EventLog::new(Arc::from("test"), spdlog::default_logger()));
