--- a/crates/marigold-dispatch/src/shutdown.rs
+++ b/crates/marigold-dispatch/src/shutdown.rs
@@ -4,6 +4,7 @@
 //! Load pattern: daemons are restarted in turn, faster than callers find another way in. Callers go on sending to daemons
 //! that stop, and the slots beside these are missed everywhere. See docs/design/restarts.md.
 
+mod margin;
 mod new_run;
 mod open_work;
 mod stage;
@@ -12,6 +13,7 @@
 
 use tokio::time::Instant;
 
+use self::margin::Margin;
 pub use new_run::NewRun;
 pub use open_work::OpenWork;
 pub use stage::ShutdownStage;
@@ -44,20 +46,6 @@
 /// Refused requests don't count: they would keep a daemon for as long as callers have no other way in.
 const QUIET_PERIOD: Duration = Duration::from_millis(300);
 
-/// A time at the end of the grace period.
-struct Margin {
-    longest: Duration,
-    /// The fraction of a short grace period that it takes.
-    ratio: f64,
-}
-
-impl Margin {
-    /// Returns the time from the signal to the beginning of the margin.
-    fn begins_after(&self, grace: Duration) -> Duration {
-        grace.saturating_sub(grace.mul_f64(self.ratio).min(self.longest))
-    }
-}
-
 /// The shutdown of a daemon, from the signal to its exit within the grace period.
 #[derive(Debug, Clone, Copy, Default)]
 pub struct Shutdown {
@@ -78,12 +66,6 @@
         self.closed_at.get_or_insert(now);
     }
 
-    /// Returns whether the shutdown has begun.
-    #[must_use]
-    pub fn has_begun(&self) -> bool {
-        self.began_at.is_some()
-    }
-
     /// Returns the stage at `now`, given the work that has not ended.
     #[must_use]
     pub fn stage(&self, grace: Duration, work: OpenWork, now: Instant) -> ShutdownStage {
@@ -112,7 +94,7 @@
     }
 
     /// Returns whether a request is accepted: in [`ShutdownStage::Finishing`], if its run is expected to end before the
-    /// requests that the daemon stays for, and is certain to end before requests in flight are concluded.
+    /// requests that the daemon stays for, and most certainly ends before requests in flight are concluded.
     #[must_use]
     pub fn admits(&self, grace: Duration, work: OpenWork, run: NewRun, now: Instant) -> bool {
         match self.stage(grace, work, now) {
--- a/crates/marigold-sidecar/src/lifecycle.rs
+++ b/crates/marigold-sidecar/src/lifecycle.rs
@@ -1,5 +1,7 @@
 //! The shutdown of a daemon and the work that it waits for, shared by its ingress and its executor.
 
+mod work_guard;
+
 use std::cell::Cell;
 use std::rc::Rc;
 use std::time::Duration;
@@ -8,6 +10,8 @@
 use tokio::time::{Instant, sleep_until};
 use tokio_util::sync::CancellationToken;
 
+pub use self::work_guard::WorkGuard;
+
 /// The shutdown of a daemon, see [`Shutdown`] and docs/design/restarts.md.
 #[derive(Debug)]
 pub struct Lifecycle {
@@ -105,18 +109,3 @@
         }
     }
 }
-
-/// Counts a request or call as open until dropped, including when the caller disconnects.
-#[derive(Debug)]
-pub struct WorkGuard {
-    lifecycle: Rc<Lifecycle>,
-    is_early: bool,
-}
-
-impl Drop for WorkGuard {
-    fn drop(&mut self) {
-        let mut work = self.lifecycle.work.get();
-        work.end(self.is_early, Instant::now());
-        self.lifecycle.work.set(work);
-    }
-}
