Show that a cut that refuses connections doubles a quota

Cause: a refused connection is taken for the end of the process behind it, so the vote for a home of quotas moves before that home has stopped counting it. Change: a case for the review, with a proxy and a translation of addresses in its stand-ins; no code is changed.

--- a/review/lib-2/mesh.py
+++ b/review/lib-2/mesh.py
@@ -43,6 +43,8 @@
     def __init__(self, path):
         self.file = open(path, "w", encoding="utf-8")
         self.began = time.monotonic()
+        # When each request was sent.
+        self.sent_at = {}
 
     def now(self):
         return time.monotonic() - self.began
@@ -151,6 +153,23 @@
         self.topics = {}
         self.changed = asyncio.Condition()
         self.is_down = False
+        # Addresses in the records of daemons, and those that replace them for whoever reads here, as a network that
+        # translates addresses would.
+        self.translation = {}
+
+    def second_address(self, port, translation):
+        """Returns the same store at another port, with a translation."""
+        other = Store(self.ip, port)
+        other.topics, other.changed, other.translation = self.topics, self.changed, translation
+        return other
+
+    def translate(self, record):
+        size = record[0]
+        key, value = record[1 : 1 + size].decode(), record[1 + size :]
+        for real, shown in self.translation.items():
+            key = shown if key == real else key
+            value = value.replace(f'"{real}"'.encode(), f'"{shown}"'.encode())
+        return self.encode(key, value)
 
     def topic(self, name):
         return self.topics.setdefault(name, [])
@@ -191,7 +210,7 @@
         except TimeoutError:
             pass
         body = struct.pack(">QQ", len(records), 0)
-        for record in records[start:]:
+        for record in map(self.translate, records[start:]):
             body += struct.pack(">I", len(record)) + record
         return await self.answer(writer, 200, {}, body)
 
@@ -211,7 +230,7 @@
 
     async def newest(self, records, writer):
         newest = {}
-        for offset, record in enumerate(records):
+        for offset, record in enumerate(map(self.translate, records)):
             size = record[0]
             key, value = record[1 : 1 + size].decode(), record[1 + size :]
             newest.pop(key, None)
@@ -225,6 +244,43 @@
         return await self.answer(writer, 200, {}, json.dumps(reply).encode())
 
 
+class Proxy:
+    """The path to a daemon's address for other daemons."""
+
+    def __init__(self, ip, port, target):
+        self.ip, self.port, self.target = ip, port, target
+        self.server = None
+        self.writers = set()
+
+    async def start(self):
+        self.server = await asyncio.start_server(self.connection, self.ip, self.port)
+
+    async def refuse(self):
+        """Resets the connections and refuses new ones."""
+        self.server.close()
+        for writer in list(self.writers):
+            writer.transport.abort()
+
+    async def connection(self, reader, writer):
+        try:
+            far_reader, far_writer = await asyncio.open_connection(*self.target)
+        except OSError:
+            writer.transport.abort()
+            return
+        self.writers |= {writer, far_writer}
+        await asyncio.gather(self.carry(reader, far_writer), self.carry(far_reader, writer))
+        self.writers -= {writer, far_writer}
+
+    async def carry(self, reader, writer):
+        try:
+            while piece := await reader.read(65536):
+                writer.write(piece)
+                await writer.drain()
+        except (ConnectionError, OSError):
+            pass
+        writer.close()
+
+
 class Worker(HttpServer):
     """An application worker. `work` returns the run time and the body of the answer to a request."""
 
@@ -330,6 +386,7 @@
         self.name = f"sidecar-{zone}-{index}"
         self.ip = f"{mesh.prefix}.{index + 10}"
         self.memory_mb = memory_mb
+        self.store = mesh.store
         names = "inbound", "outbound", "ready", "control", "application", "metrics"
         self.ports = {name: free_port(self.ip) for name in names}
         self.process = None
@@ -349,7 +406,7 @@
             "limits.memory_mb": self.memory_mb,
             "limits.link_mbps": 1000.0,
             "ip": self.ip,
-            "platform.address": f"{self.mesh.store.ip}:{self.mesh.store.port}",
+            "platform.address": f"{self.store.ip}:{self.store.port}",
         }
         for name in ("inbound", "outbound", "ready", "control"):
             values[f"listen_addresses.{name}"] = f"{self.ip}:{self.ports[name]}"
@@ -452,15 +509,16 @@
             for index, (zone, service) in enumerate(layout)
         ]
 
-    async def start(self, config):
+    async def start(self, config, machines=None):
+        """Starts the store and the daemons, all or those of `machines`."""
         await self.store.start()
         await self.store.write("keyed.op", "config", json.dumps(config).encode())
-        for machine in self.machines:
+        for machine in self.machines if machines is None else machines:
             machine.keeper = asyncio.ensure_future(machine.keep_up())
 
-    async def wait_until_ready(self, limit_s=15):
+    async def wait_until_ready(self, machines=None, limit_s=15):
         for _ in range(limit_s * 10):
-            ready = [await machine.is_ready() for machine in self.machines]
+            ready = [await machine.is_ready() for machine in machines or self.machines]
             if all(ready):
                 return
             await asyncio.sleep(0.1)
@@ -573,6 +631,7 @@
                 machine.ip, machine.ports["outbound"], limit=1 << 20
             )
             length = None if body is None else len(body)
+            record.sent_at[outcome.request] = record.now()
             writer.write(head_bytes(method, path, outcome.request, deadline_ms, length, key))
             record.write(f"sent {outcome.request} {method} {path} {length or 0} bytes to {machine.name}")
             for at in range(0, length or 0, LINK_PIECE_BYTES):
