Check the heads that hyper and ureq have read

Callers saw: `marigoldd` passed on responses with status 600 and 999, an upgrade that nobody had asked for, a 204 with a length, two transfer encodings, and the beginning of a body whose length was too small. `marigoldctl` and the clients of the store and the log took responses with contradicting framings.

Change: the head of each response is checked by marigold-http. A small response of `marigoldd` is passed on once its connection has shown that nothing follows it.

Not mended: `hyper` drops a length beside chunks before anybody sees it, as RFC 9112 allows; what follows a response of more than 64 KiB is noticed by `marigoldd` only after that has been passed on (docs/design/http.md).

--- a/crates/marigold-log/src/http_log.rs
+++ b/crates/marigold-log/src/http_log.rs
@@ -3,6 +3,7 @@
 use std::sync::Arc;
 
 use async_trait::async_trait;
+use marigold_http::ResponseHead;
 use marigold_types::{LogOffset, RecordTime};
 use serde::Deserialize;
 use tokio::time::Instant;
@@ -103,6 +104,7 @@
         None => agent.get(url).header("connection", "close").call(),
     };
     let mut response = sent.map_err(|error| classify_error(&error))?;
+    ResponseHead::check(&response).map_err(|error| unknown_failure(&error.to_string()))?;
     let status = response.status().as_u16();
     let body = response
         .body_mut()
--- a/crates/marigold-standin/tests/log.rs
+++ b/crates/marigold-standin/tests/log.rs
@@ -1,6 +1,8 @@
 //! The stand-in for the platform log: its protocol, its injected faults, and the mesh's log client
 //! against it.
 
+use std::io::{Read, Write};
+use std::net::TcpListener;
 use std::time::Duration;
 
 use marigold_log::{HttpLog, LogFailure, PlatformLog, StreamName};
@@ -237,3 +239,36 @@
     assert_eq!(batch.records.len(), 1);
     assert_eq!(batch.end, LogOffset(3));
 }
+
+/// Reads from a log whose response begins with `head` and has a body in one chunk.
+async fn read_after(head: &'static str) -> Result<Vec<String>, LogFailure> {
+    let listener = TcpListener::bind("127.0.0.1:0").unwrap();
+    let log = HttpLog::new(&format!("http://{}", listener.local_addr().unwrap()));
+    std::thread::spawn(move || {
+        let (mut stream, _) = listener.accept().unwrap();
+        let _ = stream.read(&mut [0; 4096]).unwrap();
+        let body = "{\"records\":[],\"earliest\":0,\"end\":0}";
+        let chunk = format!("{:x}\r\n{body}\r\n0\r\n\r\n", body.len());
+        stream
+            .write_all(format!("{head}\r\n{chunk}").as_bytes())
+            .unwrap();
+    });
+    read(&log, 0).await
+}
+
+#[tokio::test]
+async fn response_that_is_none_by_the_grammar_is_no_answer() {
+    for head in [
+        "HTTP/1.1 200 OK\r\nContent-Length: 2\r\nTransfer-Encoding: chunked\r\n",
+        "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\nTransfer-Encoding: chunked\r\n",
+        "HTTP/1.0 200 OK\r\nTransfer-Encoding: chunked\r\n",
+    ] {
+        let result = read_after(head).await;
+        assert!(
+            matches!(result, Err(LogFailure::Unknown { .. })),
+            "{head}: {result:?}"
+        );
+    }
+    let sound = read_after("HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n").await;
+    assert!(sound.is_ok(), "{sound:?}");
+}
--- a/crates/marigoldctl/src/client.rs
+++ b/crates/marigoldctl/src/client.rs
@@ -6,6 +6,7 @@
 
 use marigold_api::{Problem, ProblemKind};
 use marigold_auth::{OperatorKey, RequestProof};
+use marigold_http::ResponseHead;
 use serde::Serialize;
 use serde::de::DeserializeOwned;
 
@@ -139,6 +140,7 @@
         let mut response = agent
             .run(request)
             .map_err(|error| transport_error(peer, &error))?;
+        ResponseHead::check(&response).map_err(|error| invalid(error.to_string()))?;
         let status = response.status().as_u16();
         let body = response.body_mut().with_config().limit(MAX_RESPONSE_BYTES);
         let body = body
--- a/crates/marigoldctl/tests/commands.rs
+++ b/crates/marigoldctl/tests/commands.rs
@@ -2,8 +2,8 @@
 
 mod common;
 
-use std::io::Read;
-use std::net::TcpListener;
+use std::io::{Read, Write};
+use std::net::{TcpListener, TcpStream};
 
 use common::{TempDir, TestDaemon, run};
 use marigold_auth::OperatorKey;
@@ -246,6 +246,49 @@
     assert_eq!(daemon.run(&["confirm", &id]).code, 0);
 }
 
+/// Relays one request to the daemon at `target`, and its response with another head; returns the URL of the relay.
+fn spoiling_relay(target: &str, head: &'static str) -> String {
+    let listener = TcpListener::bind("127.0.0.1:0").unwrap();
+    let url = format!("http://{}", listener.local_addr().unwrap());
+    let target = target.trim_start_matches("http://").to_owned();
+    std::thread::spawn(move || {
+        let (mut near, _) = listener.accept().unwrap();
+        let mut far = TcpStream::connect(target).unwrap();
+        let mut request = [0; 4096];
+        let count = near.read(&mut request).unwrap();
+        far.write_all(&request[..count]).unwrap();
+        let mut response = String::new();
+        far.read_to_string(&mut response).unwrap();
+        let body = response.split_once("\r\n\r\n").unwrap().1;
+        let chunk = format!("{:x}\r\n{body}\r\n0\r\n\r\n", body.len());
+        near.write_all(format!("{head}\r\n{chunk}").as_bytes())
+            .unwrap();
+    });
+    url
+}
+
+/// Each case lists the head of a daemon's response, and the exit code.
+macro_rules! response_tests {
+    ($($name:ident: $head:literal => $code:literal;)*) => {$(
+        #[test]
+        fn $name() {
+            let daemon = TestDaemon::new();
+            let url = spoiling_relay(&daemon.url, $head);
+            let output = TestDaemon::run_as(&daemon.root, &url, &["status"]);
+            assert_eq!(output.code, $code, "{output:?}");
+        }
+    )*};
+}
+
+response_tests! {
+    chunked_response_is_read: "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n" => 0;
+    response_with_both_framings_is_refused:
+        "HTTP/1.1 200 OK\r\nContent-Length: 2\r\nTransfer-Encoding: chunked\r\n" => 3;
+    response_in_chunks_of_http_1_0_is_refused: "HTTP/1.0 200 OK\r\nTransfer-Encoding: chunked\r\n" => 3;
+    response_with_two_transfer_encodings_is_refused:
+        "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\nTransfer-Encoding: chunked\r\n" => 3;
+}
+
 #[test]
 fn drain_and_burn_report() {
     let daemon = TestDaemon::new();
--- a/crates/marigoldd/src/executor/backend_call.rs
+++ b/crates/marigoldd/src/executor/backend_call.rs
@@ -7,6 +7,7 @@
 use hyper::body::{Body, Incoming};
 use hyper::header::{self, HeaderName, HeaderValue};
 use hyper::{Method, Request, Response, StatusCode, Uri, Version};
+use marigold_http::ResponseHead;
 use marigold_request::deadline::Deadline;
 use marigold_request::{CallHead, Refusal, RefusalReason};
 use tokio::time::{Instant, timeout_at};
@@ -71,6 +72,8 @@
 
     async fn exchange(mut self, request: Request<RequestBody>) -> Result<Answer, Failure> {
         let response = self.send(request).await?;
+        ResponseHead::check(&response)
+            .map_err(|_| Failure::Lost("malformed answer of the backend server"))?;
         let (parts, incoming) = response.into_parts();
         let is_small = incoming
             .size_hint()
@@ -110,10 +113,15 @@
         })
     }
 
-    async fn read_body(self, incoming: Incoming) -> Result<Bytes, Failure> {
+    async fn read_body(mut self, incoming: Incoming) -> Result<Bytes, Failure> {
         let collected = incoming.collect().await;
         let collected =
             collected.map_err(|_| Failure::Lost("answer of the backend server cut off"))?;
+        if self.connection.has_excess().await {
+            return Err(Failure::Lost(
+                "answer of the backend server with a wrong length",
+            ));
+        }
         self.pool.release(self.connection);
         Ok(collected.to_bytes())
     }
--- a/crates/marigoldd/src/executor/backend_pool.rs
+++ b/crates/marigoldd/src/executor/backend_pool.rs
@@ -1,5 +1,6 @@
 //! Connection pool of the local backend server.
 
+use std::error::Error;
 use std::io;
 use std::net::SocketAddr;
 use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
@@ -10,6 +11,7 @@
 use socket2::{SockRef, TcpKeepalive};
 use tokio::net::TcpStream;
 use tokio::sync::{OwnedSemaphorePermit, Semaphore};
+use tokio::task::JoinHandle;
 use tokio::time::{Instant, timeout, timeout_at};
 
 use super::RequestBody;
@@ -34,9 +36,34 @@
     pub sender: SendRequest<RequestBody>,
     /// Whether it carried an earlier request.
     pub reused: bool,
+    /// Ends with the connection, and tells whether the backend server sent bytes that belong to no response.
+    task: JoinHandle<bool>,
     _permit: OwnedSemaphorePermit,
 }
 
+impl BackendConnection {
+    /// Returns whether the backend server has sent bytes beyond a complete response, whose length is wrong then.
+    pub async fn has_excess(&mut self) -> bool {
+        let ready = timeout(READY_TIMEOUT, self.sender.ready()).await;
+        if !matches!(ready, Ok(Err(_))) {
+            return false;
+        }
+        let ended = timeout(READY_TIMEOUT, &mut self.task).await;
+        matches!(ended, Ok(Ok(true)))
+    }
+}
+
+/// Returns whether a connection ended since bytes came with no request waiting. Only this error has neither a cause nor a
+/// kind of its own.
+fn is_unexpected_message(error: &hyper::Error) -> bool {
+    let has_kind = error.is_parse()
+        || error.is_incomplete_message()
+        || error.is_canceled()
+        || error.is_closed()
+        || error.is_timeout();
+    error.source().is_none() && !has_kind
+}
+
 struct Idle {
     connection: BackendConnection,
     since: Instant,
@@ -105,10 +132,14 @@
         let handshake = http1::handshake::<_, RequestBody>(TokioIo::new(stream));
         let (sender, connection) = handshake.await.map_err(io::Error::other)?;
         // The task ends when the sender is dropped or the backend server closes.
-        tokio::spawn(connection);
+        let task = tokio::spawn(async move {
+            let result = connection.await;
+            result.is_err_and(|error| is_unexpected_message(&error))
+        });
         Ok(BackendConnection {
             sender,
             reused: false,
+            task,
             _permit: permit,
         })
     }
--- a/crates/marigoldd/src/executor/prober.rs
+++ b/crates/marigoldd/src/executor/prober.rs
@@ -11,6 +11,7 @@
 use hyper::header::{CONNECTION, HOST, HeaderValue};
 use hyper::{Request, Uri};
 use hyper_util::rt::TokioIo;
+use marigold_http::ResponseHead;
 use tokio::net::TcpStream;
 use tokio::time::{Instant, MissedTickBehavior, interval, timeout};
 
@@ -134,7 +135,8 @@
     headers.insert(CONNECTION, HeaderValue::from_static("close"));
     let asking = async move {
         let response = sender.send_request(request).await.ok()?;
-        Some(response.status().is_success())
+        let is_sound = ResponseHead::check(&response).is_ok();
+        Some(is_sound && response.status().is_success())
     };
     let (result, _) = tokio::join!(asking, connection);
     result
