--- a/crates/marigold-dispatch/src/lib.rs
+++ b/crates/marigold-dispatch/src/lib.rs
@@ -7,7 +7,8 @@
 //! The modules are named after what they decide: `routes` what the configuration says of a request, `placing` which
 //! executor it goes to, `admission` whether it runs, waits or is refused there, `retries` whether it is sent again,
 //! `rollout` which versions it may go to, and `quota` how much a workspace may send. `backend` and `membership`
-//! track backend servers and daemons, and `locality` plans what leaves a data centre.
+//! track backend servers and daemons, `locality` plans what leaves a data centre, and `memory` decides whose bytes a daemon
+//! gives up.
 //!
 //! This crate opens no sockets and reads no clock: callers pass the current time to each decision. The
 //! sidecar connects the decisions to the network. See docs/design/platform.md.
@@ -17,6 +18,7 @@
 mod decisions;
 mod locality;
 mod membership;
+mod memory;
 mod placing;
 pub mod quota;
 mod retries;
@@ -37,6 +39,7 @@
 pub use membership::{
     Directory, FirstContact, LinkRate, LinkSelector, PollTimer, RelaySelector, Site, UpdateSource,
 };
+pub use memory::{Claimant, Holding, HoldingKind, SMALL_BODY, STALL_TIME, select_victim};
 pub use placing::{
     ExecutorChoice, ExecutorState, Placement, PlacementRequest, Reached, SiteReport, WaitRatio,
 };
--- a/crates/marigold-sidecar/src/executor/call_progress.rs
+++ b/crates/marigold-sidecar/src/executor/call_progress.rs
@@ -2,9 +2,9 @@
 
 use std::time::Duration;
 
-use bytes::Bytes;
 use tokio::time::Instant;
 
+use crate::Body;
 use crate::events::{EventLog, Severity};
 use crate::link::{Call, CallOutcome};
 
@@ -16,7 +16,7 @@
     /// When it was sent to the backend server.
     pub started_at: Option<Instant>,
     /// Body of the response.
-    pub body: Bytes,
+    pub body: Body,
 }
 
 impl CallProgress {
--- a/crates/marigold-sidecar/src/executor/exchange.rs
+++ b/crates/marigold-sidecar/src/executor/exchange.rs
@@ -1,18 +1,21 @@
 //! One request to the backend server and its response.
 
 use std::io;
+use std::rc::Rc;
 use std::sync::Arc;
 use std::time::Duration;
 
 use bytes::{Bytes, BytesMut};
+use marigold_dispatch::Claimant;
 use tokio::io::{AsyncReadExt, AsyncWriteExt};
 use tokio::sync::{OwnedSemaphorePermit, Semaphore};
+use tokio::time::sleep;
 
 use super::backend_conn::BackendConn;
 use super::{BackendPool, ExecutorOptions};
-use crate::HeaderNames;
 use crate::http1::{HttpError, ParsedResponse, Response, ResponseReader, encode_request};
 use crate::link::Call;
+use crate::{Body, Charge, HeaderNames, MemoryBudget, SEGMENT_BYTES};
 
 /// Status of a backend server's response to a request whose deadline has passed.
 pub const STATUS_DEADLINE_PASSED: u16 = 504;
@@ -23,6 +26,8 @@
 const MAX_SMALL_BODY_BYTES: usize = 64 << 10;
 /// What another response begins with.
 const RESPONSE_START: &[u8] = b"HTTP/1.";
+/// Delay before a response for which there was no memory is read on.
+const MEMORY_RETRY_DELAY: Duration = Duration::from_millis(10);
 /// Responses to other requests that are discarded before the exchange fails.
 const MAX_STRAY_RESPONSES: u32 = 8;
 
@@ -33,13 +38,17 @@
     pub id: Arc<str>,
     /// Whether the response has no body, as for `HEAD`.
     pub bodiless: bool,
-    /// Encoded head and body.
+    /// Encoded head, and the body unless it is large.
     pub bytes: Bytes,
+    /// Large body, which follows.
+    pub body: Body,
     /// A response with a larger body is an error.
     pub max_body_bytes: u64,
     /// Permits for receiving large bodies, shared by all requests to the backend server. They bound the memory that
     /// responses without end take together.
     pub large_bodies: Arc<Semaphore>,
+    /// The budget that the response counts towards.
+    pub memory: Rc<MemoryBudget>,
 }
 
 impl BackendRequest {
@@ -65,13 +74,34 @@
                 extra.push_str(part);
             }
         }
-        let bytes = encode_request(&call.method, &call.target, &call.fields, &extra, &call.body);
+        let (inline, body) = if call.body.len() <= SEGMENT_BYTES {
+            (call.body.to_bytes(), Body::default())
+        } else {
+            (Bytes::new(), call.body.clone())
+        };
+        let (method, len) = (&call.method, call.body.len());
+        let bytes = encode_request(method, &call.target, &call.fields, &extra, &inline, len);
         Self {
             id: call.request_id.clone(),
             bodiless: &*call.method == "HEAD",
             bytes,
+            body,
             max_body_bytes: options.max_response_body_bytes,
             large_bodies: options.large_bodies.clone(),
+            memory: options.memory.clone(),
+        }
+    }
+
+    /// Returns the length of head and body.
+    fn len(&self) -> usize {
+        self.bytes.len() + self.body.len()
+    }
+
+    /// Returns what is sent next after `sent` bytes.
+    fn unsent(&self, sent: usize) -> &[u8] {
+        match sent.checked_sub(self.bytes.len()) {
+            None => &self.bytes[sent..],
+            Some(offset) => self.body.rest_of_segment(offset),
         }
     }
 }
@@ -166,9 +196,17 @@
     let mut reader = ResponseReader::new(names.clone(), request.bodiless, request.max_body_bytes);
     let mut sent = 0;
     let mut permit = None;
+    let mut charge = request.memory.charge();
     let mut stray_responses = 0;
-    let parsed = loop {
-        let read = read_response(&mut conn, &mut reader, request, &mut sent, &mut permit);
+    let mut parsed = loop {
+        let read = read_response(
+            &mut conn,
+            &mut reader,
+            request,
+            &mut sent,
+            &mut permit,
+            &mut charge,
+        );
         let parsed = match read.await {
             Ok(parsed) => parsed,
             Err(error) => return broken(error),
@@ -186,9 +224,10 @@
     if !RESPONSE_START.starts_with(excess) {
         return broken(ExchangeError::ExcessBytes);
     }
+    parsed.response.body = charge.attach(&parsed.response.body);
     // Excess input belongs to no request. If the request was not sent completely, the backend server would
     // take the next request for the rest of its body.
-    let is_clean = stray_responses == 0 && conn.input.is_empty() && sent == request.bytes.len();
+    let is_clean = stray_responses == 0 && conn.input.is_empty() && sent == request.len();
     // A late second copy of a response without an id would pass for the response to the next request.
     let has_id = parsed.id.is_some();
     if is_clean && has_id && !parsed.close && !parsed.close_delimited {
@@ -240,8 +279,8 @@
     request: &BackendRequest,
     sent: &mut usize,
     permit: &mut Option<OwnedSemaphorePermit>,
+    charge: &mut Charge,
 ) -> Result<ParsedResponse, ExchangeError> {
-    let bytes = &request.bytes;
     loop {
         if let Some(parsed) = reader.next(&mut conn.input)? {
             return Ok(parsed);
@@ -251,12 +290,21 @@
             // The semaphore is never closed.
             *permit = request.large_bodies.clone().acquire_owned().await.ok();
         }
+        let held = conn.input.capacity() + reader.allocated_after(READ_BUFFER_BYTES);
+        // The deadline of the request bounds the wait.
+        while (request.memory)
+            .grow(charge, held, Claimant::Transit)
+            .await
+            .is_err()
+        {
+            sleep(MEMORY_RETRY_DELAY).await;
+        }
         let (mut read, mut write) = conn.stream.split();
         conn.input.reserve(READ_BUFFER_BYTES);
         let input: &mut BytesMut = &mut conn.input;
         // The response may arrive before the request has been sent completely.
         tokio::select! {
-            result = write.write(&bytes[*sent..]), if *sent < bytes.len() => {
+            result = write.write(request.unsent(*sent)), if *sent < request.len() => {
                 *sent += result.map_err(|error| io_error("sending the request", &error))?;
             }
             result = read.read_buf(input) => {
--- a/crates/marigold-sidecar/src/executor/executor_options.rs
+++ b/crates/marigold-sidecar/src/executor/executor_options.rs
@@ -4,10 +4,10 @@
 use std::sync::Arc;
 use std::time::Duration;
 
-use marigold_types::Version;
+use marigold_types::{ByteSize, Version};
 use tokio::sync::Semaphore;
 
-use crate::{HeaderNames, Lifecycle};
+use crate::{HeaderNames, Lifecycle, MemoryBudget};
 
 /// The memory limit divided by this bounds a single response body.
 const BODY_MEMORY_DIVISOR: u64 = 16;
@@ -30,6 +30,8 @@
     pub max_response_body_bytes: u64,
     /// Permits for receiving large bodies from the backend server.
     pub large_bodies: Arc<Semaphore>,
+    /// The budget of the process.
+    pub memory: Rc<MemoryBudget>,
     /// The shutdown of the daemon.
     pub lifecycle: Rc<Lifecycle>,
 }
@@ -42,6 +44,7 @@
             names,
             max_response_body_bytes: memory / BODY_MEMORY_DIVISOR,
             large_bodies: Arc::new(Semaphore::new(MAX_LARGE_BODIES)),
+            memory: MemoryBudget::for_process(ByteSize(memory)),
             lifecycle: Lifecycle::new(Duration::ZERO),
         }
     }
--- a/crates/marigold-sidecar/src/executor/local_executor.rs
+++ b/crates/marigold-sidecar/src/executor/local_executor.rs
@@ -167,6 +167,8 @@
             .read(|controller| (controller.busy(), controller.queued()));
         metrics::gauge!("marigold_slots_busy").set(f64::from(slot_count(busy).0));
         metrics::gauge!("marigold_slots_queued").set(f64::from(slot_count(queued).0));
+        let held = u32::try_from(self.options.memory.held() >> 10).unwrap_or(u32::MAX);
+        metrics::gauge!("marigold_memory_held_kib").set(f64::from(held));
     }
 }
 
--- a/crates/marigold-sidecar/src/executor/probe.rs
+++ b/crates/marigold-sidecar/src/executor/probe.rs
@@ -48,7 +48,7 @@
 ) -> std::io::Result<ProbeResponse> {
     let mut stream = TcpStream::connect(address).await?;
     let extra = format!("Host: {address}\r\nConnection: close\r\n");
-    let request = encode_request("GET", path, &[], &extra, &[]);
+    let request = encode_request("GET", path, &[], &extra, &[], 0);
     stream.write_all(&request).await?;
     let mut reader = ResponseReader::new(names.clone(), false, MAX_BODY_BYTES);
     let mut input = BytesMut::new();
--- a/crates/marigold-sidecar/src/http1.rs
+++ b/crates/marigold-sidecar/src/http1.rs
@@ -21,4 +21,4 @@
 pub use request_reader::RequestReader;
 pub use response::Response;
 pub use response_reader::{ParsedResponse, ResponseReader};
-pub use writer::{encode_request, encode_response, reason_phrase};
+pub use writer::{encode_request, encode_response_head, reason_phrase, response_head_size};
--- a/crates/marigold-sidecar/src/http1/body_decoder.rs
+++ b/crates/marigold-sidecar/src/http1/body_decoder.rs
@@ -4,6 +4,7 @@
 use marigold_http::{is_field_line, parse_chunk_line};
 
 use super::HttpError;
+use crate::BodyBuffer;
 
 /// Ends each line of the framing.
 const LINE_END: &[u8] = b"\r\n";
@@ -97,7 +98,7 @@
     pub fn decode(
         &mut self,
         input: &mut BytesMut,
-        body: &mut BytesMut,
+        body: &mut BodyBuffer,
         limit: u64,
     ) -> Result<bool, HttpError> {
         loop {
@@ -195,10 +196,10 @@
     line.map(Some).ok_or(HttpError::Framing)
 }
 
-/// Moves up to `remaining` bytes from `input` to `body`, without a copy if possible; returns how many.
+/// Moves up to `remaining` bytes from `input` to `body`; returns how many.
 fn take_bytes(
     input: &mut BytesMut,
-    body: &mut BytesMut,
+    body: &mut BodyBuffer,
     remaining: u64,
     limit: u64,
 ) -> Result<u64, HttpError> {
@@ -208,11 +209,7 @@
         return Err(HttpError::BodySize);
     }
     let count = usize::try_from(taken).map_err(|_| HttpError::BodySize)?;
-    if body.is_empty() && count == input.len() {
-        std::mem::swap(input, body);
-    } else {
-        body.extend_from_slice(&input[..count]);
-        input.advance(count);
-    }
+    body.push(&input[..count]);
+    input.advance(count);
     Ok(taken)
 }
--- a/crates/marigold-sidecar/src/http1/request.rs
+++ b/crates/marigold-sidecar/src/http1/request.rs
@@ -6,6 +6,7 @@
 use bytes::Bytes;
 
 use super::CallerKey;
+use crate::Body;
 
 /// A complete request.
 #[derive(Debug, Clone)]
@@ -25,7 +26,7 @@
     /// Encoded header fields to forward.
     pub fields: Bytes,
     /// Body without transfer encoding.
-    pub body: Bytes,
+    pub body: Body,
     /// Whether the connection is closed after the response.
     pub close: bool,
 }
--- a/crates/marigold-sidecar/src/http1/request_reader.rs
+++ b/crates/marigold-sidecar/src/http1/request_reader.rs
@@ -10,7 +10,7 @@
 
 use super::field_block::is_hop_by_hop;
 use super::{BodyDecoder, CallerKey, FieldBlock, HttpError, Request};
-use crate::HeaderNames;
+use crate::{Body, BodyBuffer, HeaderNames};
 
 /// Limit on the header fields of a request.
 const MAX_FIELDS: usize = 100;
@@ -19,7 +19,7 @@
 struct Partial {
     request: Request,
     decoder: BodyDecoder,
-    body: BytesMut,
+    body: BodyBuffer,
     /// Whether the caller waits for `100 Continue` before it sends the body.
     expects_continue: bool,
 }
@@ -63,6 +63,47 @@
         self.partial.is_some() || self.head_since.is_some()
     }
 
+    /// Returns the bytes allocated for the body that is arriving.
+    #[must_use]
+    pub fn allocated(&self) -> usize {
+        self.partial
+            .as_ref()
+            .map_or(0, |partial| partial.body.allocated())
+    }
+
+    /// Returns the bytes that are allocated for the body after `count` more bytes have been read, at most.
+    #[must_use]
+    pub fn allocated_after(&self, count: usize) -> usize {
+        // Before the head is complete, the body begins with what follows it.
+        self.partial
+            .as_ref()
+            .map_or(count, |partial| partial.body.allocated_after(count))
+    }
+
+    /// Returns whether a body is arriving.
+    #[must_use]
+    pub fn is_mid_body(&self) -> bool {
+        self.partial.is_some()
+    }
+
+    /// Returns the id of the request whose body is arriving, if it has one.
+    #[must_use]
+    pub fn request_id(&self) -> Option<Arc<str>> {
+        self.partial.as_ref()?.request.id.clone()
+    }
+
+    /// Returns how long the caller of the request whose body is arriving waits, if it states that.
+    #[must_use]
+    pub fn caller_timeout(&self) -> Option<Duration> {
+        self.partial.as_ref()?.request.caller_timeout
+    }
+
+    /// Drops what has been received of a request. The connection cannot be used further.
+    pub fn discard(&mut self) {
+        self.partial = None;
+        self.head_since = None;
+    }
+
     /// Returns whether the caller waits for `100 Continue` before it sends the body. Returns `true` at most
     /// once for each request.
     pub fn take_expect_continue(&mut self) -> bool {
@@ -95,7 +136,7 @@
             return Ok(None);
         }
         let complete = self.partial.take().map(|mut partial| {
-            partial.request.body = partial.body.freeze();
+            partial.request.body = partial.body.finish();
             partial.request
         });
         Ok(complete)
@@ -159,7 +200,7 @@
         caller_timeout: None,
         key: CallerKey::Absent,
         fields: Bytes::new(),
-        body: Bytes::new(),
+        body: Body::default(),
         close: wants_close(&connection, head.version),
     };
     let mut block = FieldBlock::default();
@@ -214,7 +255,7 @@
     Ok(Partial {
         request,
         decoder,
-        body: BytesMut::new(),
+        body: BodyBuffer::default(),
         expects_continue,
     })
 }
--- a/crates/marigold-sidecar/src/http1/response.rs
+++ b/crates/marigold-sidecar/src/http1/response.rs
@@ -2,6 +2,8 @@
 
 use bytes::Bytes;
 
+use crate::Body;
+
 /// A complete response.
 #[derive(Debug, Clone, Default, PartialEq, Eq)]
 pub struct Response {
@@ -10,5 +12,5 @@
     /// Encoded header fields to forward.
     pub fields: Bytes,
     /// Body without transfer encoding.
-    pub body: Bytes,
+    pub body: Body,
 }
--- a/crates/marigold-sidecar/src/http1/response_reader.rs
+++ b/crates/marigold-sidecar/src/http1/response_reader.rs
@@ -8,7 +8,7 @@
 
 use super::field_block::is_hop_by_hop;
 use super::{BodyDecoder, FieldBlock, HttpError, Response};
-use crate::HeaderNames;
+use crate::{BodyBuffer, HeaderNames};
 
 /// First byte of a response.
 const STATUS_LINE_START: u8 = b'H';
@@ -56,7 +56,7 @@
 struct Partial {
     parsed: ParsedResponse,
     decoder: BodyDecoder,
-    body: BytesMut,
+    body: BodyBuffer,
 }
 
 /// Parses the responses on one connection.
@@ -122,6 +122,14 @@
             .map_or(0, |partial| partial.body.len())
     }
 
+    /// Returns the bytes that are allocated for the body after `count` more bytes have been read, at most.
+    #[must_use]
+    pub fn allocated_after(&self, count: usize) -> usize {
+        self.partial
+            .as_ref()
+            .map_or(count, |partial| partial.body.allocated_after(count))
+    }
+
     /// Returns the response whose body was delimited by the orderly close of the connection.
     ///
     /// # Errors
@@ -139,7 +147,7 @@
             return ParsedResponse::default();
         };
         let mut parsed = partial.parsed;
-        parsed.response.body = partial.body.freeze();
+        parsed.response.body = partial.body.finish();
         parsed
     }
 
@@ -233,7 +241,7 @@
     Ok(Partial {
         parsed,
         decoder,
-        body: BytesMut::new(),
+        body: BodyBuffer::default(),
     })
 }
 
--- a/crates/marigold-sidecar/src/ingress.rs
+++ b/crates/marigold-sidecar/src/ingress.rs
@@ -4,6 +4,7 @@
 mod caller_check;
 mod config_freshness;
 mod connection;
+mod listener;
 mod mesh;
 mod quotas;
 mod request_handler;
@@ -12,7 +13,7 @@
 mod rollout_routing;
 
 pub use config_freshness::ConfigFreshness;
-pub use connection::listen;
+pub use listener::listen;
 pub use mesh::{Mesh, MeshOptions, StoreUpdateListener, Tuning};
 pub use quotas::{OverQuota, Quotas};
 pub use request_handler::{Ingress, IngressOptions};
--- /dev/null
+++ b/crates/marigold-sidecar/src/ingress/listener.rs
@@ -0,0 +1,33 @@
+//! Accepts connections of callers.
+
+use std::rc::Rc;
+use std::time::Duration;
+
+use tokio::net::TcpListener;
+use tokio::time::sleep;
+
+use super::connection::Connection;
+use super::request_handler::Ingress;
+
+/// Delay after a failed accept, for example when file descriptors are exhausted.
+const ACCEPT_RETRY_DELAY: Duration = Duration::from_millis(20);
+
+/// Accepts connections of callers until the task is dropped.
+pub async fn listen(ingress: Rc<Ingress>, listener: TcpListener) {
+    loop {
+        match listener.accept().await {
+            Ok((stream, _)) => {
+                let connection = Connection::new(ingress.clone(), stream);
+                tokio::task::spawn_local(async move {
+                    if let Err(error) = connection.serve().await {
+                        spdlog::debug!("caller connection failed: {error}");
+                    }
+                });
+            }
+            Err(error) => {
+                spdlog::warn!("failed to accept a caller connection: {error}");
+                sleep(ACCEPT_RETRY_DELAY).await;
+            }
+        }
+    }
+}
--- a/crates/marigold-sidecar/src/ingress/mesh.rs
+++ b/crates/marigold-sidecar/src/ingress/mesh.rs
@@ -18,11 +18,11 @@
 
 use super::quotas::Quotas;
 use super::rollout_routing::RolloutListener;
-use crate::CrashTracker;
 use crate::events::{EventLog, Severity};
 use crate::link::{
-    Call, Follow, LinkClient, LinkEvent, OpenCall, Reply, SendQueueFull, StoreUpdate,
+    Call, Follow, LinkClient, LinkEvent, LinkMemory, OpenCall, Reply, SendQueueFull, StoreUpdate,
 };
+use crate::{CrashTracker, MemoryBudget};
 
 /// Delay before unreachable executors are replaced, since an outage of an instance or a data centre makes
 /// many executors unreachable at the same time.
@@ -37,6 +37,8 @@
     pub data_centre: DataCentre,
     /// Settings that can change at run time.
     pub tuning: Tuning,
+    /// The budget that replies count towards.
+    pub memory: Rc<MemoryBudget>,
 }
 
 /// Settings of a [`Mesh`] that take effect immediately when they change.
@@ -71,6 +73,7 @@
     /// The quotas of workspaces.
     pub quotas: Rc<Quotas>,
     pub(super) data_centre: DataCentre,
+    memory: Rc<MemoryBudget>,
     tuning: Cell<Tuning>,
     events: Rc<EventLog>,
     link_selector: LinkSelector,
@@ -111,6 +114,7 @@
                 })
             }),
             data_centre: options.data_centre.clone(),
+            memory: options.memory.clone(),
             tuning: Cell::new(options.tuning),
             events,
             link_selector,
@@ -397,7 +401,10 @@
                     mesh.handle_event(from, event);
                 }
             });
-            LinkClient::start(address, listener)
+            let memory = LinkMemory {
+                budget: self.memory.clone(),
+            };
+            LinkClient::start(address, listener, memory)
         };
         let mut links = self.links.borrow_mut();
         links.entry(address).or_insert_with(start).clone()
--- a/crates/marigold-sidecar/src/ingress/request_handler.rs
+++ b/crates/marigold-sidecar/src/ingress/request_handler.rs
@@ -39,7 +39,7 @@
 use crate::events::EventLog;
 use crate::http1::{Request, Response};
 use crate::link::{CallOutcome, CallResult, Reply};
-use crate::{HeaderNames, Lifecycle};
+use crate::{HeaderNames, Lifecycle, MemoryBudget};
 
 /// Timeout of callers whose request states none.
 const DEFAULT_CALLER_TIMEOUT: Duration = Duration::from_secs(10);
@@ -65,8 +65,8 @@
     pub origin: ServiceName,
     /// Initial grace period of a shutdown, see [`Lifecycle::set_grace`].
     pub grace: Duration,
-    /// Limit on the total size of buffered request bodies; further requests are refused.
-    pub body_budget_bytes: usize,
+    /// The budget of the process.
+    pub memory: Rc<MemoryBudget>,
 }
 
 /// The side of a daemon that serves callers.
@@ -86,7 +86,6 @@
     /// The shutdown of the daemon.
     pub lifecycle: Rc<Lifecycle>,
     in_flight: Cell<usize>,
-    buffered_body_bytes: Cell<usize>,
     /// When the configuration was last known to be the newest.
     pub freshness: ConfigFreshness,
     /// The newest configuration version that other daemons have routed calls by.
@@ -108,7 +107,6 @@
             target_cycles: RefCell::default(),
             caller_timeouts: RefCell::default(),
             in_flight: Cell::new(0),
-            buffered_body_bytes: Cell::new(0),
             freshness: ConfigFreshness::default(),
             newest_seen_version: watch::Sender::new(Version::default()),
         })
@@ -153,14 +151,17 @@
         self.table()
     }
 
-    /// Returns the limits on callers, or the defaults before the first configuration.
+    /// Returns the limits on callers, or the defaults before the first configuration. A body has to fit the memory of the
+    /// instance as well.
     #[must_use]
     pub fn limits(&self) -> CallerLimits {
         let table = self.table.borrow();
-        table
-            .as_ref()
-            .map(|table| table.limits())
-            .unwrap_or_default()
+        let limits = table.as_ref().map(|table| table.limits());
+        let limits = limits.unwrap_or_default();
+        CallerLimits {
+            max_body: limits.max_body.min(self.options.memory.max_body()),
+            ..limits
+        }
     }
 
     /// Returns the number of requests in flight.
@@ -172,7 +173,7 @@
     /// Processes one request of a caller; dropping the future cancels it.
     pub async fn serve(self: Rc<Self>, request: Request) -> Response {
         let began = Instant::now();
-        let _in_flight = InFlightRequest::new(&self, request.body.len());
+        let _in_flight = InFlightRequest::new(&self);
         let mut trace = RequestTrace::default();
         let outcome = self.process(&request, began, &mut trace).await;
         self.record_request(&request, &outcome, &trace, began.elapsed());
@@ -206,9 +207,6 @@
         let Some(id) = request.id.clone() else {
             return invalid(400, "the request has no id");
         };
-        if self.buffered_body_bytes.get() > self.options.body_budget_bytes {
-            return not_run("too many request bodies are held", UNAVAILABLE_RETRY_DELAY);
-        }
         let Some(service) = self.select_service(&table, &route) else {
             return not_run("the route has no service", UNAVAILABLE_RETRY_DELAY);
         };
--- a/crates/marigold-sidecar/src/ingress/request_handler/request_context.rs
+++ b/crates/marigold-sidecar/src/ingress/request_handler/request_context.rs
@@ -42,7 +42,7 @@
                 self.origin,
                 &request.method,
                 &request.target,
-                &request.body,
+                &request.body.prefix(Fingerprint::BODY_BYTES),
             )
         })
     }
--- a/crates/marigold-sidecar/src/ingress/request_handler/request_log.rs
+++ b/crates/marigold-sidecar/src/ingress/request_handler/request_log.rs
@@ -61,6 +61,19 @@
             ],
         );
     }
+
+    /// Records that a request was rejected before it had arrived completely. It has not run.
+    pub fn record_rejection(&self, id: Option<&str>, status: u16) {
+        self.events.emit(
+            "request_rejected",
+            Severity::Info,
+            &[
+                ("request", id.unwrap_or_default().into()),
+                ("status", status.into()),
+                ("held_kib", (self.options.memory.held() >> 10).into()),
+            ],
+        );
+    }
 }
 
 fn millis(time: Duration) -> u64 {
--- a/crates/marigold-sidecar/src/ingress/request_outcome.rs
+++ b/crates/marigold-sidecar/src/ingress/request_outcome.rs
@@ -107,7 +107,7 @@
         Response {
             status,
             fields: fields.freeze(),
-            body: Bytes::from_static(reason.as_bytes()),
+            body: Bytes::from_static(reason.as_bytes()).into(),
         }
     }
 }
--- a/crates/marigold-sidecar/src/lib.rs
+++ b/crates/marigold-sidecar/src/lib.rs
@@ -12,15 +12,19 @@
 pub mod ingress;
 pub mod link;
 
+mod body;
 mod boot_clock;
 mod crash_tracker;
 mod header_names;
 mod lifecycle;
+mod memory;
 mod settings;
 mod sidecar;
 
+pub use body::{Body, BodyBuffer, SEGMENT_BYTES};
 pub use crash_tracker::{CrashTracker, TrackedRun};
 pub use header_names::HeaderNames;
 pub use lifecycle::{Lifecycle, WorkGuard};
+pub use memory::{Charge, HolderKey, Holders, MemoryBudget, OutOfMemory, Share, ShrinkableCache};
 pub use settings::{BoundSettings, InstanceSettings, ListenSettings, RoutingSettings, Settings};
 pub use sidecar::{Adapter, SidecarError, load_settings, run};
--- a/crates/marigold-sidecar/src/link.rs
+++ b/crates/marigold-sidecar/src/link.rs
@@ -4,7 +4,6 @@
 //! connections. After a reconnect both ends agree on the state of each open call: it is still running, it
 //! has ended and its outcome is sent again, or it was never received and will never run. See docs/design/platform.md.
 
-mod body_budget;
 mod call_id;
 mod client;
 mod frame;
@@ -17,9 +16,8 @@
 mod session;
 mod socket;
 
-pub use body_budget::{BodyBudget, BodyReservation};
 pub use call_id::{CallId, SessionId};
-pub use client::{LinkClient, LinkEvent, LinkListener, OpenCall, SendQueueFull};
+pub use client::{LinkClient, LinkEvent, LinkListener, LinkMemory, OpenCall, SendQueueFull};
 pub use frame::{
     Call, ConfigChange, Follow, Frame, Hello, Reply, RolloutEntry, RolloutUpdate, SiteRecord,
     StoreUpdate, Welcome,
--- a/crates/marigold-sidecar/src/link/client.rs
+++ b/crates/marigold-sidecar/src/link/client.rs
@@ -16,11 +16,12 @@
 use tokio::sync::{Notify, oneshot};
 use tokio_util::codec::Encoder;
 
-use super::frame_codec::{MAX_BODY_PART_BYTES, Packet};
+use super::frame_codec::{MAX_BODY_PART_BYTES, MAX_ENCODED_BYTES, Packet};
 use super::open_calls::OpenCalls;
 use super::{
     Call, CallId, CallResult, Follow, Frame, FrameCodec, RolloutUpdate, SessionId, StoreUpdate,
 };
+use crate::{Body, MemoryBudget};
 
 /// Limit on the bodies in the send queue, beyond which calls are refused.
 const MAX_QUEUED_BYTES: usize = 4 << 20;
@@ -57,6 +58,13 @@
     VersionCounts(VersionCounts),
 }
 
+/// Where a link keeps bodies.
+#[derive(Debug, Clone)]
+pub struct LinkMemory {
+    /// The budget that replies count towards.
+    pub budget: Rc<MemoryBudget>,
+}
+
 /// The send queue is full, so the call was not sent.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub struct SendQueueFull;
@@ -67,6 +75,7 @@
     /// Large bodies in parts, each followed by its call. Everything in `queue` goes first, so that they delay it by one part
     /// at most.
     bulk: VecDeque<Packet>,
+    /// Bytes of the bodies in `queue`.
     queued_bytes: usize,
     epoch: u32,
     /// Run of the executor's daemon, as of the last handshake.
@@ -82,6 +91,7 @@
     wake: Notify,
     closed: Cell<bool>,
     listener: LinkListener,
+    memory: LinkMemory,
 }
 
 /// Sends calls to one executor. The connection is opened at the start and again when it is needed.
@@ -94,7 +104,7 @@
     /// Starts a session with the executor at `address`. The connection is handled by a task on the current
     /// local task set.
     #[must_use]
-    pub fn start(address: SocketAddr, listener: LinkListener) -> Self {
+    pub fn start(address: SocketAddr, listener: LinkListener, memory: LinkMemory) -> Self {
         let shared = Rc::new(Shared {
             address,
             session: SessionId(rand::random()),
@@ -110,6 +120,7 @@
             wake: Notify::new(),
             closed: Cell::new(false),
             listener,
+            memory,
         });
         tokio::task::spawn_local(connection::run(shared.clone()));
         Self { shared }
@@ -129,7 +140,7 @@
         call.id = id;
         call.floor = state.open_calls.floor();
         let body = std::mem::take(&mut call.body);
-        state.push_call(call, body);
+        state.push_call(call, &body);
         drop(state);
         self.shared.wake.notify_one();
         Ok(OpenCall {
@@ -204,32 +215,50 @@
         self.queue.push_back(packet);
     }
 
-    fn push_call(&mut self, call: Call, mut body: Bytes) {
+    fn push_call(&mut self, call: Call, body: &Body) {
         if body.len() <= MAX_BODY_PART_BYTES {
-            let frame = Frame::Call(call);
+            let (frame, body) = (Frame::Call(call), body.to_bytes());
             return self.push(Packet { frame, body });
         }
-        self.queued_bytes += body.len();
-        while body.len() > MAX_BODY_PART_BYTES {
-            let part = body.split_to(MAX_BODY_PART_BYTES);
-            self.bulk.push_back(Packet {
-                frame: Frame::BodyPart(call.id),
-                body: part,
-            });
-        }
-        let frame = Frame::Call(call);
+        let parts = body.parts(MAX_BODY_PART_BYTES).map(|part| Packet {
+            frame: Frame::BodyPart(call.id),
+            body: part,
+        });
+        self.bulk.extend(parts);
+        let (frame, body) = (Frame::Call(call), Bytes::new());
         self.bulk.push_back(Packet { frame, body });
     }
 
+    /// Drops the queued bodies of calls that are no longer open.
+    fn drop_unneeded(&mut self) {
+        let open_calls = &self.open_calls;
+        let is_needed = |packet: &Packet| match &packet.frame {
+            Frame::Call(call) => open_calls.is_open(call.id),
+            Frame::BodyPart(id) => open_calls.is_open(*id),
+            _ => true,
+        };
+        self.bulk.retain(is_needed);
+        self.queue.retain(is_needed);
+        self.queued_bytes = self.queue.iter().map(|packet| packet.body.len()).sum();
+    }
+
+    /// Returns whether packets are left that [`Self::encode`] has not encoded.
+    fn has_output(&self) -> bool {
+        !self.queue.is_empty() || !self.bulk.is_empty()
+    }
+
     fn clear_queues(&mut self) {
         self.queue.clear();
         self.bulk.clear();
         self.queued_bytes = 0;
     }
 
-    /// Encodes the queued packets and one part of a large body, and discards those of calls that are no longer open.
+    /// Encodes queued packets and one part of a large body, and discards those of calls that are no longer open.
     fn encode(&mut self, codec: &mut FrameCodec, out: &mut BytesMut) -> io::Result<()> {
-        while let Some(packet) = self.queue.pop_front() {
+        while out.len() < MAX_ENCODED_BYTES
+            && let Some(packet) = self.queue.pop_front()
+        {
+            self.queued_bytes -= packet.body.len();
             self.encode_needed(packet, codec, out)?;
         }
         while let Some(packet) = self.bulk.pop_front() {
@@ -247,7 +276,6 @@
         codec: &mut FrameCodec,
         out: &mut BytesMut,
     ) -> io::Result<bool> {
-        self.queued_bytes -= packet.body.len();
         let is_needed = match &packet.frame {
             Frame::Call(call) => self.open_calls.mark_sent(call.id),
             Frame::BodyPart(id) => self.open_calls.mark_sent(*id),
@@ -289,6 +317,7 @@
                 body: Bytes::new(),
             });
         }
+        state.drop_unneeded();
         self.shared.wake.notify_one();
     }
 }
--- a/crates/marigold-sidecar/src/link/client/connection.rs
+++ b/crates/marigold-sidecar/src/link/client/connection.rs
@@ -1,6 +1,7 @@
 //! The connection of a link: opening it, sending what is queued and receiving, until the link is closed.
 
 use std::cell::Cell;
+use std::collections::HashMap;
 use std::io;
 use std::rc::Rc;
 use std::time::Duration;
@@ -14,8 +15,10 @@
 use tokio_util::codec::{Decoder, Encoder};
 
 use super::{LinkEvent, Shared};
+use crate::Body;
 use crate::link::frame::{CRASH_RECORDS_FEATURE, QUOTA_FEATURE};
 use crate::link::frame_codec::Packet;
+use crate::link::incoming_body::IncomingBody;
 use crate::link::keepalive::{Keepalive, KeepaliveAction};
 use crate::link::{
     CallId, CallOutcome, CallResult, Frame, FrameCodec, Hello, Reply, Welcome, set_socket_options,
@@ -79,6 +82,7 @@
         (true, true) => Some(CallResult::ExecutorTerminated),
         (true, false) => None,
     });
+    state.drop_unneeded();
     drop(state);
     if refused {
         (shared.listener)(shared.address, LinkEvent::Terminated);
@@ -166,7 +170,7 @@
             if shared.has_ended() {
                 return Ok(());
             }
-            if !shared.state.borrow().bulk.is_empty() {
+            if shared.state.borrow().has_output() {
                 continue;
             }
             match keepalive.wait(is_waiting) {
@@ -193,15 +197,20 @@
     last_received: Rc<Cell<Instant>>,
 ) -> io::Result<()> {
     let mut codec = FrameCodec::default();
-    let mut parts = std::collections::HashMap::<CallId, BytesMut>::new();
+    let mut parts = HashMap::<CallId, IncomingBody>::new();
+    let new_body = || IncomingBody::new(&shared.memory.budget);
     loop {
         while let Some(Packet { frame, body }) = codec.decode(&mut input)? {
             match frame {
                 Frame::Reply(reply) => {
-                    let body = join_parts(parts.remove(&reply.id), body);
+                    let incoming = parts.remove(&reply.id).unwrap_or_else(new_body);
+                    let body = incoming.finish(&body).await;
                     handle_reply(&shared, reply, body);
                 }
-                Frame::BodyPart(id) => parts.entry(id).or_default().extend_from_slice(&body),
+                Frame::BodyPart(id) => {
+                    let incoming = parts.entry(id).or_insert_with(new_body);
+                    incoming.push(&body).await;
+                }
                 Frame::CrashRecords(records) => {
                     (shared.listener)(shared.address, LinkEvent::CrashRecords(records));
                 }
@@ -235,25 +244,23 @@
     }
 }
 
-/// Joins the last part of a body to the parts received before it.
-pub fn join_parts(earlier: Option<BytesMut>, last: Bytes) -> Bytes {
-    match earlier {
-        None => last,
-        Some(mut body) => {
-            body.extend_from_slice(&last);
-            body.freeze()
-        }
-    }
-}
-
-fn handle_reply(shared: &Shared, mut reply: Reply, body: Bytes) {
-    reply.body = body;
+/// Resolves a call by its reply. A response without `body`, for which there was no memory, is lost.
+fn handle_reply(shared: &Shared, mut reply: Reply, body: Option<Body>) {
     // Daemons of earlier versions pass on any status.
     if let CallOutcome::Answered { status, .. } = reply.outcome
         && ResponseHead::new(status, false).is_err()
     {
         reply.outcome = CallOutcome::Lost { broken: true };
     }
+    if let Some(body) = body {
+        reply.body = body;
+        if let CallOutcome::Answered { fields, .. } = &mut reply.outcome {
+            *fields = shared.memory.budget.hold_fields(std::mem::take(fields));
+        }
+    } else {
+        metrics::counter!("marigold_replies_dropped_total").increment(1);
+        reply.outcome = CallOutcome::Lost { broken: true };
+    }
     (shared.listener)(shared.address, LinkEvent::Report(reply.site.clone()));
     let mut state = shared.state.borrow_mut();
     state
--- a/crates/marigold-sidecar/src/link/frame.rs
+++ b/crates/marigold-sidecar/src/link/frame.rs
@@ -14,6 +14,7 @@
 use serde::{Deserialize, Serialize};
 
 use super::{CallId, CallOutcome, SessionId};
+use crate::Body;
 
 /// Body of a [`Frame::Hello`] from a daemon that understands the present format of [`Frame::CrashRecords`]. Older
 /// daemons send none or another one, and send no records to a daemon that sends this one.
@@ -195,7 +196,7 @@
     pub fields: Bytes,
     /// Body of the request. It follows the encoded frame.
     #[serde(skip)]
-    pub body: Bytes,
+    pub body: Body,
 }
 
 impl Call {
@@ -207,7 +208,7 @@
             &self.origin,
             &self.method,
             &self.target,
-            &self.body,
+            &self.body.prefix(Fingerprint::BODY_BYTES),
         )
     }
 }
@@ -227,5 +228,5 @@
     pub site: SiteReport,
     /// Body of the response. It follows the encoded frame.
     #[serde(skip)]
-    pub body: Bytes,
+    pub body: Body,
 }
--- a/crates/marigold-sidecar/src/link/frame_codec.rs
+++ b/crates/marigold-sidecar/src/link/frame_codec.rs
@@ -9,6 +9,8 @@
 
 /// Limit on the size of a packet.
 const MAX_FRAME_BYTES: usize = 8 << 20;
+/// Limit on the packets that are encoded at once, apart from the last one. They exist twice until they are sent.
+pub const MAX_ENCODED_BYTES: usize = 128 << 10;
 /// Longer bodies are split into several frames, so that they do not delay other messages for long.
 pub const MAX_BODY_PART_BYTES: usize = 64 << 10;
 
--- a/crates/marigold-sidecar/src/link/incoming_body.rs
+++ b/crates/marigold-sidecar/src/link/incoming_body.rs
@@ -1,54 +1,57 @@
-//! The body of a call while its parts arrive.
+//! The body of a call or reply while its parts arrive.
 
-use bytes::{Bytes, BytesMut};
+use std::rc::Rc;
 
-use super::body_budget::BodyReservation;
+use bytes::Bytes;
+use marigold_dispatch::Claimant;
 
-/// The parts of a body received so far, or none of them once the budget is exceeded.
+use crate::{Body, Charge, MemoryBudget};
+
+/// The parts of a body received so far, or none of them once there was no memory for one.
 #[derive(Debug)]
 pub struct IncomingBody {
-    bytes: BytesMut,
+    memory: Rc<MemoryBudget>,
+    parts: Vec<Bytes>,
     /// `None` once a part did not fit.
-    reservation: Option<BodyReservation>,
+    charge: Option<Charge>,
 }
 
 impl IncomingBody {
     /// Creates a body without parts.
-    pub fn new(reservation: BodyReservation) -> Self {
+    pub fn new(memory: &Rc<MemoryBudget>) -> Self {
         Self {
-            bytes: BytesMut::new(),
-            reservation: Some(reservation),
+            memory: memory.clone(),
+            parts: Vec::new(),
+            charge: Some(memory.charge()),
         }
     }
 
     /// Adds a part, or drops the body if it does not fit.
-    pub fn push(&mut self, part: &[u8]) {
-        if self.reserve(part.len()) {
-            self.bytes.extend_from_slice(part);
-        }
-    }
-
-    /// Adds the last part. Returns the whole body, or `None` if it did not fit.
-    pub fn finish(mut self, last: Bytes) -> Option<(Bytes, BodyReservation)> {
-        // A body in one part is small, and is not refused because of large ones.
-        let is_only_part = self.bytes.is_empty() && self.reservation.is_some();
-        if !is_only_part {
-            self.reserve(last.len());
+    pub async fn push(&mut self, part: &[u8]) {
+        let Some(charge) = &mut self.charge else {
+            return;
+        };
+        if part.is_empty() {
+            return;
         }
-        let reservation = self.reservation?;
-        if self.bytes.is_empty() {
-            return Some((last, reservation));
+        let bytes = charge.bytes() + part.len();
+        let grown = self.memory.grow(charge, bytes, Claimant::Transit).await;
+        if grown.is_ok() {
+            // The part shares the read buffer of the link, which must not be kept for it.
+            self.parts.push(Bytes::copy_from_slice(part));
+        } else {
+            self.charge = None;
+            self.parts = Vec::new();
         }
-        self.bytes.extend_from_slice(&last);
-        Some((self.bytes.freeze(), reservation))
     }
 
-    fn reserve(&mut self, bytes: usize) -> bool {
-        let fits = (self.reservation.as_mut()).is_some_and(|reservation| reservation.grow(bytes));
-        if !fits {
-            self.reservation = None;
-            self.bytes = BytesMut::new();
+    /// Adds the last part. Returns the whole body, or `None` if it did not fit.
+    pub async fn finish(mut self, last: &[u8]) -> Option<Body> {
+        self.push(last).await;
+        let charge = self.charge?;
+        if self.parts.is_empty() {
+            return Some(Body::default());
         }
-        fits
+        Some(charge.attach(&Body::from_iter(self.parts)))
     }
 }
--- a/crates/marigold-sidecar/src/link/open_calls.rs
+++ b/crates/marigold-sidecar/src/link/open_calls.rs
@@ -45,6 +45,11 @@
         self.calls.is_empty()
     }
 
+    /// Returns whether the call is open.
+    pub fn is_open(&self, id: CallId) -> bool {
+        self.calls.contains_key(&id)
+    }
+
     /// Returns whether any open call may have been received by the executor.
     pub fn has_sent(&self) -> bool {
         self.calls.values().any(|open| open.sent)
--- a/crates/marigold-sidecar/src/link/server.rs
+++ b/crates/marigold-sidecar/src/link/server.rs
@@ -19,15 +19,15 @@
 use tokio_util::codec::{Decoder, Encoder};
 use tokio_util::sync::CancellationToken;
 
-use super::body_budget::BodyBudget;
 use super::frame::{CRASH_RECORDS_FEATURE, QUOTA_FEATURE};
-use super::frame_codec::Packet;
+use super::frame_codec::{MAX_ENCODED_BYTES, Packet};
 use super::incoming_body::IncomingBody;
 use super::session::Session;
 use super::{
-    BodyReservation, Call, CallId, CallOutcome, Follow, Frame, FrameCodec, Hello, Reply,
-    ReplyHandle, RolloutUpdate, SessionId, StoreUpdate, Welcome, set_socket_options,
+    Call, CallId, CallOutcome, Follow, Frame, FrameCodec, Hello, Reply, ReplyHandle, RolloutUpdate,
+    SessionId, StoreUpdate, Welcome, set_socket_options,
 };
+use crate::{Body, MemoryBudget, ShrinkableCache};
 
 /// Timeout for the first frame of a connection.
 const HELLO_TIMEOUT: Duration = Duration::from_secs(1);
@@ -97,7 +97,7 @@
     store_sync: RefCell<Option<Rc<dyn StoreSync>>>,
     quotas: RefCell<Option<Rc<dyn QuotaHandler>>>,
     sessions: RefCell<HashMap<SessionId, Rc<Session>>>,
-    bodies: Rc<BodyBudget>,
+    memory: RefCell<Rc<MemoryBudget>>,
 }
 
 impl LinkServer {
@@ -110,7 +110,7 @@
             store_sync: RefCell::default(),
             quotas: RefCell::default(),
             sessions: RefCell::new(HashMap::new()),
-            bodies: BodyBudget::new(usize::MAX),
+            memory: RefCell::new(MemoryBudget::unlimited()),
         })
     }
 
@@ -130,10 +130,11 @@
         }
     }
 
-    /// Returns the limit on the bodies of calls, which has to be set.
-    #[must_use]
-    pub fn bodies(&self) -> &Rc<BodyBudget> {
-        &self.bodies
+    /// Sets the budget that calls and kept responses count towards.
+    pub fn set_memory(self: &Rc<Self>, memory: &Rc<MemoryBudget>) {
+        *self.memory.borrow_mut() = memory.clone();
+        let server: Rc<dyn ShrinkableCache> = self.clone();
+        memory.add_cache(Rc::downgrade(&server));
     }
 
     /// Sets the handler of store updates.
@@ -255,7 +256,7 @@
         push_crash_records(&session, &self.handler.crash_records());
         let (reader, writer) = stream.into_split();
         let result = tokio::select! {
-            result = self.read(&session, epoch, reader, codec, input) => result,
+            result = self.read(&session, &hello, reader, codec, input) => result,
             result = write(&session, epoch, writer, out) => result,
         };
         session.detach(epoch, Instant::now());
@@ -265,7 +266,7 @@
     async fn read(
         &self,
         session: &Rc<Session>,
-        epoch: u32,
+        hello: &Hello,
         mut reader: OwnedReadHalf,
         mut codec: FrameCodec,
         mut input: BytesMut,
@@ -275,20 +276,23 @@
             while let Some(Packet { frame, body }) = codec.decode(&mut input)? {
                 // Calls that had not been received when a newer connection was opened have been reported as
                 // unknown, so they must not run.
-                if !session.is_current(epoch) {
+                if !session.is_current(hello.epoch) {
                     return Ok(());
                 }
                 match frame {
                     Frame::Call(call) => {
                         let incoming = parts.remove(&call.id);
                         let incoming = incoming.unwrap_or_else(|| self.new_body());
-                        self.start_call(session, call, incoming.finish(body));
+                        let body = incoming.finish(&body).await;
+                        // The connection may have been replaced during the wait for memory.
+                        if !session.is_current(hello.epoch) {
+                            return Ok(());
+                        }
+                        self.start_call(session, call, body);
                     }
                     Frame::BodyPart(id) => {
-                        parts
-                            .entry(id)
-                            .or_insert_with(|| self.new_body())
-                            .push(&body);
+                        let incoming = parts.entry(id).or_insert_with(|| self.new_body());
+                        incoming.push(&body).await;
                     }
                     Frame::Cancel(id) => {
                         parts.remove(&id);
@@ -334,24 +338,18 @@
 
 impl LinkServer {
     fn new_body(&self) -> IncomingBody {
-        IncomingBody::new(self.bodies.reserve())
+        IncomingBody::new(&self.memory.borrow())
     }
 
     /// Starts a call with its body, or refuses it if the body did not fit in the budget.
-    fn start_call(
-        &self,
-        session: &Rc<Session>,
-        mut call: Call,
-        body: Option<(Bytes, BodyReservation)>,
-    ) {
-        let Some((mut reply, token)) =
-            session.open(call.id, call.floor, call.timeout, Instant::now())
+    fn start_call(&self, session: &Rc<Session>, mut call: Call, body: Option<Body>) {
+        let Some((reply, token)) = session.open(call.id, call.floor, call.timeout, Instant::now())
         else {
             return;
         };
-        if let Some((body, reservation)) = body {
+        if let Some(body) = body {
             call.body = body;
-            reply.hold(reservation);
+            call.fields = self.memory.borrow().hold_fields(call.fields);
             self.handler.start(call, reply, token);
             return;
         }
@@ -365,11 +363,21 @@
             waited: Duration::ZERO,
             ran: Duration::ZERO,
             site: self.handler.report(),
-            body: Bytes::new(),
+            body: Body::default(),
         });
     }
 }
 
+impl ShrinkableCache for LinkServer {
+    fn shrink(&self) -> bool {
+        let mut has_shrunk = false;
+        for session in self.sessions.borrow().values() {
+            has_shrunk |= session.drop_kept_bodies();
+        }
+        has_shrunk
+    }
+}
+
 fn push_crash_records(session: &Session, records: &[CrashRecord]) {
     if !session.takes_crash_records() {
         return;
@@ -411,7 +419,9 @@
         if !session.is_current(epoch) {
             return Ok(());
         }
-        while let Some(packet) = session.pop() {
+        while out.len() < MAX_ENCODED_BYTES
+            && let Some(packet) = session.pop()
+        {
             codec.encode(packet, &mut out)?;
         }
         if !out.is_empty() {
--- a/crates/marigold-sidecar/src/link/session.rs
+++ b/crates/marigold-sidecar/src/link/session.rs
@@ -12,7 +12,8 @@
 use tokio_util::sync::CancellationToken;
 
 use super::frame_codec::{MAX_BODY_PART_BYTES, Packet};
-use super::{BodyReservation, CallId, CallOutcome, Frame, Hello, Reply, StoreUpdate};
+use super::{CallId, CallOutcome, Frame, Hello, Reply, StoreUpdate};
+use crate::Body;
 
 /// Responses are kept for this long, since the ingress may not have received them. That they were given is known for
 /// longer: see [`Ended::until`].
@@ -144,6 +145,20 @@
         !ended.is_empty()
     }
 
+    /// Drops the bodies of kept responses while the session has a connection, which most likely delivers them; returns
+    /// whether there were any.
+    pub fn drop_kept_bodies(&self) -> bool {
+        let mut state = self.state.borrow_mut();
+        if state.detached_since.is_some() || state.kept_body_bytes == 0 {
+            return false;
+        }
+        let responses = std::mem::take(&mut state.responses);
+        for (id, _) in responses {
+            state.drop_response(id);
+        }
+        true
+    }
+
     /// Registers a call as running, or returns `None` if it was registered before. `timeout` is how long its ingress waits.
     /// Outcomes of calls below `floor` are dropped.
     pub fn open(
@@ -167,7 +182,6 @@
         state.running.insert(id, running);
         let handle = ReplyHandle {
             id,
-            body: None,
             session: Rc::downgrade(self),
         };
         Some((handle, token))
@@ -264,15 +278,18 @@
 
 impl State {
     fn send(&mut self, mut reply: Reply) {
-        let mut body = std::mem::take(&mut reply.body);
-        while body.len() > MAX_BODY_PART_BYTES {
-            let part = body.split_to(MAX_BODY_PART_BYTES);
-            self.queue.push_back(Packet {
+        let body = std::mem::take(&mut reply.body);
+        let mut last = Bytes::new();
+        if body.len() <= MAX_BODY_PART_BYTES {
+            last = body.to_bytes();
+        } else {
+            let parts = body.parts(MAX_BODY_PART_BYTES).map(|part| Packet {
                 frame: Frame::BodyPart(reply.id),
                 body: part,
             });
+            self.queue.extend(parts);
         }
-        let frame = Frame::Reply(reply);
+        let (frame, body) = (Frame::Reply(reply), last);
         self.queue.push_back(Packet { frame, body });
     }
 
@@ -294,14 +311,23 @@
             if !is_expired && self.kept_body_bytes <= MAX_KEPT_BODY_BYTES {
                 return;
             }
-            if let Some(Ended { reply, .. }) = self.ended.get_mut(id) {
-                self.kept_body_bytes -= reply.body.len();
-                reply.body = Bytes::new();
-                if matches!(reply.outcome, CallOutcome::Answered { .. }) {
-                    reply.outcome = CallOutcome::Lost { broken: true };
-                }
-            }
+            let id = *id;
             self.responses.pop_front();
+            self.drop_response(id);
+        }
+    }
+}
+
+impl State {
+    /// Drops the response of a call. That the backend server has run the request remains known.
+    fn drop_response(&mut self, id: CallId) {
+        let Some(Ended { reply, .. }) = self.ended.get_mut(&id) else {
+            return;
+        };
+        self.kept_body_bytes -= reply.body.len();
+        reply.body = Body::default();
+        if matches!(reply.outcome, CallOutcome::Answered { .. }) {
+            reply.outcome = CallOutcome::Lost { broken: true };
         }
     }
 }
@@ -309,8 +335,6 @@
 /// Sends the outcome of one call on the current connection of its session.
 pub struct ReplyHandle {
     id: CallId,
-    /// The share of the call's body in the budget, until the outcome is sent.
-    body: Option<BodyReservation>,
     session: Weak<Session>,
 }
 
@@ -321,11 +345,6 @@
         self.id
     }
 
-    /// Keeps the share of the call's body in the budget until the outcome is sent.
-    pub(super) fn hold(&mut self, body: BodyReservation) {
-        self.body = Some(body);
-    }
-
     /// Ends the call with `reply`, whose id is set here.
     pub fn send(self, mut reply: Reply) {
         reply.id = self.id;
--- a/crates/marigold-sidecar/src/sidecar.rs
+++ b/crates/marigold-sidecar/src/sidecar.rs
@@ -28,7 +28,7 @@
 use crate::ingress::{Ingress, IngressOptions, Mesh, MeshOptions, Tuning, listen};
 use crate::link::LinkServer;
 use crate::settings::{ListenSettings, Settings};
-use crate::{CrashTracker, HeaderNames};
+use crate::{CrashTracker, HeaderNames, MemoryBudget};
 
 /// Backlog of listening sockets, in connections.
 const LISTEN_BACKLOG: u32 = 1024;
@@ -38,10 +38,6 @@
 const SETTINGS_POLL_INTERVAL: Duration = Duration::from_secs(1);
 /// Time limit for deleting this daemon's record from the store at shutdown.
 const WITHDRAW_TIMEOUT: Duration = Duration::from_secs(1);
-/// The memory limit divided by this bounds the buffered request bodies.
-const BODY_MEMORY_DIVISOR: u64 = 4;
-/// The memory limit divided by this bounds the bodies of calls at the executor. A call that runs holds its body twice.
-const CALL_BODY_MEMORY_DIVISOR: u64 = 8;
 
 /// Platform-specific dependencies of a sidecar.
 pub struct Adapter {
@@ -188,16 +184,14 @@
     let sockets = Sockets::bind(&settings.listen)?;
     let store = (adapter.store)(settings.store);
     let crashes = CrashTracker::new(settings.listen.daemons, run_id, events.clone());
-    let mesh = build_mesh(settings, run_id, &crashes, events);
-    let ingress = build_ingress(settings, adapter, &mesh, events);
+    let memory = MemoryBudget::for_process(settings.instance.memory);
+    let mesh = build_mesh(settings, run_id, &memory, &crashes, events);
+    let ingress = build_ingress(settings, adapter, &memory, &mesh, events);
     let executor = build_executor(settings, adapter, &ingress, events);
     let server = LinkServer::new(run_id, executor.clone());
     executor.set_link_server(&server);
     crashes.set_link_server(&server);
-    let call_bodies = settings.instance.memory.0 / CALL_BODY_MEMORY_DIVISOR;
-    server
-        .bodies()
-        .set_limit(usize::try_from(call_bodies).unwrap_or(usize::MAX));
+    server.set_memory(&memory);
     let rollouts = Rollouts::new(RolloutParts {
         store: store.clone(),
         format: adapter.rollout_format.clone(),
@@ -304,6 +298,7 @@
 fn build_mesh(
     settings: &Settings,
     run_id: u64,
+    memory: &Rc<MemoryBudget>,
     crashes: &Rc<CrashTracker>,
     events: &Rc<EventLog>,
 ) -> Rc<Mesh> {
@@ -311,6 +306,7 @@
         address: settings.listen.daemons,
         data_centre: settings.instance.data_centre.clone(),
         tuning: mesh_tuning(settings),
+        memory: memory.clone(),
     };
     let rng = SmallRng::seed_from_u64(run_id);
     Mesh::new(&options, rng, crashes.clone(), events.clone())
@@ -329,15 +325,15 @@
 fn build_ingress(
     settings: &Settings,
     adapter: &Adapter,
+    memory: &Rc<MemoryBudget>,
     mesh: &Rc<Mesh>,
     events: &Rc<EventLog>,
 ) -> Rc<Ingress> {
-    let body_budget_bytes = settings.instance.memory.0 / BODY_MEMORY_DIVISOR;
     let options = IngressOptions {
         names: adapter.names.clone(),
         origin: settings.instance.service.clone(),
         grace: settings.bounds.grace,
-        body_budget_bytes: usize::try_from(body_budget_bytes).unwrap_or(usize::MAX),
+        memory: memory.clone(),
     };
     let ingress = Ingress::new(options, mesh.clone(), events.clone());
     ingress.freshness.set_max_age(settings.bounds.revocation);
@@ -352,6 +348,7 @@
 ) -> Rc<LocalExecutor> {
     let options = ExecutorOptions {
         lifecycle: ingress.lifecycle.clone(),
+        memory: ingress.options.memory.clone(),
         ..ExecutorOptions::new(adapter.names.clone(), settings.instance.memory.0)
     };
     let executor = LocalExecutor::new(options, ingress.mesh.crashes.clone(), events.clone());
--- a/crates/marigold-sidecar/tests/crashing_requests.rs
+++ b/crates/marigold-sidecar/tests/crashing_requests.rs
@@ -388,6 +388,7 @@
                 retry_slack: 0.0,
                 retry_window: Duration::from_secs(10),
             },
+            memory: marigold_sidecar::MemoryBudget::unlimited(),
         };
         let rng = SmallRng::seed_from_u64(run_id);
         let mesh = Mesh::new(&options, rng, tracker.clone(), events());
--- a/crates/marigold-sidecar/tests/endless_responses.rs
+++ b/crates/marigold-sidecar/tests/endless_responses.rs
@@ -10,6 +10,7 @@
     BackendPool, BackendRequest, ExchangeError, ExchangeOutcome, exchange,
 };
 use marigold_sidecar::http1::HttpError;
+use marigold_sidecar::{Body, MemoryBudget};
 use tokio::io::{AsyncReadExt, AsyncWriteExt};
 use tokio::net::TcpStream;
 use tokio::sync::Semaphore;
@@ -57,8 +58,10 @@
         id: "r1".into(),
         bodiless: false,
         bytes: Bytes::from_static(b"GET /a HTTP/1.1\r\nX-Id: r1\r\n\r\n"),
+        body: Body::default(),
         max_body_bytes: MAX_BODY_BYTES,
         large_bodies: large_bodies.clone(),
+        memory: MemoryBudget::unlimited(),
     }
 }
 
--- a/crates/marigold-sidecar/tests/quotas.rs
+++ b/crates/marigold-sidecar/tests/quotas.rs
@@ -66,6 +66,7 @@
             retry_slack: 0.0,
             retry_window: Duration::from_secs(10),
         },
+        memory: marigold_sidecar::MemoryBudget::unlimited(),
     };
     let crashes = CrashTracker::new(address, run_id, events.clone());
     let rng = SmallRng::seed_from_u64(run_id);
--- a/crates/marigold-sidecar/tests/rollouts/fixture.rs
+++ b/crates/marigold-sidecar/tests/rollouts/fixture.rs
@@ -426,6 +426,7 @@
             retry_slack: 0.0,
             retry_window: Duration::from_secs(10),
         },
+        memory: marigold_sidecar::MemoryBudget::unlimited(),
     };
     let crashes = CrashTracker::new(own, 0, events.clone());
     let mesh = Mesh::new(
