Bound the time that a caller says it waits

Cause: the time was added to the present one, which overflowed; the panic ended the task of the connection.

--- a/crates/marigold-sidecar/src/http1/request_reader.rs
+++ b/crates/marigold-sidecar/src/http1/request_reader.rs
@@ -12,6 +12,8 @@
 use super::{BodyDecoder, CallerKey, FieldBlock, HttpError, Request};
 use crate::{Body, BodyBuffer, HeaderNames};
 
+/// Limit on the time that a caller says it waits, so that it can be added to any other.
+const MAX_CALLER_TIMEOUT: Duration = Duration::from_hours(24);
 /// Limit on the header fields of a request.
 const MAX_FIELDS: usize = 100;
 
@@ -270,5 +272,9 @@
 
 fn parse_millis(text: &str) -> Option<Duration> {
     let millis: f64 = text.parse().ok()?;
-    Duration::try_from_secs_f64(millis / 1_000.0).ok()
+    let seconds = millis / 1_000.0;
+    if seconds > MAX_CALLER_TIMEOUT.as_secs_f64() {
+        return Some(MAX_CALLER_TIMEOUT);
+    }
+    Duration::try_from_secs_f64(seconds).ok()
 }
--- a/crates/marigold-sidecar/tests/requests.rs
+++ b/crates/marigold-sidecar/tests/requests.rs
@@ -100,6 +100,30 @@
     );
 }
 
+/// Each case lists what a caller says of the time that it waits, and the milliseconds that count.
+macro_rules! timeout_tests {
+    ($($name:ident: $value:literal => $millis:expr;)*) => {$(
+        #[test]
+        fn $name() {
+            let text = format!("GET /a HTTP/1.1\r\nX-Left: {}\r\n\r\n", $value);
+            let request = read(&text, 1_000).expect("a valid request").remove(0);
+            let expected: Option<u64> = $millis;
+            assert_eq!(request.caller_timeout, expected.map(std::time::Duration::from_millis));
+        }
+    )*};
+}
+
+timeout_tests! {
+    whole_number: "250" => Some(250);
+    fraction: "0.5e3" => Some(500);
+    longest_time: "86400000" => Some(86_400_000);
+    longer_time: "1e22" => Some(86_400_000);
+    infinite_time: "inf" => Some(86_400_000);
+    no_number: "NaN" => None;
+    negative_number: "-1" => None;
+    text: "soon" => None;
+}
+
 /// Each case lists the minor HTTP version, the `Connection` header and whether the connection is closed after
 /// the response.
 macro_rules! close_tests {
