Serve uploads of more than 4 MiB

Callers saw: an upload of more than 4 MiB got 503, alone and in calm, whatever `max_body_bytes` says.

Cause: the send queue of a link refuses calls beyond 4 MiB, large bodies included. A body of 64 MiB would not fit an instance of 88 MB twice either, once at the ingress and once at the executor of the same process.

Change: the limit of the queue is for small calls; large bodies, whose bytes the request holds already, are bounded by the memory budget and sent in parts between other messages as before. A call to the executor of the same process hands its large body over instead of sending it.

--- a/crates/marigold-sidecar/src/ingress/mesh.rs
+++ b/crates/marigold-sidecar/src/ingress/mesh.rs
@@ -20,7 +20,8 @@
 use super::rollout_routing::RolloutListener;
 use crate::events::{EventLog, Severity};
 use crate::link::{
-    Call, Follow, LinkClient, LinkEvent, LinkMemory, OpenCall, Reply, SendQueueFull, StoreUpdate,
+    BodyHandover, Call, Follow, LinkClient, LinkEvent, LinkMemory, OpenCall, Reply, SendQueueFull,
+    StoreUpdate,
 };
 use crate::{CrashTracker, MemoryBudget};
 
@@ -73,7 +74,10 @@
     /// The quotas of workspaces.
     pub quotas: Rc<Quotas>,
     pub(super) data_centre: DataCentre,
+    address: SocketAddr,
     memory: Rc<MemoryBudget>,
+    /// Takes large bodies of calls to this daemon itself.
+    handover: RefCell<Option<Rc<BodyHandover>>>,
     tuning: Cell<Tuning>,
     events: Rc<EventLog>,
     link_selector: LinkSelector,
@@ -114,7 +118,9 @@
                 })
             }),
             data_centre: options.data_centre.clone(),
+            address: options.address,
             memory: options.memory.clone(),
+            handover: RefCell::default(),
             tuning: Cell::new(options.tuning),
             events,
             link_selector,
@@ -221,6 +227,11 @@
         change(&mut self.placement.borrow_mut())
     }
 
+    /// Sets where large bodies of calls to this daemon itself are left. It has to be set before the first call.
+    pub fn set_handover(&self, handover: Rc<BodyHandover>) {
+        *self.handover.borrow_mut() = Some(handover);
+    }
+
     /// Sets the handler of store updates.
     pub fn set_update_listener(&self, listener: Rc<dyn StoreUpdateListener>) {
         *self.update_listener.borrow_mut() = Some(listener);
@@ -401,8 +412,10 @@
                     mesh.handle_event(from, event);
                 }
             });
+            let handover = self.handover.borrow().clone();
             let memory = LinkMemory {
                 budget: self.memory.clone(),
+                handover: handover.filter(|_| address == self.address),
             };
             LinkClient::start(address, listener, memory)
         };
--- a/crates/marigold-sidecar/src/link.rs
+++ b/crates/marigold-sidecar/src/link.rs
@@ -4,6 +4,7 @@
 //! connections. After a reconnect both ends agree on the state of each open call: it is still running, it
 //! has ended and its outcome is sent again, or it was never received and will never run. See docs/design/platform.md.
 
+mod body_handover;
 mod call_id;
 mod client;
 mod frame;
@@ -16,6 +17,7 @@
 mod session;
 mod socket;
 
+pub use body_handover::BodyHandover;
 pub use call_id::{CallId, SessionId};
 pub use client::{LinkClient, LinkEvent, LinkListener, LinkMemory, OpenCall, SendQueueFull};
 pub use frame::{
--- a/crates/marigold-sidecar/src/link/client.rs
+++ b/crates/marigold-sidecar/src/link/client.rs
@@ -19,11 +19,13 @@
 use super::frame_codec::{MAX_BODY_PART_BYTES, MAX_ENCODED_BYTES, Packet};
 use super::open_calls::OpenCalls;
 use super::{
-    Call, CallId, CallResult, Follow, Frame, FrameCodec, RolloutUpdate, SessionId, StoreUpdate,
+    BodyHandover, Call, CallId, CallResult, Follow, Frame, FrameCodec, RolloutUpdate, SessionId,
+    StoreUpdate,
 };
 use crate::{Body, MemoryBudget};
 
-/// Limit on the bodies in the send queue, beyond which calls are refused.
+/// Limit on the bodies of small calls in the send queue, beyond which further ones are refused. Large bodies are bounded by
+/// the memory of the process.
 const MAX_QUEUED_BYTES: usize = 4 << 20;
 
 /// Called with the executor's address and each event of the link to it.
@@ -63,6 +65,8 @@
 pub struct LinkMemory {
     /// The budget that replies count towards.
     pub budget: Rc<MemoryBudget>,
+    /// Takes large bodies, if the executor is in this process.
+    pub handover: Option<Rc<BodyHandover>>,
 }
 
 /// The send queue is full, so the call was not sent.
@@ -133,13 +137,17 @@
     /// If the send queue is full.
     pub fn call(&self, mut call: Call) -> Result<OpenCall, SendQueueFull> {
         let mut state = self.shared.state.borrow_mut();
-        if state.queued_bytes + call.body.len() > MAX_QUEUED_BYTES {
+        let is_small = call.body.len() <= MAX_BODY_PART_BYTES;
+        if is_small && state.queued_bytes + call.body.len() > MAX_QUEUED_BYTES {
             return Err(SendQueueFull);
         }
         let (id, result) = state.open_calls.open();
         call.id = id;
         call.floor = state.open_calls.floor();
-        let body = std::mem::take(&mut call.body);
+        let mut body = std::mem::take(&mut call.body);
+        if let (false, Some(handover)) = (is_small, &self.shared.memory.handover) {
+            handover.put(self.shared.session, id, std::mem::take(&mut body));
+        }
         state.push_call(call, &body);
         drop(state);
         self.shared.wake.notify_one();
@@ -207,6 +215,13 @@
     fn has_ended(&self) -> bool {
         self.closed.get() && self.state.borrow().open_calls.is_empty()
     }
+
+    /// Drops the body of a call that the executor of this process has not taken.
+    fn take_handed_over(&self, id: CallId) {
+        if let Some(handover) = &self.memory.handover {
+            handover.take(self.session, id);
+        }
+    }
 }
 
 impl State {
@@ -301,6 +316,7 @@
     pub async fn wait(mut self) -> CallResult {
         let result = (&mut self.result).await.unwrap_or(CallResult::Unreachable);
         self.is_open = false;
+        self.shared.take_handed_over(self.id);
         result
     }
 }
@@ -310,6 +326,7 @@
         if !self.is_open {
             return;
         }
+        self.shared.take_handed_over(self.id);
         let mut state = self.shared.state.borrow_mut();
         if state.open_calls.abandon(self.id) {
             state.push(Packet {
--- a/crates/marigold-sidecar/src/link/server.rs
+++ b/crates/marigold-sidecar/src/link/server.rs
@@ -19,6 +19,7 @@
 use tokio_util::codec::{Decoder, Encoder};
 use tokio_util::sync::CancellationToken;
 
+use super::body_handover::BodyHandover;
 use super::frame::{CRASH_RECORDS_FEATURE, QUOTA_FEATURE};
 use super::frame_codec::{MAX_ENCODED_BYTES, Packet};
 use super::incoming_body::IncomingBody;
@@ -98,6 +99,7 @@
     quotas: RefCell<Option<Rc<dyn QuotaHandler>>>,
     sessions: RefCell<HashMap<SessionId, Rc<Session>>>,
     memory: RefCell<Rc<MemoryBudget>>,
+    handover: Rc<BodyHandover>,
 }
 
 impl LinkServer {
@@ -111,6 +113,7 @@
             quotas: RefCell::default(),
             sessions: RefCell::new(HashMap::new()),
             memory: RefCell::new(MemoryBudget::unlimited()),
+            handover: Rc::default(),
         })
     }
 
@@ -137,6 +140,12 @@
         memory.add_cache(Rc::downgrade(&server));
     }
 
+    /// Returns where this daemon leaves large bodies of calls to itself.
+    #[must_use]
+    pub fn handover(&self) -> &Rc<BodyHandover> {
+        &self.handover
+    }
+
     /// Sets the handler of store updates.
     pub fn set_store_sync(&self, sync: Rc<dyn StoreSync>) {
         *self.store_sync.borrow_mut() = Some(sync);
@@ -282,8 +291,13 @@
                 match frame {
                     Frame::Call(call) => {
                         let incoming = parts.remove(&call.id);
-                        let incoming = incoming.unwrap_or_else(|| self.new_body());
-                        let body = incoming.finish(&body).await;
+                        let handed_over = self.handover.take(hello.session, call.id);
+                        let body = if handed_over.is_some() {
+                            handed_over
+                        } else {
+                            let incoming = incoming.unwrap_or_else(|| self.new_body());
+                            incoming.finish(&body).await
+                        };
                         // The connection may have been replaced during the wait for memory.
                         if !session.is_current(hello.epoch) {
                             return Ok(());
--- a/crates/marigold-sidecar/src/sidecar.rs
+++ b/crates/marigold-sidecar/src/sidecar.rs
@@ -192,6 +192,7 @@
     executor.set_link_server(&server);
     crashes.set_link_server(&server);
     server.set_memory(&memory);
+    mesh.set_handover(server.handover().clone());
     let rollouts = Rollouts::new(RolloutParts {
         store: store.clone(),
         format: adapter.rollout_format.clone(),
--- a/crates/marigold-sidecar/tests/links.rs
+++ b/crates/marigold-sidecar/tests/links.rs
@@ -119,10 +119,11 @@
     (address, spawn_local(server.listen(listener)))
 }
 
-/// Returns the memory of a link.
+/// Returns the memory of a link whose executor is in another process.
 fn memory() -> LinkMemory {
     LinkMemory {
         budget: MemoryBudget::unlimited(),
+        handover: None,
     }
 }
 
@@ -267,6 +268,31 @@
         }
     }
 
+    large_body_for_the_own_executor_is_handed_over {
+        const SIZE: usize = 1 << 20;
+        let handler = Rc::new(HoldingHandler::default());
+        let (listener, address) = listener().await;
+        let server = LinkServer::new(1, handler.clone());
+        let budget = MemoryBudget::new(ByteSize(2 * SIZE as u64));
+        server.set_memory(&budget);
+        let handover = Some(server.handover().clone());
+        spawn_local(server.listen(listener));
+        let memory = LinkMemory { budget: budget.clone(), handover };
+        let client = LinkClient::start(address, Rc::new(|_, _| {}), memory);
+        let mut charge = budget.charge();
+        assert!(budget.try_grow(&mut charge, SIZE));
+        let body = charge.attach(&Body::from(vec![b'x'; SIZE]));
+        let large = Call { body, ..call("r1", false) };
+        let open = client.call(large).expect("room in the send queue");
+        wait_until(|| handler.started.get() == 1).await;
+        assert_eq!((handler.calls.borrow()[0].0.body.len(), budget.held()), (SIZE, SIZE));
+        // A call that is dropped before the executor has taken its body leaves nothing behind.
+        drop(client.call(call_with_body("r2", SIZE)).expect("room in the send queue"));
+        handler.calls.borrow_mut().clear();
+        drop(open);
+        wait_until(|| budget.held() == 0).await;
+    }
+
     long_bodies_are_split_and_joined {
         let handler = Rc::new(HoldingHandler::default());
         let (address, _task) = serve(1, handler.clone()).await;
