Bound the descriptors of callers' connections

Callers saw: enough connections that say nothing take all descriptors of a daemon, which then accepts nobody and opens no connection of its own.

Cause: nothing limited the connections of callers.

The connection without a request at work whose caller has been still for longest is closed to make room for another.

--- a/crates/marigold-dispatch/src/lib.rs
+++ b/crates/marigold-dispatch/src/lib.rs
@@ -39,7 +39,9 @@
 pub use membership::{
     Directory, FirstContact, LinkRate, LinkSelector, PollTimer, RelaySelector, Site, UpdateSource,
 };
-pub use memory::{Claimant, Holding, HoldingKind, SMALL_BODY, STALL_TIME, select_victim};
+pub use memory::{
+    Claimant, Holding, HoldingKind, SMALL_BODY, STALL_TIME, longest_still, select_victim,
+};
 pub use placing::{
     ExecutorChoice, ExecutorState, Placement, PlacementRequest, Reached, SiteReport, WaitRatio,
 };
--- a/crates/marigold-dispatch/src/memory.rs
+++ b/crates/marigold-dispatch/src/memory.rs
@@ -4,4 +4,4 @@
 mod reclaim;
 
 pub use holding::{Holding, HoldingKind};
-pub use reclaim::{Claimant, SMALL_BODY, STALL_TIME, select_victim};
+pub use reclaim::{Claimant, SMALL_BODY, STALL_TIME, longest_still, select_victim};
--- a/crates/marigold-dispatch/src/memory/holding.rs
+++ b/crates/marigold-dispatch/src/memory/holding.rs
@@ -10,6 +10,8 @@
     Request,
     /// Responses that the caller has not read yet.
     Response,
+    /// A connection without any request.
+    Idle,
 }
 
 /// Bytes that a daemon holds for a caller and can give up without a request being cut off.
--- a/crates/marigold-dispatch/src/memory/reclaim.rs
+++ b/crates/marigold-dispatch/src/memory/reclaim.rs
@@ -46,7 +46,8 @@
     claimant: Claimant<K>,
     now: Instant,
 ) -> Option<K> {
-    let others = holdings.clone().filter(|(key, _)| !claimant.is(*key));
+    let held = holdings.filter(|(_, holding)| holding.kind != HoldingKind::Idle);
+    let others = held.clone().filter(|(key, _)| !claimant.is(*key));
     let stalled = others
         .clone()
         .filter(|(_, holding)| holding.is_stalled(STALL_TIME, now));
@@ -54,7 +55,7 @@
         return Some(key);
     }
     let is_large = |holding: &Holding| holding.size > SMALL_BODY;
-    let large_requests = holdings.filter(|(key, holding)| {
+    let large_requests = held.filter(|(key, holding)| {
         let is_claimant = claimant.is(*key) && claimant.is_large_caller();
         holding.kind == HoldingKind::Request && (is_claimant || is_large(holding))
     });
@@ -68,6 +69,12 @@
     }
 }
 
+/// Selects the connection that is closed to make room for another: the one without a request at work whose caller has been
+/// still for longest.
+pub fn longest_still<K>(holdings: impl Iterator<Item = (K, Holding)>) -> Option<K> {
+    stillest(holdings)
+}
+
 fn stillest<K>(holdings: impl Iterator<Item = (K, Holding)>) -> Option<K> {
     let first = holdings.min_by_key(|(_, holding)| holding.moved_at);
     first.map(|(key, _)| key)
--- a/crates/marigold-dispatch/tests/memory.rs
+++ b/crates/marigold-dispatch/tests/memory.rs
@@ -2,7 +2,9 @@
 
 use std::time::Duration;
 
-use marigold_dispatch::{Claimant, Holding, HoldingKind, SMALL_BODY, STALL_TIME, select_victim};
+use marigold_dispatch::{
+    Claimant, Holding, HoldingKind, SMALL_BODY, STALL_TIME, longest_still, select_victim,
+};
 use marigold_types::ByteSize;
 use tokio::time::Instant;
 
@@ -51,6 +53,10 @@
         self.add(key, HoldingKind::Response, size, ages)
     }
 
+    fn idle(self, key: u32, age: Duration) -> Self {
+        self.add(key, HoldingKind::Idle, ByteSize(0), (age, age))
+    }
+
     /// Lets the caller of the last holding stop waiting now.
     fn expired(mut self) -> Self {
         let now = self.now;
@@ -130,4 +136,16 @@
     reply_takes_nothing_from_small_ones: Scene::new()
         .request(1, SMALL, (SHORT, SHORT)),
         Claimant::Transit => None;
+    idle_connection_has_nothing_to_give: Scene::new()
+        .idle(1, 5 * STALL_TIME),
+        Claimant::Transit => None;
+}
+
+#[test]
+fn connection_that_was_still_for_longest_is_closed() {
+    let scene = Scene::new()
+        .request(1, LARGE, (3 * SHORT, SHORT))
+        .idle(2, 3 * SHORT)
+        .idle(3, 2 * SHORT);
+    assert_eq!(longest_still(scene.holdings.into_iter()), Some(2));
 }
--- a/crates/marigold-sidecar/src/ingress/connection.rs
+++ b/crates/marigold-sidecar/src/ingress/connection.rs
@@ -25,7 +25,7 @@
 use self::read_buffer::ReadBuffer;
 use super::request_handler::Ingress;
 use crate::http1::{FieldBlock, Rejection, Request, RequestReader, Response};
-use crate::{Charge, OutOfMemory, Share};
+use crate::{Charge, EvictionCause, OutOfMemory, Share};
 
 /// Limit on concurrent requests of one connection; further pipelined requests stay unread.
 const MAX_PIPELINED_REQUESTS: usize = 32;
@@ -63,7 +63,7 @@
 
 /// What a connection waits for.
 enum Event {
-    Evicted,
+    Evicted(EvictionCause),
     Response(Response),
     Readable,
     Writable,
@@ -93,7 +93,7 @@
 /// Why a connection could not take what arrives.
 enum ClaimError {
     OutOfMemory,
-    Evicted,
+    Evicted(EvictionCause),
 }
 
 /// Reads requests and writes their responses in the same order, until either end closes the connection.
@@ -173,7 +173,7 @@
             }
             self.share.set(self.holding());
             let flow = match self.next_event(&limits).await? {
-                Event::Evicted => self.give_up(),
+                Event::Evicted(cause) => self.give_up(cause),
                 Event::Response(response) => {
                     self.push_response(&response)?;
                     self.write()?;
@@ -270,7 +270,7 @@
         };
         tokio::select! {
             biased;
-            () = share.evicted() => Err(ClaimError::Evicted),
+            cause = share.evicted() => Err(ClaimError::Evicted(cause)),
             grown = memory.grow(charge, bytes, claimant) => {
                 grown.map_err(|OutOfMemory| ClaimError::OutOfMemory)
             }
@@ -282,13 +282,15 @@
         self.reject_arrival(NO_MEMORY);
         match error {
             ClaimError::OutOfMemory => Flow::Continue,
-            ClaimError::Evicted => self.give_up(),
+            ClaimError::Evicted(cause) => self.give_up(*cause),
         }
     }
 
     /// Gives up what the connection holds for its caller, except for requests at work.
-    fn give_up(&mut self) -> Flow {
-        if !self.output.is_empty() {
+    fn give_up(&mut self, cause: EvictionCause) -> Flow {
+        let is_unread = !self.output.is_empty();
+        let is_closed = cause == EvictionCause::Descriptors && self.responses.is_empty();
+        if is_unread || is_closed {
             return Flow::End;
         }
         if self.reader.is_mid_request() {
@@ -334,7 +336,14 @@
                     .and_then(|timeout| self.arrival.began_at().checked_add(timeout)),
             });
         }
-        None
+        let idle = Holding {
+            kind: HoldingKind::Idle,
+            size,
+            began_at: self.idle_since,
+            moved_at: self.idle_since,
+            expires_at: None,
+        };
+        self.responses.is_empty().then_some(idle)
     }
 
     async fn next_event(&mut self, limits: &CallerLimits) -> io::Result<Event> {
@@ -360,7 +369,7 @@
             ..
         } = self;
         tokio::select! {
-            () = share.evicted() => Ok(Event::Evicted),
+            cause = share.evicted() => Ok(Event::Evicted(cause)),
             Some(response) = responses.next(), if !is_writing && !responses.is_empty() => {
                 Ok(Event::Response(response))
             }
--- a/crates/marigold-sidecar/src/ingress/listener.rs
+++ b/crates/marigold-sidecar/src/ingress/listener.rs
@@ -4,6 +4,7 @@
 use std::time::Duration;
 
 use tokio::net::TcpListener;
+use tokio::task::yield_now;
 use tokio::time::sleep;
 
 use super::connection::Connection;
@@ -16,7 +17,7 @@
 pub async fn listen(ingress: Rc<Ingress>, listener: TcpListener) {
     loop {
         match listener.accept().await {
-            Ok((stream, _)) => {
+            Ok((stream, _)) if make_room(&ingress).await => {
                 let connection = Connection::new(ingress.clone(), stream);
                 tokio::task::spawn_local(async move {
                     if let Err(error) = connection.serve().await {
@@ -24,6 +25,7 @@
                     }
                 });
             }
+            Ok(_) => metrics::counter!("marigold_callers_refused_total").increment(1),
             Err(error) => {
                 spdlog::warn!("failed to accept a caller connection: {error}");
                 sleep(ACCEPT_RETRY_DELAY).await;
@@ -31,3 +33,15 @@
         }
     }
 }
+
+/// Closes connections until there is room for another; returns `false` if all have requests at work.
+async fn make_room(ingress: &Ingress) -> bool {
+    let holders = ingress.options.memory.holders();
+    while holders.count() >= ingress.options.max_callers {
+        if !holders.is_evicting() && !holders.evict_longest_still() {
+            return false;
+        }
+        yield_now().await;
+    }
+    true
+}
--- a/crates/marigold-sidecar/src/ingress/request_handler.rs
+++ b/crates/marigold-sidecar/src/ingress/request_handler.rs
@@ -67,6 +67,8 @@
     pub grace: Duration,
     /// The budget of the process.
     pub memory: Rc<MemoryBudget>,
+    /// Limit on the open connections of callers.
+    pub max_callers: usize,
 }
 
 /// The side of a daemon that serves callers.
--- a/crates/marigold-sidecar/src/lib.rs
+++ b/crates/marigold-sidecar/src/lib.rs
@@ -25,6 +25,8 @@
 pub use crash_tracker::{CrashTracker, TrackedRun};
 pub use header_names::HeaderNames;
 pub use lifecycle::{Lifecycle, WorkGuard};
-pub use memory::{Charge, HolderKey, Holders, MemoryBudget, OutOfMemory, Share, ShrinkableCache};
+pub use memory::{
+    Charge, EvictionCause, HolderKey, Holders, MemoryBudget, OutOfMemory, Share, ShrinkableCache,
+};
 pub use settings::{BoundSettings, InstanceSettings, ListenSettings, RoutingSettings, Settings};
 pub use sidecar::{Adapter, SidecarError, load_settings, run};
--- a/crates/marigold-sidecar/src/memory.rs
+++ b/crates/marigold-sidecar/src/memory.rs
@@ -10,4 +10,4 @@
 
 pub use budget::{MemoryBudget, OutOfMemory, ShrinkableCache};
 pub use charge::Charge;
-pub use holders::{HolderKey, Holders, Share};
+pub use holders::{EvictionCause, HolderKey, Holders, Share};
--- a/crates/marigold-sidecar/src/memory/holders.rs
+++ b/crates/marigold-sidecar/src/memory/holders.rs
@@ -3,7 +3,7 @@
 use std::cell::RefCell;
 use std::rc::Rc;
 
-use marigold_dispatch::{Claimant, Holding, select_victim};
+use marigold_dispatch::{Claimant, Holding, longest_still, select_victim};
 use slotmap::{SlotMap, new_key_type};
 use tokio::sync::Notify;
 use tokio::time::Instant;
@@ -13,11 +13,29 @@
     pub struct HolderKey;
 }
 
+/// What a connection is told to make room for.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum EvictionCause {
+    /// Bytes of others.
+    Memory,
+    /// Other connections.
+    Descriptors,
+}
+
+impl EvictionCause {
+    fn label(self) -> &'static str {
+        match self {
+            Self::Memory => "memory",
+            Self::Descriptors => "descriptors",
+        }
+    }
+}
+
 struct Holder {
     /// What the connection can give up, or `None` while it only waits for responses.
     holding: Option<Holding>,
     /// Set until the connection has given it up.
-    is_evicted: bool,
+    eviction: Option<EvictionCause>,
     wake: Rc<Notify>,
 }
 
@@ -34,7 +52,7 @@
         let wake = Rc::new(Notify::new());
         let holder = Holder {
             holding: None,
-            is_evicted: false,
+            eviction: None,
             wake: wake.clone(),
         };
         Share {
@@ -44,11 +62,17 @@
         }
     }
 
+    /// Returns the number of connections.
+    #[must_use]
+    pub fn count(&self) -> usize {
+        self.holders.borrow().len()
+    }
+
     /// Returns whether a connection that was told to give up what it holds has not done so yet.
     #[must_use]
     pub fn is_evicting(&self) -> bool {
         let holders = self.holders.borrow();
-        holders.values().any(|holder| holder.is_evicted)
+        holders.values().any(|holder| holder.eviction.is_some())
     }
 
     /// Tells a connection to give up what it holds, so that `claimant` gets it. Returns `false` if there is none, or if the
@@ -68,15 +92,32 @@
         let Some(victim) = victim.filter(|victim| Some(*victim) != own) else {
             return false;
         };
-        self.evict(victim);
+        self.evict(victim, EvictionCause::Memory);
+        true
+    }
+
+    /// Tells the connection whose caller has been still for longest to close; returns `false` if all have requests at work.
+    pub fn evict_longest_still(&self) -> bool {
+        let victim = {
+            let holders = self.holders.borrow();
+            let held = holders
+                .iter()
+                .filter_map(|(key, holder)| Some((key, holder.holding?)));
+            longest_still(held)
+        };
+        let Some(victim) = victim else {
+            return false;
+        };
+        self.evict(victim, EvictionCause::Descriptors);
         true
     }
 
-    fn evict(&self, key: HolderKey) {
+    fn evict(&self, key: HolderKey, cause: EvictionCause) {
         if let Some(holder) = self.holders.borrow_mut().get_mut(key) {
-            holder.is_evicted = true;
+            holder.eviction = Some(cause);
             holder.wake.notify_one();
-            metrics::counter!("marigold_callers_evicted_total").increment(1);
+            metrics::counter!("marigold_callers_evicted_total", "cause" => cause.label())
+                .increment(1);
         }
     }
 }
@@ -103,16 +144,14 @@
     }
 
     /// Waits until the connection is told to give up what it holds.
-    pub async fn evicted(&self) {
+    pub async fn evicted(&self) -> EvictionCause {
         loop {
-            let is_evicted = {
+            let holder_cause = {
                 let holders = self.holders.holders.borrow();
-                holders
-                    .get(self.key)
-                    .is_some_and(|holder| holder.is_evicted)
+                holders.get(self.key).and_then(|holder| holder.eviction)
             };
-            if is_evicted {
-                return;
+            if let Some(cause) = holder_cause {
+                return cause;
             }
             self.wake.notified().await;
         }
@@ -122,7 +161,7 @@
     pub fn settle(&self) {
         if let Some(holder) = self.holders.holders.borrow_mut().get_mut(self.key) {
             holder.holding = None;
-            holder.is_evicted = false;
+            holder.eviction = None;
         }
     }
 }
--- a/crates/marigold-sidecar/src/settings.rs
+++ b/crates/marigold-sidecar/src/settings.rs
@@ -14,6 +14,10 @@
 const MAX_NUMBER: f64 = 86_400.0;
 /// Description of valid numbers in error messages.
 const ALLOWED_NUMBER: &str = "a number from 0 to 86400, such as 2.5; times are in seconds";
+/// Used if the setting is absent, see [`InstanceSettings::descriptors`].
+const DEFAULT_DESCRIPTORS: usize = 4_096;
+/// Least value of [`InstanceSettings::descriptors`].
+const MIN_DESCRIPTORS: usize = 64;
 /// Used if the setting is absent, see [`RoutingSettings::byte_cost`].
 const DEFAULT_BYTE_COST: f64 = 0.01;
 
@@ -30,6 +34,8 @@
     pub backend_server: SocketAddr,
     /// Memory limit of the process.
     pub memory: ByteSize,
+    /// Limit on the open descriptors of the process.
+    pub descriptors: usize,
     /// Capacity of the instance's network link.
     pub link: LinkRate,
 }
@@ -128,6 +134,7 @@
     let service = required(instance, "service", "a name", faults);
     let backend_server = required(instance, "backend_server", address, faults);
     let memory = required(instance, "memory", "a size, such as 256MB", faults);
+    let descriptors = read_descriptors(instance, faults);
     let link = required(instance, "link", "megabits per second, such as 100", faults);
     let callers = required(listen, "callers", address, faults);
     let daemons = required(listen, "daemons", address, faults);
@@ -152,6 +159,7 @@
             service: service?,
             backend_server: backend_server?,
             memory: memory?,
+            descriptors: descriptors?,
             link: link?,
         },
         listen: ListenSettings {
@@ -176,6 +184,22 @@
     })
 }
 
+/// Reads how many descriptors the process may have open.
+fn read_descriptors(instance: &Section, faults: &mut Faults) -> Option<usize> {
+    const KEY: &str = "descriptors";
+    let Some(entry) = instance.find(KEY) else {
+        return Some(DEFAULT_DESCRIPTORS);
+    };
+    let parsed = entry.value.parse().ok();
+    let descriptors = parsed.filter(|count| *count >= MIN_DESCRIPTORS);
+    if descriptors.is_none() {
+        let problem = format!("`{}` is not", entry.value);
+        let label = instance.setting_label(KEY);
+        faults.add(entry.line, &label, &problem, "a whole number of 64 or more");
+    }
+    descriptors
+}
+
 /// Reads the `[decisions]` section. What it leaves out is decided as by default.
 fn read_decisions(document: &Document, faults: &mut Faults) -> Decisions {
     let default = Decisions::default();
--- a/crates/marigold-sidecar/src/sidecar.rs
+++ b/crates/marigold-sidecar/src/sidecar.rs
@@ -38,6 +38,8 @@
 const SETTINGS_POLL_INTERVAL: Duration = Duration::from_secs(1);
 /// Time limit for deleting this daemon's record from the store at shutdown.
 const WITHDRAW_TIMEOUT: Duration = Duration::from_secs(1);
+/// Descriptors for each four of the limit that connections of callers may take.
+const CALLER_DESCRIPTORS_OF_FOUR: usize = 3;
 
 /// Platform-specific dependencies of a sidecar.
 pub struct Adapter {
@@ -335,6 +337,7 @@
         origin: settings.instance.service.clone(),
         grace: settings.bounds.grace,
         memory: memory.clone(),
+        max_callers: settings.instance.descriptors / 4 * CALLER_DESCRIPTORS_OF_FOUR,
     };
     let ingress = Ingress::new(options, mesh.clone(), events.clone());
     ingress.freshness.set_max_age(settings.bounds.revocation);
--- a/crates/marigold-sidecar/tests/common/test_mesh.rs
+++ b/crates/marigold-sidecar/tests/common/test_mesh.rs
@@ -111,6 +111,7 @@
             origin: service("ledger"),
             grace: Duration::from_secs(6),
             memory: options.memory.clone(),
+            max_callers: 1 << 10,
         };
         let ingress = Ingress::new(options, mesh.clone(), events.clone());
         ingress.install(Arc::new(route_table()));
