Take uploads that last longer than the idle timeout

Callers saw: an upload that was still arriving after idle_timeout_s got 408.

Cause: the timeout ran from the last response on the connection, or from its start, not from the last byte.

Change: while a body arrives, it runs from the last byte.

Evidence: slow_body_is_served, a body in 30 pieces over 3 s with a timeout of 2 s, got 408 on the code before.

--- a/crates/marigold-sidecar/src/ingress/connection.rs
+++ b/crates/marigold-sidecar/src/ingress/connection.rs
@@ -357,6 +357,9 @@
         let expires_at = match (self.reader.head_since(), self.responses.is_empty()) {
             _ if is_writing => None,
             (Some(since), _) => Some(since + limits.head_timeout),
+            (None, true) if self.reader.is_mid_body() => {
+                Some(self.arrival.heard_at() + limits.idle_timeout)
+            }
             (None, true) => Some(self.idle_since + limits.idle_timeout),
             (None, false) => None,
         };
--- a/crates/marigold-sidecar/src/ingress/connection/arrival.rs
+++ b/crates/marigold-sidecar/src/ingress/connection/arrival.rs
@@ -10,6 +10,7 @@
 pub struct Arrival {
     began_at: Instant,
     moved_at: Instant,
+    heard_at: Instant,
     /// Bytes since `moved_at`.
     bytes: usize,
 }
@@ -20,6 +21,7 @@
         Self {
             began_at: now,
             moved_at: now,
+            heard_at: now,
             bytes: 0,
         }
     }
@@ -34,9 +36,15 @@
         self.moved_at
     }
 
+    /// Returns when the last byte arrived.
+    pub fn heard_at(&self) -> Instant {
+        self.heard_at
+    }
+
     /// Records `count` bytes.
     pub fn record(&mut self, count: usize, now: Instant) {
         self.bytes += count;
+        self.heard_at = now;
         if self.bytes >= MIN_PROGRESS_BYTES {
             self.bytes = 0;
             self.moved_at = now;
