Merge the samples of histograms each second

Callers saw: the daemon that they sent millions of short requests to ended by its memory, if nobody fetched its metrics.

Cause: the recorder of metrics keeps each sample of a histogram until it is rendered or its upkeep runs, and the sidecar never ran it.

Change: it runs each second.

--- a/crates/marigold-sidecar/src/sidecar.rs
+++ b/crates/marigold-sidecar/src/sidecar.rs
@@ -36,6 +36,8 @@
 const SHUTDOWN_POLL_INTERVAL: Duration = Duration::from_millis(50);
 /// Interval at which the settings file is checked for changes, besides on `SIGHUP`.
 const SETTINGS_POLL_INTERVAL: Duration = Duration::from_secs(1);
+/// Interval at which samples of histograms are merged. The recorder keeps each of them until then.
+const METRICS_UPKEEP_INTERVAL: Duration = Duration::from_secs(1);
 /// Time limit for deleting this daemon's record from the store at shutdown.
 const WITHDRAW_TIMEOUT: Duration = Duration::from_secs(1);
 /// Descriptors for each four of the limit that connections of callers may take.
@@ -256,10 +258,11 @@
             events: events.clone(),
             is_ready: readiness_check(&ingress, &relay),
             is_named: service_check(&ingress, &settings.instance.service),
-            metrics,
+            metrics: metrics.clone(),
         },
     );
 
+    tokio::task::spawn_local(merge_samples(metrics));
     relay.start();
     rollouts.start();
     tokio::task::spawn_local(discovery.run());
@@ -279,6 +282,14 @@
     })
 }
 
+/// Bounds the memory of metrics that nobody fetches, until the task is dropped.
+async fn merge_samples(metrics: PrometheusHandle) {
+    loop {
+        sleep(METRICS_UPKEEP_INTERVAL).await;
+        metrics.run_upkeep();
+    }
+}
+
 fn readiness_check(ingress: &Rc<Ingress>, relay: &Rc<Relay>) -> ReadinessCheck {
     let (ingress, relay) = (ingress.clone(), relay.clone());
     Rc::new(move || {
