Show that a spoilt health check makes a backend server unhealthy

Cause: the check of heads in the prober of marigoldd came without a test. Change: a test; a sound response in the same form passes.

--- a/crates/marigoldd/tests/spoilt_answers.rs
+++ b/crates/marigoldd/tests/spoilt_answers.rs
@@ -7,6 +7,8 @@
 use tokio::net::{TcpListener, TcpStream};
 
 const READ_BUFFER_BYTES: usize = 4 << 10;
+/// Health checks that a backend server gets before its health is looked at.
+const PROBES: usize = 4;
 const HEALTHY: &str = "HTTP/1.1 200 OK\r\nContent-Length: 0\r\n\r\n";
 
 /// Answers each request but health checks with `bytes`. The connection stays open for another request.
@@ -91,3 +93,37 @@
     length_beside_chunks:
         "HTTP/1.1 200 OK\r\nContent-Length: 1\r\nTransfer-Encoding: chunked\r\n\r\n2\r\nhi\r\n0\r\n\r\n";
 }
+
+/// Returns whether a backend server whose health endpoint answers with `bytes` passes for healthy.
+async fn is_healthy(bytes: &'static str) -> bool {
+    let listener = TcpListener::bind("127.0.0.1:0").await.unwrap();
+    let address = listener.local_addr().unwrap();
+    let (sender, mut probes) = tokio::sync::mpsc::channel(1);
+    let server = tokio::spawn(async move {
+        loop {
+            let (mut stream, _) = listener.accept().await.unwrap();
+            let _ = stream.read(&mut [0; READ_BUFFER_BYTES]).await.unwrap();
+            sender.send(()).await.unwrap();
+            stream.write_all(bytes.as_bytes()).await.unwrap();
+        }
+    });
+    let mut mesh = Mesh::new();
+    mesh.add("hall-0", Some(address)).await;
+    mesh.publish();
+    // Probes follow one another, so that the verdicts on all but the last are known.
+    for _ in 0..PROBES {
+        probes.recv().await.unwrap();
+    }
+    let healthy = *mesh.daemons[0].shared.healthy.borrow();
+    server.abort();
+    healthy
+}
+
+#[tokio::test]
+async fn backend_server_with_a_spoilt_health_check_is_unhealthy() {
+    assert!(is_healthy("HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n0\r\n\r\n").await);
+    let spoilt = is_healthy(
+        "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\nTransfer-Encoding: chunked\r\n\r\n0\r\n\r\n",
+    );
+    assert!(!spoilt.await);
+}
